--- /dev/null
+++ b/packages/verbena/src/verbena/__init__.py
@@ -0,0 +1,1 @@
+"""Placeholder."""
--- /dev/null
+++ b/packages/verbenaworks/src/verbenaworks/errors.py
@@ -0,0 +1,30 @@
+"""The one exceptions hierarchy of verbenaworks.
+
+Every expected failure is a typed error whose message says what is wrong and
+whose remedy says what the reader can do about it.
+"""
+
+
+class VerbenaError(Exception):
+    """Base class of all expected failures.
+
+    :cvar code: stable identifier for programs.
+    :param message: what is wrong.
+    :param remedy: what the reader can do about it.
+    """
+
+    code = "error"
+
+    def __init__(self, message: str, remedy: str) -> None:
+        super().__init__(message)
+        self.message = message
+        self.remedy = remedy
+
+    def __str__(self) -> str:
+        return f"{self.message}; {self.remedy}"
+
+
+class WireError(VerbenaError):
+    """A message from a peer could not be decoded."""
+
+    code = "malformed-message"
