--- /dev/null
+++ b/packages/standins/src/standins/__main__.py
@@ -0,0 +1,65 @@
+"""Command line of the stand-ins: ``python -m standins store ...``."""
+
+import argparse
+import os
+
+os.environ.setdefault("EVENTLET_NO_GREENDNS", "yes")
+
+import eventlet  # noqa: E402
+
+eventlet.monkey_patch()
+
+import eventlet.wsgi  # noqa: E402
+
+from standins.backend_app import BackendApp  # noqa: E402
+from standins.instance_list_app import InstanceListApp  # noqa: E402
+from standins.store_app import StoreApp  # noqa: E402
+from standins.wsgi_tools import Application  # noqa: E402
+
+
+def main() -> None:
+    """Start one kind of stand-in and serve until killed."""
+    parser = argparse.ArgumentParser(prog="standins")
+    kinds = parser.add_subparsers(dest="kind", required=True)
+    store = kinds.add_parser("store")
+    store.add_argument("--port", type=int, required=True)
+    instances = kinds.add_parser("instance-list")
+    instances.add_argument("--port", type=int, required=True)
+    instances.add_argument("--lag-s", type=float, default=1.0)
+    backends = kinds.add_parser("backends")
+    backends.add_argument(
+        "--target",
+        action="append",
+        required=True,
+        metavar="NAME:PORT:SLOTS:SERVICE_MS",
+    )
+    backends.add_argument("--cold-s", type=float, default=0.0)
+    arguments = parser.parse_args()
+    match arguments.kind:
+        case "store":
+            _serve(StoreApp(), arguments.port)
+        case "instance-list":
+            _serve(InstanceListApp(arguments.lag_s), arguments.port)
+        case _:
+            _serve_backends(arguments.target, arguments.cold_s)
+
+
+def _serve_backends(targets: list[str], cold_s: float) -> None:
+    threads = []
+    for text in targets:
+        name, port, slots, service_ms = text.rsplit(":", 3)
+        app = BackendApp(name, int(slots), float(service_ms) / 1000, cold_s)
+        threads.append(eventlet.spawn(_serve, app, int(port)))
+    for thread in threads:
+        thread.wait()
+
+
+def _serve(app: Application, port: int) -> None:
+    listener = eventlet.listen(("127.0.0.1", port))
+    eventlet.wsgi.server(
+        listener, app, log_output=False, debug=False, max_size=4096
+    )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/standins/src/standins/backend_app.py
@@ -0,0 +1,246 @@
+"""A backend server stand-in: slots, cold start, shedding, failures."""
+
+import hashlib
+import time
+from collections import deque
+from collections.abc import Iterable, Iterator
+from dataclasses import replace
+
+import eventlet
+import msgspec
+
+from standins.backend_faults import BackendFaults
+from standins.backend_run import BackendRun
+from standins.wsgi_tools import (
+    Environ,
+    StartResponse,
+    abort_connection,
+    json_answer,
+    read_json,
+)
+
+CHUNK_BYTES = 65536
+CRASH_MARKER = b"crash-this-server"
+CRASH_RESTART_S = 0.5
+HISTORY_LENGTH = 100_000
+KEY_HEADERS = ("HTTP_X_VERBENA_KEY",)
+
+
+class BackendApp:
+    """WSGI application of one target.
+
+    Every path is served; ``?bytes=N`` asks for an answer of N bytes and
+    ``?ms=N`` for a service time. A body or query that holds
+    ``crash-this-server`` crashes the target: all its connections are reset
+    and it refuses work until it has restarted, cold.
+
+    :param slots: requests run at once; more are shed as not run.
+    :param service_s: service time of a request when warm, in seconds.
+    :param cold_s: time after a start during which requests take four times
+        as long.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        slots: int,
+        service_s: float = 0.005,
+        cold_s: float = 0.0,
+    ) -> None:
+        self.name = name
+        self._slots = slots
+        self._service_s = service_s
+        self._cold_s = cold_s
+        self._faults = BackendFaults()
+        self._in_flight = 0
+        self._peak_in_flight = 0
+        self._started_at_s = time.monotonic()
+        self._down_until_s = 0.0
+        self._generation = 0
+        self._silenced: set[object] = set()
+        self._connections: dict[object, object] = {}
+        self._history: deque[BackendRun] = deque(maxlen=HISTORY_LENGTH)
+        self._reports: deque[tuple[float, float]] = deque(maxlen=1000)
+
+    def __call__(
+        self, environ: Environ, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Serve one request."""
+        path = environ["PATH_INFO"]
+        if path.startswith("/admin/"):
+            return self._admin(path, environ, start_response)
+        connection = environ["eventlet.input"].get_socket()
+        peer = (environ["REMOTE_ADDR"], environ["REMOTE_PORT"])
+        self._connections[peer] = connection
+        while peer in self._silenced:
+            eventlet.sleep(0.05)
+        if time.monotonic() < self._down_until_s:
+            return abort_connection(environ)
+        if path == "/health":
+            return self._health(start_response)
+        if path == "/load":
+            return self._load(start_response)
+        return self._serve(environ, start_response)
+
+    def _serve(
+        self, environ: Environ, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        if self._faults.draining or self._in_flight >= self._slots:
+            return self._shed(start_response)
+        self._in_flight += 1
+        self._peak_in_flight = max(self._peak_in_flight, self._in_flight)
+        self._reports.append((time.monotonic(), self._in_flight))
+        index = self._record(environ)
+        try:
+            return self._run(environ, start_response, index)
+        finally:
+            self._in_flight -= 1
+            self._reports.append((time.monotonic(), self._in_flight))
+
+    def _run(
+        self, environ: Environ, start_response: StartResponse, index: int
+    ) -> Iterable[bytes]:
+        generation = self._generation
+        query = environ.get("QUERY_STRING", "")
+        digest, size, has_marker = _read_body(environ)
+        run = replace(
+            self._history[index], body_sha256=digest, body_bytes=size
+        )
+        self._history[index] = run
+        if size < int(environ.get("CONTENT_LENGTH") or 0):
+            self._history[index] = replace(run, outcome="cancelled")
+            return abort_connection(environ)
+        if has_marker or CRASH_MARKER.decode() in query:
+            self._history[index] = replace(run, outcome="crashed")
+            self._crash()
+            return abort_connection(environ)
+        eventlet.sleep(self._service_time_s(query))
+        if generation != self._generation:
+            self._history[index] = replace(run, outcome="crashed")
+            return abort_connection(environ)
+        self._history[index] = replace(run, outcome="answered")
+        return self._answer(start_response, run, query)
+
+    def _answer(
+        self, start_response: StartResponse, run: BackendRun, query: str
+    ) -> Iterable[bytes]:
+        size = _query_number(query, "bytes")
+        headers = [("X-Target", self.name), ("X-Run-Id", run.request_id)]
+        if size is None:
+            data = msgspec.json.encode(run)
+            stated = len(data) + (10 if self._faults.truncate else 0)
+            start_response(
+                "200 OK",
+                [
+                    *headers,
+                    ("Content-Type", "application/json"),
+                    ("Content-Length", str(stated)),
+                ],
+            )
+            return [data]
+        stated = size + (10 if self._faults.truncate else 0)
+        start_response("200 OK", [*headers, ("Content-Length", str(stated))])
+        return _zeros(size)
+
+    def _shed(self, start_response: StartResponse) -> Iterable[bytes]:
+        start_response(
+            "503 Service Unavailable",
+            [
+                ("X-Not-Run", "1"),
+                ("X-Draining", "1" if self._faults.draining else "0"),
+                ("X-Target", self.name),
+                ("Content-Length", "0"),
+            ],
+        )
+        return [b""]
+
+    def _record(self, environ: Environ) -> int:
+        if len(self._history) == HISTORY_LENGTH:
+            self._history.clear()
+        self._history.append(
+            BackendRun(
+                target=self.name,
+                request_id=environ.get("HTTP_X_REQUEST_ID", ""),
+                method=environ["REQUEST_METHOD"],
+                path=environ["PATH_INFO"],
+                idempotency_key=environ.get("HTTP_IDEMPOTENCY_KEY", ""),
+                body_sha256="",
+                body_bytes=0,
+                started_at_s=time.monotonic(),
+                outcome="running",
+                secrets_seen=tuple(k for k in KEY_HEADERS if k in environ),
+            )
+        )
+        return len(self._history) - 1
+
+    def _service_time_s(self, query: str) -> float:
+        stated_ms = _query_number(query, "ms")
+        service_s = self._service_s if stated_ms is None else stated_ms / 1000
+        age_s = time.monotonic() - self._started_at_s
+        cold_factor = 4.0 if age_s < self._cold_s else 1.0
+        return service_s * cold_factor * self._faults.slow_factor
+
+    def _crash(self) -> None:
+        self._generation += 1
+        now_s = time.monotonic()
+        self._down_until_s = now_s + CRASH_RESTART_S
+        self._started_at_s = self._down_until_s
+
+    def _health(self, start_response: StartResponse) -> Iterable[bytes]:
+        healthy = not self._faults.draining
+        if self._faults.reported_healthy is not None:
+            healthy = self._faults.reported_healthy
+        status = "200 OK" if healthy else "503 Service Unavailable"
+        body = {"healthy": healthy, "draining": self._faults.draining}
+        return json_answer(start_response, status, body)
+
+    def _load(self, start_response: StartResponse) -> Iterable[bytes]:
+        load = self._faults.reported_load
+        if load is None:
+            limit_s = time.monotonic() - self._faults.report_lag_s
+            past = [n for at_s, n in self._reports if at_s <= limit_s]
+            load = (past[-1] if past else 0) / self._slots
+        return json_answer(
+            start_response, "200 OK", {"load": load, "slots": self._slots}
+        )
+
+    def _admin(
+        self, path: str, environ: Environ, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        if path == "/admin/faults":
+            self._faults = msgspec.convert(read_json(environ), BackendFaults)
+            if self._faults.silent:
+                self._silenced |= set(self._connections)
+            return json_answer(start_response, "200 OK", {})
+        if path == "/admin/history":
+            return json_answer(start_response, "200 OK", list(self._history))
+        if path == "/admin/peak":
+            return json_answer(
+                start_response, "200 OK", {"in_flight": self._peak_in_flight}
+            )
+        return json_answer(start_response, "404 Not Found", {})
+
+
+def _read_body(environ: Environ) -> tuple[str, int, bool]:
+    digest, size, tail, has_marker = hashlib.sha256(), 0, b"", False
+    while chunk := environ["wsgi.input"].read(CHUNK_BYTES):
+        digest.update(chunk)
+        size += len(chunk)
+        has_marker = has_marker or CRASH_MARKER in tail + chunk
+        tail = chunk[-len(CRASH_MARKER) :]
+    return digest.hexdigest(), size, has_marker
+
+
+def _query_number(query: str, name: str) -> int | None:
+    for part in query.split("&"):
+        key, _, value = part.partition("=")
+        if key == name and value.isdigit():
+            return int(value)
+    return None
+
+
+def _zeros(size: int) -> Iterator[bytes]:
+    while size > 0:
+        part = min(size, CHUNK_BYTES)
+        yield bytes(part)
+        size -= part
--- /dev/null
+++ b/packages/standins/src/standins/rate_meter.py
@@ -0,0 +1,28 @@
+"""Counts calls and refuses those above a rate."""
+
+from collections.abc import Callable
+
+
+class RateMeter:
+    """Calls in all, in the running second and in the busiest second.
+
+    :param limit_per_s: calls allowed in each second.
+    """
+
+    def __init__(self, now_s: Callable[[], float], limit_per_s: int) -> None:
+        self._now_s = now_s
+        self._limit_per_s = limit_per_s
+        self._second = 0
+        self._in_second = 0
+        self.total = 0
+        self.peak_per_s = 0
+
+    def admit(self) -> bool:
+        """Count a call; return False if it is above the rate."""
+        second = int(self._now_s())
+        if second != self._second:
+            self._second, self._in_second = second, 0
+        self.total += 1
+        self._in_second += 1
+        self.peak_per_s = max(self.peak_per_s, self._in_second)
+        return self._in_second <= self._limit_per_s
--- /dev/null
+++ b/packages/standins/src/standins/wsgi_tools.py
@@ -0,0 +1,41 @@
+"""Helpers shared by the WSGI applications of the stand-ins."""
+
+import contextlib
+import socket
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import msgspec
+
+Environ = dict[str, Any]
+StartResponse = Callable[..., Any]
+Application = Callable[[Environ, StartResponse], Iterable[bytes]]
+
+
+def json_answer(
+    start_response: StartResponse, status: str, body: object
+) -> list[bytes]:
+    """Answer with a JSON body."""
+    data = msgspec.json.encode(body)
+    start_response(
+        status,
+        [
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(len(data))),
+        ],
+    )
+    return [data]
+
+
+def abort_connection(environ: Environ) -> list[bytes]:
+    """Close the caller's connection without an answer."""
+    connection = environ["eventlet.input"].get_socket()
+    with contextlib.suppress(OSError):
+        connection.shutdown(socket.SHUT_RDWR)
+    return []
+
+
+def read_json(environ: Environ) -> Any:
+    """Return the JSON body of a request, an empty dict if there is none."""
+    data = environ["wsgi.input"].read()
+    return msgspec.json.decode(data) if data else {}
--- /dev/null
+++ b/packages/verbenaworks/src/verbenaworks/client_blocks.py
@@ -0,0 +1,159 @@
+"""Longest-prefix table from client address blocks to sites.
+
+Blocks may nest. They are flattened once into disjoint ranges kept in arrays,
+since 120,000 blocks as separate objects would not fit the memory that a node
+may spend on control.
+"""
+
+import ipaddress
+from array import array
+from bisect import bisect_right
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from verbenaworks.errors import VerbenaError
+
+# IPv6 blocks are kept by their first 64 bits: a /64 is one subnet, so a
+# longer prefix does not tell sites apart.
+IPV6_KEPT_BITS = 64
+
+_NO_SITE = 0xFFFF
+_REMEDY = "use an address or block such as 192.0.2.0/24 or 2001:db8::/32"
+
+_Network = ipaddress.IPv4Network | ipaddress.IPv6Network
+
+
+class InvalidAddressError(VerbenaError):
+    """An address or block could not be parsed or is not unicast."""
+
+    code = "invalid-address"
+
+
+class ForeignAddressError(VerbenaError):
+    """No configured client block holds the address."""
+
+    code = "foreign-address"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class BlockMatch:
+    """The range an address falls into.
+
+    :ivar site: name of the site.
+    :ivar range_id: position of the disjoint range; stable for one table.
+    :ivar range_start: first address of the range; the same at each instance.
+    """
+
+    site: str
+    range_id: int
+    range_start: int
+
+
+class ClientBlocks:
+    """Lookup table from address to site.
+
+    :param blocks: pairs of CIDR block and site name.
+    :raises InvalidAddressError: if a block is malformed.
+    """
+
+    def __init__(self, blocks: Iterable[tuple[str, str]]) -> None:
+        self._sites: list[str] = []
+        site_ids: dict[str, int] = {}
+        by_version: dict[int, list[tuple[int, int, int]]] = {4: [], 6: []}
+        for text, site in blocks:
+            network = _parse_network(text)
+            if site not in site_ids:
+                site_ids[site] = len(self._sites)
+                self._sites.append(site)
+            shift = _shift(network.version)
+            first = int(network.network_address) >> shift
+            last = int(network.broadcast_address) >> shift
+            by_version[network.version].append((first, last, site_ids[site]))
+        self._starts = {4: array("Q"), 6: array("Q")}
+        self._ids = {4: array("H"), 6: array("H")}
+        for version, ranges in by_version.items():
+            self._flatten(version, ranges)
+
+    def __len__(self) -> int:
+        return sum(len(starts) for starts in self._starts.values())
+
+    def find(self, address: str) -> BlockMatch:
+        """Return the most specific block of an address or of a block.
+
+        :raises InvalidAddressError: if the text is no unicast address.
+        :raises ForeignAddressError: if no block holds the address.
+        """
+        parsed = _parse_address(address)
+        version = parsed.version
+        number = int(parsed) >> _shift(version)
+        index = bisect_right(self._starts[version], number) - 1
+        site_id = self._ids[version][index] if index >= 0 else _NO_SITE
+        if site_id == _NO_SITE:
+            raise ForeignAddressError(
+                f"no client block holds {address}",
+                "use an address that the operators have configured",
+            )
+        return BlockMatch(
+            site=self._sites[site_id],
+            range_id=index,
+            range_start=self._starts[version][index],
+        )
+
+    def _flatten(
+        self, version: int, ranges: list[tuple[int, int, int]]
+    ) -> None:
+        """Turn nested ranges into disjoint ones, the innermost wins."""
+        ranges.sort(key=lambda item: (item[0], -item[1]))
+        open_ranges: list[tuple[int, int]] = []
+        for first, last, site_id in ranges:
+            while open_ranges and open_ranges[-1][0] < first:
+                self._close_range(version, open_ranges)
+            self._append(version, first, site_id)
+            open_ranges.append((last, site_id))
+        while open_ranges:
+            self._close_range(version, open_ranges)
+
+    def _close_range(
+        self, version: int, open_ranges: list[tuple[int, int]]
+    ) -> None:
+        last, _ = open_ranges.pop()
+        while open_ranges and open_ranges[-1][0] <= last:
+            open_ranges.pop()
+        outer = open_ranges[-1][1] if open_ranges else _NO_SITE
+        self._append(version, last + 1, outer)
+
+    def _append(self, version: int, start: int, site_id: int) -> None:
+        starts, ids = self._starts[version], self._ids[version]
+        if starts and starts[-1] == start:
+            ids[-1] = site_id
+            return
+        starts.append(min(start, 2**64 - 1))
+        ids.append(site_id)
+
+
+def _shift(version: int) -> int:
+    return 0 if version == 4 else 128 - IPV6_KEPT_BITS
+
+
+def _parse_network(text: str) -> _Network:
+    try:
+        return ipaddress.ip_network(text, strict=True)
+    except ValueError as error:
+        raise InvalidAddressError(
+            f"{text!r} is not a client block: {error}", _REMEDY
+        ) from error
+
+
+def _parse_address(
+    text: str,
+) -> ipaddress.IPv4Address | ipaddress.IPv6Address:
+    host, _, _ = text.partition("/")
+    try:
+        parsed = ipaddress.ip_address(host)
+    except ValueError as error:
+        raise InvalidAddressError(
+            f"{text!r} is not an address: {error}", _REMEDY
+        ) from error
+    if parsed.is_multicast or parsed.is_unspecified:
+        raise InvalidAddressError(f"{text!r} is not unicast", _REMEDY)
+    return parsed
--- /dev/null
+++ b/packages/verbenaworks/src/verbenaworks/entry_lookup.py
@@ -0,0 +1,106 @@
+"""Which entry instances a caller should use, in order.
+
+Instances of a region stand on a consistent-hashing ring. The order for a
+client block depends only on the names on the ring, so all instances give the
+same answer, and an instance that leaves changes the answer only of the blocks
+that used it.
+"""
+
+from bisect import bisect_right
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass
+from hashlib import blake2b
+
+# Points per instance: at 5 to 130 instances a region the busiest instance
+# then has about 1.3 times the mean number of blocks.
+POINTS_PER_INSTANCE = 64
+DEFAULT_LIMIT = 4
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class EntryInstance:
+    """An entry instance as callers see it.
+
+    :ivar caller_address: ``host:port`` for callers.
+    """
+
+    name: str
+    caller_address: str
+    region: str
+    failure_domain: str
+
+
+class EntryLookup:
+    """Rings of all regions, built once for a set of instances."""
+
+    def __init__(self, instances: Iterable[EntryInstance]) -> None:
+        by_region: dict[str, list[EntryInstance]] = {}
+        for instance in instances:
+            by_region.setdefault(instance.region, []).append(instance)
+        self._rings = {
+            region: _Ring(members) for region, members in by_region.items()
+        }
+
+    def find(
+        self,
+        regions: Sequence[str],
+        block_hash: int,
+        is_usable: Callable[[str], bool],
+        limit: int = DEFAULT_LIMIT,
+    ) -> list[EntryInstance]:
+        """Return up to ``limit`` usable instances, the best first.
+
+        :param regions: regions in order of preference.
+        :param block_hash: hash of the caller's block, see
+            :func:`hash_block`.
+        :param is_usable: tells by name whether an instance may be named.
+        """
+        found: list[EntryInstance] = []
+        for region in regions:
+            ring = self._rings.get(region)
+            if ring is None:
+                continue
+            found += ring.walk(block_hash, is_usable, limit - len(found))
+            if len(found) >= limit:
+                break
+        return found
+
+
+def hash_block(range_start: int) -> int:
+    """Return the position of a client block on the rings."""
+    return _hash(str(range_start))
+
+
+class _Ring:
+    def __init__(self, instances: list[EntryInstance]) -> None:
+        points = sorted(
+            (_hash(f"{instance.name}/{point}"), index)
+            for index, instance in enumerate(instances)
+            for point in range(POINTS_PER_INSTANCE)
+        )
+        self._instances = instances
+        self._positions = [position for position, _ in points]
+        self._indexes = [index for _, index in points]
+
+    def walk(
+        self, start: int, is_usable: Callable[[str], bool], limit: int
+    ) -> list[EntryInstance]:
+        seen: set[int] = set()
+        found: list[EntryInstance] = []
+        first = bisect_right(self._positions, start)
+        for offset in range(len(self._indexes)):
+            index = self._indexes[(first + offset) % len(self._indexes)]
+            if index in seen:
+                continue
+            seen.add(index)
+            instance = self._instances[index]
+            if is_usable(instance.name):
+                found.append(instance)
+            if len(found) >= limit or len(seen) == len(self._instances):
+                break
+        return found
+
+
+def _hash(text: str) -> int:
+    digest = blake2b(text.encode(), digest_size=8).digest()
+    return int.from_bytes(digest, "big")
--- /dev/null
+++ b/tests/test_client_blocks.py
@@ -0,0 +1,60 @@
+"""Longest-prefix table from client blocks to sites."""
+
+import ipaddress
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from verbenaworks.client_blocks import (
+    ClientBlocks,
+    ForeignAddressError,
+    InvalidAddressError,
+)
+
+_block = st.tuples(st.integers(0, 2**32 - 1), st.integers(0, 32)).map(
+    lambda pair: ipaddress.ip_network(pair, strict=False)
+)
+
+
+@settings(derandomize=True, max_examples=300, database=None)
+@given(
+    st.dictionaries(_block, st.sampled_from("abc"), max_size=12),
+    st.data(),
+)
+def test_agrees_with_a_linear_search(
+    blocks: dict[ipaddress.IPv4Network, str], data: st.DataObject
+) -> None:
+    """Guards against wrong flattening of nested and adjacent blocks."""
+    table = ClientBlocks((str(block), site) for block, site in blocks.items())
+    edges = [
+        min(max(int(edge) + step, 1), 2**32 - 1)
+        for block in blocks
+        for edge in (block.network_address, block.broadcast_address)
+        for step in (-1, 0, 1)
+    ]
+    number = data.draw(st.sampled_from(edges) if edges else st.just(1))
+    address = ipaddress.IPv4Address(number)
+    if address.is_multicast:
+        return
+    holding = [block for block in blocks if address in block]
+    if not holding:
+        with pytest.raises(ForeignAddressError):
+            table.find(str(address))
+        return
+    best = max(holding, key=lambda block: block.prefixlen)
+    assert table.find(str(address)).site == blocks[best]
+
+
+@pytest.mark.parametrize("text", ["", "10.0.0", "x", "224.0.0.1", "0.0.0.0"])
+def test_malformed_address_is_a_typed_error(text: str) -> None:
+    """Guards against a bad address ending in a crash or a wrong site."""
+    with pytest.raises(InvalidAddressError):
+        ClientBlocks([("0.0.0.0/0", "a")]).find(text)
+
+
+def test_ipv6_blocks_nest() -> None:
+    """Guards against losing the specific block of an IPv6 caller."""
+    table = ClientBlocks([("2001:db8::/32", "a"), ("2001:db8:1::/48", "b")])
+    assert table.find("2001:db8:1::5").site == "b"
+    assert table.find("2001:db8:2::5").site == "a"
