Add the run ledger, the crash ledger and traffic shift plans

At most once: a key names the epoch of the only ledger that may let it run, so an owner that starts empty never runs what an earlier one may have run. Weighed: a claim in the store for each order (safe, but limited to the store's write rate) and replication of the ledger between owners (more messages, and unsafe while two owners overlap). A stateful fuzz test with overlapping owners, lost and repeated reports finds no key with two runs.

--- /dev/null
+++ b/tests/test_crash_ledger.py
@@ -0,0 +1,80 @@
+"""Recognition of requests that crash backend servers."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from verbenaworks.crash_ledger import (
+    MAX_DIGESTS,
+    REFUSE_FOR_S,
+    Clean,
+    CrashLedger,
+    Refused,
+    Suspect,
+)
+
+
+def test_refused_after_three_crashes() -> None:
+    """Guards against a request that empties a service by being resent."""
+    ledger = CrashLedger()
+    for number in range(3):
+        assert not isinstance(ledger.verdict(1.0, "d"), Refused)
+        ledger.record(1.0, "d", f"c{number}")
+    assert ledger.verdict(1.0, "d") == Refused(
+        crashes=3, retry_after_s=REFUSE_FOR_S
+    )
+
+
+def test_repeated_message_counts_once() -> None:
+    """Guards against one crash, reported by many, refusing a request."""
+    ledger = CrashLedger()
+    for _ in range(5):
+        ledger.record(1.0, "d", "c1")
+    assert ledger.verdict(1.0, "d") == Suspect(crashes=1)
+
+
+def test_completion_clears_only_crashes_before_it() -> None:
+    """Guards against blaming bystanders, and against clearing the culprit."""
+    ledger = CrashLedger()
+    ledger.record(1.0, "d", "c1")
+    ledger.clear(2.0, "d", ledger.crash_ids("d"))
+    assert ledger.verdict(2.0, "d") == Clean()
+    ledger.record(3.0, "d", "c2")
+    assert ledger.verdict(3.0, "d") == Suspect(crashes=1)
+
+
+def test_refusal_ends() -> None:
+    """Guards against a refusal that no operator can wait out."""
+    ledger = CrashLedger()
+    for number in range(3):
+        ledger.record(1.0, "d", f"c{number}")
+    assert ledger.verdict(1.0 + REFUSE_FOR_S, "d") == Clean()
+
+
+def test_flood_of_suspects_keeps_refusals() -> None:
+    """Guards against memory growth and against flushing out a refusal."""
+    ledger = CrashLedger()
+    for number in range(3):
+        ledger.record(0.0, "bad", f"c{number}")
+    for number in range(MAX_DIGESTS + 10):
+        ledger.record(1.0, f"d{number}", "c9")
+    assert len(ledger) <= MAX_DIGESTS
+    assert isinstance(ledger.verdict(1.0, "bad"), Refused)
+
+
+@settings(derandomize=True, max_examples=200, database=None)
+@given(st.lists(st.tuples(st.booleans(), st.integers(0, 4))), st.randoms())
+def test_order_of_messages_does_not_matter(
+    events: list[tuple[bool, int]], shuffle: st.randoms
+) -> None:
+    """Guards against instances that disagree after the same messages."""
+    ledgers = []
+    for _ in range(2):
+        ledger = CrashLedger()
+        for is_crash, number in events:
+            if is_crash:
+                ledger.record(1.0, "d", f"c{number}")
+            else:
+                ledger.clear(1.0, "d", (f"c{number}",))
+        ledgers.append(ledger)
+        shuffle.shuffle(events)
+    assert ledgers[0].crash_ids("d") == ledgers[1].crash_ids("d")
--- /dev/null
+++ b/tests/test_run_ledger.py
@@ -0,0 +1,238 @@
+"""Ledger of idempotency keys."""
+
+import random
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from verbenaworks.run_ledger import (
+    GENERATION_S,
+    KEPT_GENERATIONS,
+    MAX_RECORDS,
+    RunLedger,
+)
+from verbenaworks.run_messages import (
+    AlreadyAnswered,
+    ClaimRun,
+    KeyReused,
+    LedgerFull,
+    ReportAnswered,
+    ReportNotRun,
+    ReportUnknown,
+    RunNow,
+    RunUnknown,
+    StillRunning,
+    StoredAnswer,
+)
+from verbenaworks.run_ticket import RunTicket, parse_ticket
+
+ANSWER = StoredAnswer(status=201, headers=(), body=b"done")
+
+
+def _claim(
+    key: str, attempt: str, epoch: int = 1, generation: int = 0, body: str = ""
+) -> ClaimRun:
+    return ClaimRun(
+        shard=0,
+        epoch=epoch,
+        generation=generation,
+        key=key,
+        attempt_id=attempt,
+        fingerprint=body,
+    )
+
+
+def _ledger(epoch: int = 1) -> RunLedger:
+    return RunLedger(shard=0, epoch=epoch, started_at_s=0.0)
+
+
+def _answered(key: str, attempt: str) -> ReportAnswered:
+    return ReportAnswered(
+        shard=0, epoch=1, key=key, attempt_id=attempt, answer=ANSWER
+    )
+
+
+def test_repeated_claim_message_repeats_its_answer() -> None:
+    """Guards against an order lost because the first reply was lost."""
+    ledger = _ledger()
+    first = ledger.claim(0.0, _claim("k", "a"))
+    assert first == ledger.claim(0.1, _claim("k", "a"))
+    assert first == RunNow(attempt_id="a")
+
+
+def test_resend_gets_the_first_answer() -> None:
+    """Guards against a second run of an answered order."""
+    ledger = _ledger()
+    ledger.claim(0.0, _claim("k", "a"))
+    assert isinstance(ledger.claim(0.1, _claim("k", "b")), StillRunning)
+    ledger.report(_answered("k", "a"))
+    reply = ledger.claim(0.2, _claim("k", "c"))
+    assert reply == AlreadyAnswered(attempt_id="c", answer=ANSWER)
+
+
+def test_not_run_report_frees_the_key_only_for_its_own_attempt() -> None:
+    """Guards against a late report that frees another attempt's claim."""
+    ledger = _ledger()
+    ledger.claim(0.0, _claim("k", "a"))
+    ledger.report(ReportNotRun(shard=0, epoch=1, key="k", attempt_id="a"))
+    assert ledger.claim(0.1, _claim("k", "b")) == RunNow(attempt_id="b")
+    ledger.report(ReportNotRun(shard=0, epoch=1, key="k", attempt_id="a"))
+    assert isinstance(ledger.claim(0.2, _claim("k", "c")), StillRunning)
+
+
+def test_not_run_report_after_the_end_is_ignored() -> None:
+    """Guards against a repeated report that frees a key that ran."""
+    ledger = _ledger()
+    ledger.claim(0.0, _claim("k", "a"))
+    ledger.report(ReportUnknown(shard=0, epoch=1, key="k", attempt_id="a"))
+    ledger.report(ReportNotRun(shard=0, epoch=1, key="k", attempt_id="a"))
+    assert isinstance(ledger.claim(0.1, _claim("k", "b")), RunUnknown)
+
+
+def test_other_epoch_never_runs() -> None:
+    """Guards against a new owner that runs what an earlier one may have."""
+    assert isinstance(
+        _ledger(epoch=2).claim(0.0, _claim("k", "a", epoch=1)), RunUnknown
+    )
+
+
+def test_forgotten_generation_never_runs() -> None:
+    """Guards against a run after the record of the first has been dropped."""
+    ledger = _ledger()
+    ledger.claim(0.0, _claim("k", "a"))
+    ledger.report(_answered("k", "a"))
+    late_s = GENERATION_S * KEPT_GENERATIONS
+    assert isinstance(ledger.claim(late_s, _claim("k", "b")), RunUnknown)
+    assert len(ledger) == 0
+
+
+def test_generation_from_the_future_never_runs() -> None:
+    """Guards against a forged ticket that outlives its record."""
+    reply = _ledger().claim(0.0, _claim("k", "a", generation=5))
+    assert isinstance(reply, RunUnknown)
+
+
+def test_reused_key_with_other_content_is_told_apart() -> None:
+    """Guards against answering one order with the answer to another."""
+    ledger = _ledger()
+    ledger.claim(0.0, _claim("k", "a", body="x"))
+    reply = ledger.claim(0.1, _claim("k", "b", body="y"))
+    assert isinstance(reply, KeyReused)
+
+
+def test_full_ledger_refuses_and_keeps_what_it_has() -> None:
+    """Guards against dropping records of keys that ran."""
+    ledger = _ledger()
+    for number in range(MAX_RECORDS):
+        ledger.claim(0.0, _claim(f"k{number}", "a"))
+    assert isinstance(ledger.claim(0.0, _claim("x", "a")), LedgerFull)
+    assert isinstance(ledger.claim(0.0, _claim("k0", "b")), StillRunning)
+
+
+@pytest.mark.parametrize(
+    "key",
+    ["", "abc", "1-2-3", "1-2-3.short", "-1-2-3.abcdefgh", "1-2.abcdefgh"],
+)
+def test_keys_without_a_ticket(key: str) -> None:
+    """Guards against a plain key being taken for one with a ticket."""
+    assert parse_ticket(key) is None
+
+
+def test_ticket_round_trip() -> None:
+    """Guards against tickets that callers cannot use."""
+    ticket = RunTicket(shard=3, epoch=7, generation=12)
+    assert parse_ticket(f"{ticket}.0123456789abcdef") == ticket
+
+
+class RunMachine(RuleBasedStateMachine):
+    """Owners come and go; the oracle counts the runs of each key."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now_s = 0.0
+        self.runs: dict[str, int] = {}
+        self.open: dict[str, tuple[str, int]] = {}
+        self.attempts = 0
+
+    @initialize(seed=st.integers(0, 2**16))
+    def start(self, seed: int) -> None:
+        """Start with one owner."""
+        self.random = random.Random(seed)
+        self.ledgers = [_ledger(epoch=1)]
+        self.keys: list[tuple[str, int, int]] = []
+
+    @rule()
+    def issue_key(self) -> None:
+        """Make a key from the newest owner's ticket."""
+        ledger = self.ledgers[-1]
+        name = f"k{len(self.keys)}"
+        self.keys.append((name, ledger.epoch, ledger.generation(self.now_s)))
+
+    @precondition(lambda self: self.keys)
+    @rule(data=st.data())
+    def send(self, data: st.DataObject) -> None:
+        """Send or resend a key through any owner alive."""
+        key, epoch, generation = data.draw(st.sampled_from(self.keys))
+        ledger = data.draw(st.sampled_from(self.ledgers))
+        self.attempts += 1
+        attempt = f"a{self.attempts}"
+        claim = _claim(key, attempt, epoch=epoch, generation=generation)
+        reply = ledger.claim(self.now_s, claim)
+        if isinstance(reply, RunNow):
+            self.open[attempt] = (key, ledger.epoch)
+
+    @precondition(lambda self: self.open)
+    @rule(data=st.data(), ran=st.booleans(), lost=st.booleans())
+    def finish(self, data: st.DataObject, ran: bool, lost: bool) -> None:
+        """End an attempt; its report may be lost or repeated."""
+        attempt = data.draw(st.sampled_from(sorted(self.open)))
+        key, epoch = self.open[attempt]
+        if ran:
+            self.runs[key] = self.runs.get(key, 0) + 1
+        del self.open[attempt]
+        kind = (
+            data.draw(st.sampled_from([ReportAnswered, ReportUnknown]))
+            if ran
+            else ReportNotRun
+        )
+        fields = {"answer": ANSWER} if kind is ReportAnswered else {}
+        report = kind(
+            shard=0, epoch=epoch, key=key, attempt_id=attempt, **fields
+        )
+        for ledger in self.ledgers:
+            if not lost:
+                ledger.report(report)
+                ledger.report(report)
+
+    @rule()
+    def change_owner(self) -> None:
+        """Start a new, empty owner; the old one may still answer."""
+        epoch = self.ledgers[-1].epoch + 1
+        ledger = RunLedger(shard=0, epoch=epoch, started_at_s=self.now_s)
+        self.ledgers = [*self.ledgers[-1:], ledger]
+
+    @rule(duration_s=st.sampled_from([1.0, 700.0, 3000.0]))
+    def wait(self, duration_s: float) -> None:
+        """Let time pass."""
+        self.now_s += duration_s
+
+    @invariant()
+    def no_key_runs_twice(self) -> None:
+        """At most one run for each key, open attempts included."""
+        open_keys = [key for key, _ in self.open.values()]
+        for key in set(open_keys) | set(self.runs):
+            assert self.runs.get(key, 0) + open_keys.count(key) <= 1
+
+
+RunMachine.TestCase.settings = settings(
+    derandomize=True, max_examples=150, stateful_step_count=40, database=None
+)
+TestRunMachine = RunMachine.TestCase
--- /dev/null
+++ b/tests/test_shift_driver.py
@@ -0,0 +1,84 @@
+"""Timing of the steps of a traffic shift."""
+
+from verbenaworks.shift_driver import (
+    Advance,
+    Done,
+    Hold,
+    MemberView,
+    ShiftDriver,
+    ShiftMeasurements,
+    ShiftState,
+)
+
+FENCE_S = 2.02
+TTL_S = 5.0
+GOOD = ShiftMeasurements(age_s=1.0, headroom_share=0.5, link_free_share=0.5)
+STATE = ShiftState(
+    step=1, last_step=4, step_revision=7, min_headroom_share=0.2
+)
+
+
+def _members(*revisions: int) -> list[MemberView]:
+    return [
+        MemberView(name=f"i{number}", config_revision=revision)
+        for number, revision in enumerate(revisions)
+    ]
+
+
+def test_waits_for_caches_after_all_have_confirmed() -> None:
+    """Guards against three steps in use through callers' caches."""
+    driver = ShiftDriver(FENCE_S)
+    members = _members(7, 8)
+    for now_s in (0.0, 4.9):
+        assert isinstance(
+            driver.decide(now_s, STATE, members, GOOD, TTL_S), Hold
+        )
+    assert driver.decide(5.0, STATE, members, GOOD, TTL_S) == Advance(step=2)
+
+
+def test_waits_for_a_laggard_until_it_cannot_be_fresh() -> None:
+    """Guards against a step while an instance still uses the last but one."""
+    driver = ShiftDriver(FENCE_S)
+    members = _members(7, 6)
+    decision = driver.decide(0.0, STATE, members, GOOD, TTL_S)
+    assert decision == Hold(reason="waiting for i1")
+    driver.decide(FENCE_S, STATE, members, GOOD, TTL_S)
+    early = driver.decide(FENCE_S + 4.9, STATE, members, GOOD, TTL_S)
+    assert isinstance(early, Hold)
+    late = driver.decide(FENCE_S + 5.0, STATE, members, GOOD, TTL_S)
+    assert late == Advance(step=2)
+
+
+def test_new_driver_starts_counting_anew() -> None:
+    """Guards against a takeover that skips the wait."""
+    ShiftDriver(FENCE_S).decide(0.0, STATE, _members(7), GOOD, TTL_S)
+    decision = ShiftDriver(FENCE_S).decide(
+        9.0, STATE, _members(7), GOOD, TTL_S
+    )
+    assert isinstance(decision, Hold)
+
+
+def test_holds_on_missing_or_bad_measurements() -> None:
+    """Guards against a shift that goes on blind or into a full region."""
+    bad = [
+        None,
+        ShiftMeasurements(age_s=11, headroom_share=0.5, link_free_share=0.5),
+        ShiftMeasurements(age_s=1, headroom_share=0.1, link_free_share=0.5),
+        ShiftMeasurements(age_s=1, headroom_share=0.5, link_free_share=0.1),
+    ]
+    for measurements in bad:
+        driver = ShiftDriver(FENCE_S)
+        for now_s in (0.0, 60.0):
+            decision = driver.decide(
+                now_s, STATE, _members(7), measurements, TTL_S
+            )
+            assert isinstance(decision, Hold)
+
+
+def test_ends_at_the_last_step() -> None:
+    """Guards against a driver that writes steps without effect."""
+    state = ShiftState(
+        step=4, last_step=4, step_revision=7, min_headroom_share=0.2
+    )
+    decision = ShiftDriver(FENCE_S).decide(0.0, state, [], GOOD, TTL_S)
+    assert decision == Done()
