--- /dev/null
+++ b/packages/verbenaworks/src/verbenaworks/agreement_messages.py
@@ -0,0 +1,78 @@
+"""Messages between instances about the agreed state."""
+
+from dataclasses import dataclass
+
+from verbenaworks.control_record import InstanceId
+from verbenaworks.state_delta import StateDelta
+from verbenaworks.wire import wire_message
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Resignation:
+    """A writer's promise that this incarnation never writes again.
+
+    :param sequence: the newest state that it had applied; none of its
+        writes has a higher sequence.
+    """
+
+    writer: InstanceId
+    writers_version: int
+    sequence: int
+
+
+@wire_message
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StatePoll:
+    """Asks a peer for its state and its confirmation of it.
+
+    :param sequence: the state that the asking instance has applied.
+    :param whole: the peer must not answer with a delta.
+    """
+
+    poll_id: int
+    sequence: int
+    whole: bool = False
+
+
+@wire_message
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StateAnswer:
+    """Answers a StatePoll.
+
+    :param age_s: age of the answering instance's confirmation, or None if
+        it has none or is not fresh.
+    :param attests: the answering instance is a writer, has no write in
+        flight or of unknown outcome, and starts writes only after this.
+    :param update: the newer state, if the asking instance lacks it.
+    """
+
+    poll_id: int
+    incarnation: int
+    sequence: int
+    age_s: float | None
+    attests: bool
+    update: StateDelta | None = None
+    resignations: tuple[Resignation, ...] = ()
+
+
+@wire_message
+@dataclass(frozen=True, kw_only=True, slots=True)
+class WriterResigned:
+    """Tells every instance of a resignation."""
+
+    resignation: Resignation
+
+
+@wire_message
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ShardsReleased:
+    """The owner has stopped acting on these shards for good.
+
+    :param shards: pairs of shard and the epoch under which it was owned.
+    """
+
+    owner: InstanceId
+    shards: tuple[tuple[int, int], ...]
+
+
+AgreementMessage = StatePoll | StateAnswer | WriterResigned | ShardsReleased
--- /dev/null
+++ b/packages/verbenaworks/src/verbenaworks/control_record.py
@@ -0,0 +1,53 @@
+"""Who may write the agreed state, and who owns each shard."""
+
+from dataclasses import dataclass
+
+SHARDS = 16
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class InstanceId:
+    """One run of one instance; a restart has a higher incarnation."""
+
+    name: str
+    incarnation: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Writer:
+    """An instance that may write the agreed state, for its region."""
+
+    instance: InstanceId
+    region: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ShardOwner:
+    """The owner of one shard.
+
+    :param handed_over: the earlier owner had stopped acting before this
+        assignment was written, so the new owner needs no wait.
+    """
+
+    instance: InstanceId
+    epoch: int
+    handed_over: bool = False
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ControlRecord:
+    """Writers and shard owners.
+
+    :param shards: one entry per shard; None before the first assignment.
+    :param takeover: the instance that will replace the list of writers if
+        none of them objects. Writers do not attest while it is set.
+    """
+
+    writers: tuple[Writer, ...] = ()
+    writers_version: int = 0
+    shards: tuple[ShardOwner | None, ...] = (None,) * SHARDS
+    takeover: InstanceId | None = None
+
+    def is_writer(self, instance: InstanceId) -> bool:
+        """Return whether this run of the instance may write."""
+        return any(writer.instance == instance for writer in self.writers)
--- /dev/null
+++ b/packages/verbenaworks/src/verbenaworks/freshness.py
@@ -0,0 +1,81 @@
+"""How long an instance may act on the state that it has applied.
+
+Every confirmation is a moment on the instance's own monotonic clock at which
+nothing newer than the applied state had taken effect. Readings of different
+clocks are never compared; only durations cross between instances.
+"""
+
+FRESH_S = 2.0
+# Bound on the relative difference between the rates of two clocks.
+DRIFT = 0.005
+POLL_PERIOD_S = 0.4
+# After this time of its own clock, an instance knows that another instance
+# whose last confirmation came before the start is no longer fresh.
+FENCE_S = FRESH_S * (1 + 2 * DRIFT)
+
+
+class Freshness:
+    """The newest confirmation of one instance."""
+
+    def __init__(self) -> None:
+        self._confirmed_at_s: float | None = None
+        self._resumed_at_s: float | None = None
+
+    @property
+    def confirmed_at_s(self) -> float | None:
+        """Return the newest confirmed moment, or None before the first."""
+        return self._confirmed_at_s
+
+    @property
+    def resumed_at_s(self) -> float | None:
+        """Return the confirmed moment that ended the last gap.
+
+        Between two confirmations more than ``FRESH_S`` apart the instance
+        was not fresh, even if nobody asked in that time, for example
+        because the process was paused.
+        """
+        return self._resumed_at_s
+
+    def confirm_by_store(self, sent_at_s: float) -> None:
+        """Record that the store still held the applied version.
+
+        :param sent_at_s: when the question was sent. The answer may have
+            been delayed for any length of time after the store gave it.
+        """
+        self._confirm(sent_at_s)
+
+    def confirm_by_relay(self, sent_at_s: float, age_s: float) -> None:
+        """Record a relay's answer about the applied sequence.
+
+        :param sent_at_s: when the question was sent.
+        :param age_s: age of the relay's own confirmation on its clock.
+        """
+        self._confirm(sent_at_s - age_s * (1 + DRIFT))
+
+    def confirm_by_writers(self, sent_at_s: tuple[float, ...]) -> None:
+        """Record attestations of the applied sequence by every writer.
+
+        :param sent_at_s: when each writer was asked; not empty.
+        """
+        self._confirm(min(sent_at_s))
+
+    def is_fresh(self, now_s: float) -> bool:
+        """Return whether the instance may act on the applied state."""
+        return (
+            self._confirmed_at_s is not None
+            and now_s < self._confirmed_at_s + FRESH_S
+        )
+
+    def age_s(self, now_s: float) -> float | None:
+        """Return the time since the newest confirmed moment."""
+        if self._confirmed_at_s is None:
+            return None
+        return max(0.0, now_s - self._confirmed_at_s)
+
+    def _confirm(self, at_s: float) -> None:
+        previous_s = self._confirmed_at_s
+        if previous_s is not None and at_s <= previous_s:
+            return
+        self._confirmed_at_s = at_s
+        if previous_s is None or at_s >= previous_s + FRESH_S:
+            self._resumed_at_s = at_s
--- /dev/null
+++ b/packages/verbenaworks/src/verbenaworks/owner_lease.py
@@ -0,0 +1,23 @@
+"""The right of one instance to act as the owner of one shard."""
+
+from collections.abc import Callable
+
+
+class OwnerLease:
+    """Ownership of a shard under one epoch.
+
+    :param shard: the shard's number.
+    :param epoch: the epoch of the assignment.
+    :param is_valid: decides whether the owner may act at a given time.
+    """
+
+    def __init__(
+        self, *, shard: int, epoch: int, is_valid: Callable[[float], bool]
+    ) -> None:
+        self.shard = shard
+        self.epoch = epoch
+        self._is_valid = is_valid
+
+    def is_valid(self, now_s: float) -> bool:
+        """Return whether the owner may issue anything now."""
+        return self._is_valid(now_s)
--- /dev/null
+++ b/packages/verbenaworks/src/verbenaworks/store_requests.py
@@ -0,0 +1,107 @@
+"""Requests to the store and their results.
+
+The state machines return requests; the daemon carries them out and passes
+each result back with the request's id. A request whose result never comes
+counts as one of unknown outcome.
+"""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StoreGet:
+    """Read a key; answered by StoreValue or StoreAbsent."""
+
+    request_id: int
+    key: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StoreVersion:
+    """Read a key's version; answered by VersionFound or StoreAbsent."""
+
+    request_id: int
+    key: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StoreWatch:
+    """Wait up to ``wait_s`` for a version other than ``after_version``.
+
+    Answered by VersionFound with the newest version when it changed or the
+    wait ended.
+    """
+
+    request_id: int
+    key: str
+    after_version: int
+    wait_s: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StorePut:
+    """Compare and swap; ``expected_version`` 0 means absent.
+
+    Answered by Stored, Conflict, StoreUnavailable or OutcomeUnknown.
+    """
+
+    request_id: int
+    key: str
+    value: bytes
+    expected_version: int
+
+
+StoreRequest = StoreGet | StoreVersion | StoreWatch | StorePut
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StoreValue:
+    """A key's value and version."""
+
+    value: bytes
+    version: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class VersionFound:
+    """A key's version."""
+
+    version: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StoreAbsent:
+    """The key does not exist."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Stored:
+    """The write took effect with this version."""
+
+    version: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Conflict:
+    """The key had another version; the write did not take effect."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StoreUnavailable:
+    """The request certainly had no effect."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class OutcomeUnknown:
+    """The write may have taken effect, or may still take effect."""
+
+
+StoreResult = (
+    StoreValue
+    | VersionFound
+    | StoreAbsent
+    | Stored
+    | Conflict
+    | StoreUnavailable
+    | OutcomeUnknown
+)
