--- /dev/null
+++ b/packages/verbenaworks/src/verbenaworks/config_document.py
@@ -0,0 +1,266 @@
+"""The configuration document: revision, settings tree, last edits."""
+
+import zlib
+from dataclasses import dataclass, field, replace
+from functools import cached_property
+from types import MappingProxyType
+
+import msgspec
+from result import Err, Ok, Result
+
+from verbenaworks.block_table import BlockTable, inflate
+from verbenaworks.edit import Edit, changes_conflict
+from verbenaworks.errors import EditRefused, WireError
+from verbenaworks.settings_tree import SettingsTree, branch_problem
+from verbenaworks.tree_rules import broken_rule
+from verbenaworks.value_kind import Value
+
+HISTORY_EDITS = 256
+# The store limits a value to 1 MB. These limits leave room for 120,000
+# client blocks and the control record.
+HISTORY_BYTES = 200_000
+EDIT_BYTES = 100_000
+DOCUMENT_BYTES = 900_000
+_FORMAT = 1
+_MAX_INFLATED_BYTES = 64_000_000
+_REMEDY = "check that all instances run compatible versions"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AcceptedEdit:
+    """An edit and the revision that it created."""
+
+    config_revision: int
+    edit: Edit
+
+
+class _Body(msgspec.Struct, array_like=True, frozen=True):
+    config_revision: int
+    branches: dict[str, dict[str, Value]]
+    history: list[AcceptedEdit]
+
+
+class _Envelope(msgspec.Struct, array_like=True, frozen=True):
+    format: int
+    body: bytes
+    blocks: bytes
+
+
+_body_decoder: msgspec.msgpack.Decoder[_Body] = msgspec.msgpack.Decoder(_Body)
+_envelope_decoder: msgspec.msgpack.Decoder[_Envelope] = (
+    msgspec.msgpack.Decoder(_Envelope)
+)
+_encoder = msgspec.msgpack.Encoder()
+
+
+@dataclass(frozen=True, kw_only=True)
+class ConfigDocument:
+    """The configuration at one revision.
+
+    :ivar history: the last edits, the newest at the end.
+    """
+
+    config_revision: int = 0
+    tree: SettingsTree = field(default_factory=SettingsTree)
+    history: tuple[AcceptedEdit, ...] = ()
+
+    def find_edit(self, edit_id: str) -> AcceptedEdit | None:
+        """Return the edit with this id if it is among the last ones."""
+        for accepted in reversed(self.history):
+            if accepted.edit.edit_id == edit_id:
+                return accepted
+        return None
+
+    def edits_since(self, revision: int) -> tuple[AcceptedEdit, ...] | None:
+        """Return the edits after ``revision``; None if some are gone."""
+        if not self._remembers(revision):
+            return None
+        return tuple(a for a in self.history if a.config_revision > revision)
+
+    def apply_edit(self, edit: Edit) -> Result["ConfigDocument", EditRefused]:
+        """Return the document after an edit.
+
+        An edit that was applied before returns this document unchanged.
+        """
+        earlier = self.find_edit(edit.edit_id)
+        if earlier is not None:
+            return self._repeated(earlier, edit)
+        refusal = self._size_refusal(edit) or self._race_refusal(edit)
+        if refusal is not None:
+            return Err(refusal)
+        return self.tree.apply(edit).and_then(
+            lambda tree: self._with(edit, tree)
+        )
+
+    def to_bytes(self) -> bytes:
+        """Return the document as bytes for the store."""
+        return self._bytes
+
+    @classmethod
+    def from_bytes(cls, data: bytes) -> "ConfigDocument":
+        """Return the document in ``data``.
+
+        :raises WireError: if the bytes are malformed or break a rule.
+        """
+        try:
+            envelope = _envelope_decoder.decode(data)
+            if envelope.format != _FORMAT:
+                raise ValueError(f"unknown format {envelope.format}")
+            body = _body_decoder.decode(
+                inflate(envelope.body, _MAX_INFLATED_BYTES)
+            )
+        except (msgspec.DecodeError, ValueError, RecursionError) as error:
+            raise _malformed(error) from error
+        blocks = BlockTable.unpack(envelope.blocks)
+        document = cls(
+            config_revision=body.config_revision,
+            tree=SettingsTree(_checked_branches(body), blocks),
+            history=tuple(body.history),
+        )
+        document._check()
+        return document
+
+    @cached_property
+    def _bytes(self) -> bytes:
+        body = _Body(
+            config_revision=self.config_revision,
+            branches={
+                path: dict(self.tree.own_values(path))
+                for path in self.tree.paths()
+            },
+            history=list(self.history),
+        )
+        return _encoder.encode(
+            _Envelope(
+                format=_FORMAT,
+                body=zlib.compress(_encoder.encode(body), 6),
+                blocks=self.tree.blocks.packed,
+            )
+        )
+
+    def _check(self) -> None:
+        broken = broken_rule(self.tree)
+        if broken is not None:
+            raise _malformed(broken)
+        first = self.config_revision - len(self.history) + 1
+        for revision, accepted in enumerate(self.history, start=first):
+            if accepted.config_revision != revision:
+                raise _malformed("the history has gaps")
+
+    def _repeated(
+        self, earlier: AcceptedEdit, edit: Edit
+    ) -> Result["ConfigDocument", EditRefused]:
+        if earlier.edit.same_request(edit):
+            return Ok(self)
+        return Err(
+            EditRefused(
+                "edit-id-reused",
+                f"edit {edit.edit_id} was accepted at revision "
+                f"{earlier.config_revision} with other changes",
+                "send the changes under a new edit id",
+            )
+        )
+
+    def _size_refusal(self, edit: Edit) -> EditRefused | None:
+        size_bytes = len(_encoder.encode(edit))
+        if size_bytes <= EDIT_BYTES:
+            return None
+        return EditRefused(
+            "edit-too-large",
+            f"the edit has {size_bytes} bytes, more than {EDIT_BYTES}",
+            "split it into several edits",
+        )
+
+    def _race_refusal(self, edit: Edit) -> EditRefused | None:
+        now = self.config_revision
+        if edit.expected_revision not in (None, now):
+            return EditRefused(
+                "revision-mismatch",
+                f"the edit expects revision {edit.expected_revision}, the "
+                f"configuration is at {now}",
+                "read the configuration and decide again",
+            )
+        if edit.read_revision > now:
+            return EditRefused(
+                "revision-ahead",
+                f"the edit was made at revision {edit.read_revision}, but "
+                f"the configuration is at {now}",
+                "wait a moment and send the edit again",
+            )
+        if not self._remembers(edit.read_revision):
+            return EditRefused(
+                "revision-too-old",
+                f"the edit was made at revision {edit.read_revision}, whose "
+                "successors are no longer in the history",
+                "read the configuration and decide again",
+            )
+        return self._conflict(edit)
+
+    def _conflict(self, edit: Edit) -> EditRefused | None:
+        for accepted in self.history:
+            if accepted.config_revision <= edit.read_revision:
+                continue
+            for theirs in accepted.edit.changes:
+                if any(changes_conflict(c, theirs) for c in edit.changes):
+                    return EditRefused(
+                        "concurrent-edit",
+                        f"{accepted.edit.operator} changed {theirs.path} at "
+                        f"revision {accepted.config_revision}, after "
+                        f"revision {edit.read_revision} was read",
+                        "read the configuration and decide again",
+                    )
+        return None
+
+    def _remembers(self, revision: int) -> bool:
+        """Return whether all edits after ``revision`` are in the history."""
+        return revision >= self.config_revision - len(self.history)
+
+    def _with(
+        self, edit: Edit, tree: SettingsTree
+    ) -> Result["ConfigDocument", EditRefused]:
+        revision = self.config_revision + 1
+        accepted = AcceptedEdit(config_revision=revision, edit=edit)
+        document = replace(
+            self,
+            config_revision=revision,
+            tree=tree,
+            history=_trimmed((*self.history, accepted)),
+        )
+        size_bytes = len(document.to_bytes())
+        if size_bytes > DOCUMENT_BYTES:
+            return Err(
+                EditRefused(
+                    "document-too-large",
+                    f"the configuration would have {size_bytes} bytes, more "
+                    f"than {DOCUMENT_BYTES}",
+                    "delete branches or client blocks that are not needed",
+                )
+            )
+        return Ok(document)
+
+
+def _trimmed(
+    history: tuple[AcceptedEdit, ...],
+) -> tuple[AcceptedEdit, ...]:
+    kept = history[-HISTORY_EDITS:]
+    sizes = [len(_encoder.encode(accepted)) for accepted in kept]
+    excess_bytes = sum(sizes) - HISTORY_BYTES
+    first = 0
+    while excess_bytes > 0:
+        excess_bytes -= sizes[first]
+        first += 1
+    return kept[first:]
+
+
+def _checked_branches(body: _Body) -> dict[str, MappingProxyType[str, Value]]:
+    branches = {}
+    for path, values in body.branches.items():
+        problem = branch_problem(path, values)
+        if problem is not None:
+            raise _malformed(problem)
+        branches[path] = MappingProxyType(values)
+    return branches
+
+
+def _malformed(reason: object) -> WireError:
+    return WireError(f"malformed configuration: {reason}", _REMEDY)
--- a/packages/verbenaworks/src/verbenaworks/errors.py
+++ b/packages/verbenaworks/src/verbenaworks/errors.py
@@ -28,3 +28,20 @@
     """A message from a peer could not be decoded."""
 
     code = "malformed-message"
+
+
+class SettingError(VerbenaError):
+    """A path, field or value does not fit the settings schema."""
+
+    code = "invalid-setting"
+
+
+class EditRefused(VerbenaError):  # noqa: N818 (name fixed by the design)
+    """An edit was not applied; nothing was changed.
+
+    :param code: the reason, as a stable identifier.
+    """
+
+    def __init__(self, code: str, message: str, remedy: str) -> None:
+        super().__init__(message, remedy)
+        self.code = code
