--- /dev/null
+++ b/packages/verbenaworks/src/verbenaworks/choice_result.py
@@ -0,0 +1,96 @@
+"""The question put to the choice of target, and its answers."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import NamedTuple
+
+from verbenaworks.target import TargetInfo
+
+
+class Why(StrEnum):
+    """Why a candidate was left out."""
+
+    TRIED = "already tried for this request"
+    LEAVING = "leaving"
+    EJECTED = "ejected"
+    PROBATION = "on probation and busy"
+    COLD = "slow start limit reached"
+    NOT_IN_SUBSET = "outside this instance's subset"
+    NO_UNITS = "no granted unit"
+    NO_CONNECTION = "connection limit of this instance reached"
+    REGION_FULL = "no unit of the region's load"
+    LINK_FULL = "no unit of the link to the region"
+    SHEDDING = "the target sheds load"
+    SILENT = "requests in flight get no answer"
+    SLOW = "far slower than the service"
+    TOO_LATE = "would miss the deadline"
+    FARTHER = "a nearer target has units"
+    SLOWER = "slower than the target chosen"
+
+
+class Candidate(NamedTuple):
+    """A candidate that was left out, and why."""
+
+    name: str
+    why: Why
+
+
+class Mode(StrEnum):
+    """How a target was chosen."""
+
+    MEASURED = "measured"
+    SAFE = "no measurements: fewest own requests in flight"
+
+
+class NoTargetReason(StrEnum):
+    """Why there is no target."""
+
+    NO_TARGETS = "the service has no targets"
+    ALL_OUT = "all targets are leaving, ejected or tried"
+    NO_UNITS = "no units are available now"
+    TOO_LATE = "the deadline cannot be met"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ChoiceRequest:
+    """A request that needs a target.
+
+    :param deadline_s: time by which the answer is due, on this instance's
+        clock.
+    :param tried: names of the targets of earlier attempts.
+    """
+
+    request_id: str
+    service: str
+    workspace: str
+    deadline_s: float
+    idempotent: bool = False
+    tried: frozenset[str] = frozenset()
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Choice:
+    """The chosen target; its units are in use until the attempt ends.
+
+    :param expected_s: expected time to completion.
+    :param left_out: the other candidates and why each was left out.
+    """
+
+    target: TargetInfo
+    workspace: str
+    started_s: float
+    expected_s: float
+    mode: Mode
+    left_out: tuple[Candidate, ...]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class NoTarget:
+    """No target can take the request now.
+
+    :param can_wait: the request may get a unit later.
+    """
+
+    reason: NoTargetReason
+    can_wait: bool
+    left_out: tuple[Candidate, ...]
--- /dev/null
+++ b/packages/verbenaworks/src/verbenaworks/near_table.py
@@ -0,0 +1,84 @@
+"""The targets of one service in the order of their distance."""
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+
+from verbenaworks.choice_result import Candidate, Why
+from verbenaworks.target import TargetInfo
+from verbenaworks.target_stats import TargetStats
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Place:
+    """Where an instance is, and its delays to other places.
+
+    :param domain_delay_s: between failure domains of a region, one way.
+    :param region_delay_s: between regions, one way.
+    """
+
+    instance: str
+    region: str
+    failure_domain: str
+    domain_delay_s: float
+    region_delay_s: float
+
+
+class TargetRow:
+    """A target with what the choice reads for each request."""
+
+    __slots__ = (
+        "connections",
+        "distance",
+        "ejected",
+        "info",
+        "name",
+        "region",
+        "round_trip_s",
+        "stats",
+    )
+
+    def __init__(
+        self, info: TargetInfo, stats: TargetStats, place: Place
+    ) -> None:
+        self.info = info
+        self.name = info.name
+        self.region = info.region
+        self.stats = stats
+        self.ejected = False
+        self.connections = info.connections
+        self.distance = 0
+        self.round_trip_s = 0.0
+        if info.region != place.region:
+            self.distance = 2
+            self.round_trip_s = 2 * place.region_delay_s
+        elif info.failure_domain != place.failure_domain:
+            self.distance = 1
+            self.round_trip_s = 2 * place.domain_delay_s
+
+
+class NearTable:
+    """Rows of one service, nearest first."""
+
+    def __init__(
+        self,
+        place: Place,
+        candidates: Sequence[TargetInfo],
+        stats: Mapping[str, TargetStats],
+    ) -> None:
+        self.candidates = candidates
+        rows = [TargetRow(c, stats[c.name], place) for c in candidates]
+        rows.sort(key=lambda row: (row.distance, row.region, row.name))
+        self.rows = rows
+        self.by_name = {row.name: row for row in rows}
+        self.classes = [
+            [row for row in rows if row.distance == distance]
+            for distance in range(3)
+        ]
+        self.farther = [
+            tuple(
+                Candidate(row.name, Why.FARTHER)
+                for row in rows
+                if row.distance > distance
+            )
+            for distance in range(3)
+        ]
--- /dev/null
+++ b/packages/verbenaworks/src/verbenaworks/target_choice.py
@@ -0,0 +1,478 @@
+"""Choice of the target that runs a request.
+
+The nearest targets come first: those of the instance's failure domain, then
+of its region, then of other regions, each only while the instance holds a
+granted unit there. Among targets at the same distance whose expected
+completion is about the same, the less loaded of two random ones is taken, so
+that instances with the same view do not all choose the same target.
+"""
+
+from collections.abc import Mapping, Sequence
+from random import Random
+
+from verbenaworks.attempt_outcome import (
+    Cancelled,
+    Completed,
+    Failed,
+    Outcome,
+    RefusedLeaving,
+    RefusedOverload,
+)
+from verbenaworks.choice_result import (
+    Candidate,
+    Choice,
+    ChoiceRequest,
+    Mode,
+    NoTarget,
+    NoTargetReason,
+    Why,
+)
+from verbenaworks.ejection import Ejection, Standing
+from verbenaworks.load_report import Health, LoadReport
+from verbenaworks.near_table import NearTable, Place, TargetRow
+from verbenaworks.service_time import ServiceTime
+from verbenaworks.slow_start import SlowStart
+from verbenaworks.target import TargetInfo
+from verbenaworks.target_stats import Sign, TargetStats
+from verbenaworks.unit_pool import UnitPool
+
+# Targets whose expected completion differs by less are a tie.
+_TIE_SHARE = 1.25
+_TIE_S = 0.002
+# A target this much slower than its service is used last.
+_SLOW_FACTOR = 3.0
+_SLOW_S = 0.005
+# No answer for this many usual times, and at least this long, is silence.
+_SILENT_FACTOR = 5.0
+_SILENT_S = 0.5
+# Without probe answers, a refusal is forgotten after this time.
+_REFUSAL_LIMIT_S = 30.0
+
+_WAITABLE = frozenset(
+    {
+        Why.NO_UNITS,
+        Why.REGION_FULL,
+        Why.LINK_FULL,
+        Why.PROBATION,
+        Why.COLD,
+        Why.NO_CONNECTION,
+        Why.SHEDDING,
+    }
+)
+
+
+class _Service:
+    """State of one service."""
+
+    def __init__(self) -> None:
+        self.table: NearTable | None = None
+        self.stats: dict[str, TargetStats] = {}
+        self.listed_out: set[str] = set()
+        self.ejection = Ejection()
+        self.time = ServiceTime()
+        self.plan: Mapping[str, int] | None = None
+        self.all_cold = False
+
+
+class TargetChoice:
+    """Chooses targets for the requests of one instance.
+
+    :param units: slots of targets, by target name.
+    :param region_units: load of regions, by region name.
+    :param link_units: links from this region, by the other region's name;
+        none where links are not limited.
+    """
+
+    def __init__(
+        self,
+        *,
+        place: Place,
+        units: UnitPool,
+        region_units: UnitPool,
+        random: Random,
+        link_units: UnitPool | None = None,
+    ) -> None:
+        self._place = place
+        self._units = units
+        self._region_units = region_units
+        self._link_units = link_units
+        self._random = random
+        self._services: dict[str, _Service] = {}
+        self._slow_start = SlowStart(place.instance)
+
+    def choose(
+        self,
+        now_s: float,
+        request: ChoiceRequest,
+        candidates: Sequence[TargetInfo],
+    ) -> Choice | NoTarget:
+        """Choose a target and put its units in use.
+
+        :param candidates: all targets of the service. Pass the same object
+            until the list changes; the table is rebuilt when it is another.
+        """
+        service = self._service(now_s, request.service, candidates)
+        table = service.table
+        if table is None or not table.rows:
+            return NoTarget(
+                reason=NoTargetReason.NO_TARGETS, can_wait=False, left_out=()
+            )
+        left_out: list[Candidate] = []
+        last: list[TargetRow] = []
+        for distance, rows in enumerate(table.classes):
+            usable: list[TargetRow] = []
+            for row in rows:
+                why = self._why_not(now_s, request, service, row)
+                if why is None:
+                    usable.append(row)
+                    continue
+                left_out.append(Candidate(row.name, why))
+                if why is Why.SLOW or why is Why.SILENT:
+                    last.append(row)
+            if usable:
+                left_out.extend(table.farther[distance])
+                return self._take(now_s, request, service, usable, left_out)
+        if last:
+            names = {row.name for row in last}
+            kept = [c for c in left_out if c.name not in names]
+            return self._take(now_s, request, service, last, kept)
+        return _no_target(left_out)
+
+    def finish(self, now_s: float, choice: Choice, outcome: Outcome) -> None:
+        """Return the units of an attempt and learn from its outcome."""
+        target = choice.target
+        self._units.release(target.name, choice.workspace)
+        self._region_units.release(target.region, choice.workspace)
+        if self._link_units and target.region != self._place.region:
+            self._link_units.release(target.region, choice.workspace)
+        service = self._services[target.service]
+        stats = service.stats.get(target.name)
+        if stats is None:
+            return
+        stats.ended(now_s)
+        match outcome:
+            case Completed():
+                if not self._completed(now_s, service, choice):
+                    return
+            case Failed():
+                stats.failed()
+                service.ejection.failed(now_s, target.name)
+            case RefusedLeaving():
+                stats.refused(now_s)
+            case RefusedOverload(retry_after_s=retry_after_s):
+                stats.shed(now_s, retry_after_s)
+            case Cancelled():
+                return
+        self._refresh(now_s, service)
+
+    def _completed(
+        self, now_s: float, service: _Service, choice: Choice
+    ) -> bool:
+        """Learn from a full answer; true if the target is re-admitted."""
+        target = choice.target
+        stats = service.stats[target.name]
+        elapsed_s = now_s - choice.started_s - self._round_trip_s(target)
+        stats.answered(now_s, elapsed_s)
+        service.time.answered(now_s, elapsed_s)
+        readmitted = service.ejection.succeeded(target.name)
+        if _refusal_expired(choice.started_s, stats):
+            stats.set_sign(Sign.REFUSAL, False)
+            readmitted = True
+        if readmitted:
+            self._slow_start.begin(now_s, target.name)
+        return readmitted
+
+    def probed(
+        self,
+        now_s: float,
+        asked_s: float,
+        service: str,
+        target: str,
+        health: Health,
+    ) -> None:
+        """Record the result of a health probe that was sent at ``asked_s``."""
+        state = self._services[service]
+        stats = state.stats[target]
+        was_leaving = bool(stats.signs)
+        stats.probed(asked_s, health)
+        state.ejection.probed(now_s, target, failing=stats.probe_failing)
+        if was_leaving and not stats.signs:
+            self._slow_start.begin(now_s, target)
+        self._refresh(now_s, state)
+
+    def reported(
+        self,
+        measured_s: float,
+        service: str,
+        target: str,
+        report: LoadReport,
+    ) -> None:
+        """Record a load report that was asked for at ``measured_s``."""
+        state = self._services[service]
+        state.stats[target].reported(measured_s, report)
+        state.time.measured_at_s = max(state.time.measured_at_s, measured_s)
+
+    def listed(
+        self, now_s: float, service: str, target: str, *, leaving: bool
+    ) -> None:
+        """Record the state of a target in the instance list."""
+        state = self._services[service]
+        stats = state.stats[target]
+        was_leaving = bool(stats.signs)
+        stats.set_sign(Sign.INSTANCE_LIST, leaving)
+        if was_leaving and not stats.signs:
+            self._slow_start.begin(now_s, target)
+        self._refresh(now_s, state)
+
+    def set_targets(
+        self, now_s: float, service: str, candidates: Sequence[TargetInfo]
+    ) -> None:
+        """Take over a list of targets before the first request uses it."""
+        self._service(now_s, service, candidates)
+
+    def set_connection_plan(
+        self, service: str, plan: Mapping[str, int]
+    ) -> None:
+        """Limit the connections to each target; absent targets are unused."""
+        state = self._services.setdefault(service, _Service())
+        state.plan = plan
+        if state.table is not None:
+            _apply_plan(state.table, plan)
+
+    def stats(self, service: str, target: str) -> TargetStats:
+        """Return the measurements of a target."""
+        return self._services[service].stats[target]
+
+    def service_time(self, service: str) -> ServiceTime:
+        """Return the usual service time of a service."""
+        return self._services.setdefault(service, _Service()).time
+
+    def _why_not(
+        self,
+        now_s: float,
+        request: ChoiceRequest,
+        service: _Service,
+        row: TargetRow,
+    ) -> Why | None:
+        """Return why a target cannot be used, or none."""
+        stats = row.stats
+        name = row.name
+        if name in request.tried:
+            return Why.TRIED
+        if stats.signs:
+            if not _refusal_expired(now_s, stats):
+                return Why.LEAVING
+            if stats.in_flight:
+                return Why.PROBATION
+        if row.ejected:
+            standing = service.ejection.standing(now_s, name)
+            if standing is Standing.OUT:
+                return Why.EJECTED
+            if standing is Standing.PROBATION and stats.in_flight:
+                return Why.PROBATION
+        if now_s < stats.shed_until_s:
+            return Why.SHEDDING
+        if stats.in_flight >= row.connections:
+            if row.connections == 0:
+                return Why.NOT_IN_SUBSET
+            return Why.NO_CONNECTION
+        if self._units.available(name) < 1:
+            return Why.NO_UNITS
+        if self._region_units.available(row.region) < 1:
+            return Why.REGION_FULL
+        link_units = self._link_units if row.distance == 2 else None
+        if link_units and link_units.available(row.region) < 1:
+            return Why.LINK_FULL
+        if self._slow_start.active(name):
+            limit = self._slow_start.limit(
+                now_s, name, row.info.slots, all_cold=service.all_cold
+            )
+            if stats.in_flight >= limit:
+                return Why.COLD
+        return self._time_why_not(now_s, request, service, row)
+
+    def _time_why_not(
+        self,
+        now_s: float,
+        request: ChoiceRequest,
+        service: _Service,
+        row: TargetRow,
+    ) -> Why | None:
+        stats = row.stats
+        usual_s = service.time.mean_s
+        if usual_s is None:
+            return None
+        expected_s = stats.expected_s(now_s, usual_s)
+        least_s = row.round_trip_s + max(
+            expected_s - 2 * stats.deviation_s, expected_s / 4
+        )
+        if now_s + least_s > request.deadline_s:
+            return Why.TOO_LATE
+        if expected_s > _SLOW_FACTOR * usual_s + _SLOW_S:
+            return Why.SLOW
+        if stats.in_flight:
+            quiet_s = now_s - stats.quiet_since_s
+            if quiet_s > _SILENT_S and quiet_s > _SILENT_FACTOR * expected_s:
+                return Why.SILENT
+        return None
+
+    def _take(
+        self,
+        now_s: float,
+        request: ChoiceRequest,
+        service: _Service,
+        usable: list[TargetRow],
+        left_out: list[Candidate],
+    ) -> Choice | NoTarget:
+        mode = Mode.SAFE
+        if service.time.measured(now_s):
+            mode = Mode.MEASURED
+        while usable:
+            if mode is Mode.SAFE:
+                row = min(usable, key=lambda r: (r.stats.in_flight, r.name))
+            else:
+                row = self._pick(now_s, service, usable)
+            usable.remove(row)
+            why = self._take_units(row, request.workspace)
+            if why is None:
+                break
+            left_out.append(Candidate(row.name, why))
+        else:
+            return _no_target(left_out)
+        left_out.extend(Candidate(r.name, Why.SLOWER) for r in usable)
+        row.stats.started(now_s)
+        return Choice(
+            target=row.info,
+            workspace=request.workspace,
+            started_s=now_s,
+            expected_s=row.round_trip_s
+            + row.stats.expected_s(now_s, service.time.mean_s or 0.0),
+            mode=mode,
+            left_out=tuple(left_out),
+        )
+
+    def _pick(
+        self, now_s: float, service: _Service, usable: list[TargetRow]
+    ) -> TargetRow:
+        """Return the less loaded of two random targets that tie."""
+        if len(usable) == 1:
+            return usable[0]
+        usual_s = service.time.mean_s or 0.0
+        expected = [
+            row.round_trip_s + row.stats.expected_s(now_s, usual_s)
+            for row in usable
+        ]
+        limit_s = min(expected) * _TIE_SHARE + _TIE_S
+        ties = [
+            row
+            for row, expected_s in zip(usable, expected, strict=True)
+            if expected_s <= limit_s
+        ]
+        if len(ties) == 1:
+            return ties[0]
+        first = int(self._random.random() * len(ties))
+        second = int(self._random.random() * (len(ties) - 1))
+        if second >= first:
+            second += 1
+        a, b = ties[first], ties[second]
+        if b.stats.load(now_s, b.info.slots) < a.stats.load(
+            now_s, a.info.slots
+        ):
+            return b
+        return a
+
+    def _take_units(self, row: TargetRow, workspace: str) -> Why | None:
+        if not self._units.take(row.name, workspace):
+            return Why.NO_UNITS
+        if not self._region_units.take(row.region, workspace):
+            self._units.release(row.name, workspace)
+            return Why.REGION_FULL
+        if self._link_units is None or row.distance < 2:
+            return None
+        if not self._link_units.take(row.region, workspace):
+            self._units.release(row.name, workspace)
+            self._region_units.release(row.region, workspace)
+            return Why.LINK_FULL
+        return None
+
+    def _service(
+        self, now_s: float, name: str, candidates: Sequence[TargetInfo]
+    ) -> _Service:
+        service = self._services.get(name)
+        if service is None:
+            service = self._services[name] = _Service()
+        table = service.table
+        if table is None or table.candidates is not candidates:
+            self._rebuild(now_s, service, candidates)
+        return service
+
+    def _rebuild(
+        self,
+        now_s: float,
+        service: _Service,
+        candidates: Sequence[TargetInfo],
+    ) -> None:
+        known = service.stats
+        first = service.table is None
+        service.stats = {}
+        for info in candidates:
+            stats = known.get(info.name)
+            if stats is None:
+                stats = TargetStats()
+                if not first:
+                    self._slow_start.begin(now_s, info.name)
+            was_leaving = bool(stats.signs)
+            stats.set_sign(Sign.DRAIN_SETTING, info.draining)
+            if was_leaving and not stats.signs:
+                self._slow_start.begin(now_s, info.name)
+            service.stats[info.name] = stats
+        for gone in known.keys() - service.stats.keys():
+            self._slow_start.forget(gone)
+        service.table = NearTable(self._place, candidates, service.stats)
+        if service.plan is not None:
+            _apply_plan(service.table, service.plan)
+        service.ejection.set_targets(frozenset(service.stats))
+        self._refresh(now_s, service)
+
+    def _refresh(self, now_s: float, service: _Service) -> None:
+        """Bring the rows up to date after an event."""
+        if service.table is None:
+            return
+        for name, stats in service.stats.items():
+            service.ejection.set_leaving(name, bool(stats.signs))
+        service.all_cold = True
+        for row in service.table.rows:
+            standing = service.ejection.standing(now_s, row.name)
+            row.ejected = standing is not Standing.IN
+            usable = not row.ejected and not row.stats.signs
+            if usable and not self._slow_start.active(row.name):
+                service.all_cold = False
+
+    def _round_trip_s(self, target: TargetInfo) -> float:
+        if target.region != self._place.region:
+            return 2 * self._place.region_delay_s
+        if target.failure_domain != self._place.failure_domain:
+            return 2 * self._place.domain_delay_s
+        return 0.0
+
+
+def _apply_plan(table: NearTable, plan: Mapping[str, int]) -> None:
+    for row in table.rows:
+        row.connections = plan.get(row.name, 0)
+
+
+def _refusal_expired(now_s: float, stats: TargetStats) -> bool:
+    if stats.signs != Sign.REFUSAL:
+        return False
+    return now_s - stats.refused_at_s > _REFUSAL_LIMIT_S
+
+
+def _no_target(left_out: list[Candidate]) -> NoTarget:
+    whys = {candidate.why for candidate in left_out}
+    if whys & _WAITABLE:
+        reason, can_wait = NoTargetReason.NO_UNITS, True
+    elif Why.TOO_LATE in whys:
+        reason, can_wait = NoTargetReason.TOO_LATE, False
+    else:
+        reason, can_wait = NoTargetReason.ALL_OUT, Why.EJECTED in whys
+    return NoTarget(reason=reason, can_wait=can_wait, left_out=tuple(left_out))
