--- /dev/null
+++ b/packages/verbenaworks/src/verbenaworks/agreement.py
@@ -0,0 +1,1063 @@
+"""How one instance keeps up with the agreed state, and changes it.
+
+The class takes the time, messages and store results, and returns actions
+that the daemon carries out. See docs/agreement.md for the reasoning.
+"""
+
+import itertools
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, replace
+from random import Random
+
+from verbenaworks.agreed_state import (
+    AGREED_KEY,
+    AgreedState,
+    AgreedStateError,
+    ConfigBytes,
+)
+from verbenaworks.agreement_actions import (
+    AgreementAction,
+    CallStore,
+    ReportEdit,
+    SendMessage,
+    StateApplied,
+)
+from verbenaworks.agreement_messages import (
+    AgreementMessage,
+    Resignation,
+    ShardsReleased,
+    StateAnswer,
+    StatePoll,
+    WriterResigned,
+)
+from verbenaworks.applied_state import AppliedState, Comparison
+from verbenaworks.attestations import Attestations
+from verbenaworks.control_record import (
+    SHARDS,
+    ControlRecord,
+    InstanceId,
+    Writer,
+)
+from verbenaworks.freshness import (
+    DRIFT,
+    FENCE_S,
+    POLL_PERIOD_S,
+    Freshness,
+)
+from verbenaworks.member import Member, MemberState
+from verbenaworks.owner_lease import OwnerLease
+from verbenaworks.poll_plan import PollPlan, plan_polls
+from verbenaworks.shard_assignment import (
+    assign_shards,
+    is_lost,
+    merge_control,
+    replace_writers,
+)
+from verbenaworks.state_delta import (
+    DeltaMismatchError,
+    StateDelta,
+    apply_delta,
+)
+from verbenaworks.state_edit import (
+    AlreadyInForce,
+    EditAccepted,
+    NotWriterError,
+    StateEdit,
+)
+from verbenaworks.state_writes import (
+    STORE_WAIT_S,
+    BuildResult,
+    SettledWrite,
+    StateWrites,
+    WriteBasis,
+)
+from verbenaworks.store_requests import (
+    StoreAbsent,
+    StoreGet,
+    StorePut,
+    StoreRequest,
+    StoreResult,
+    StoreValue,
+    StoreVersion,
+    StoreWatch,
+    VersionFound,
+)
+
+# The daemon calls tick() this often.
+TICK_S = 0.1
+ATTEST_LIMIT_S = 4_500.0
+WATCH_WAIT_S = 20.0
+# Writers and further relays are asked when the newest confirmation is older
+# than this, so that one lost answer costs nothing in the ordinary case.
+_ATTEST_AFTER_S = 0.6
+_FALLBACK_AFTER_S = 1.0
+# 1,300 instances that fall back to the store make 650 reads/s.
+_FALLBACK_PERIOD_S = 2.0
+# An instance that was not fresh believes the store only after this time, in
+# which a writer finds and repairs a store restored to an older state.
+_RESUME_HOLD_S = 1.0
+_BOOTSTRAP_WAIT_S = 1.0
+# A new assigner first learns who is alive.
+_SETTLE_S = 3.0
+_LEAVING_GRACE_S = 2.0
+_CONTROL_PERIOD_S = 0.5
+_TAKEOVER_AFTER_S = 10.0
+# How long a peer's word that it has a newer state keeps the store from
+# confirming ours. The peer may be gone before it can send that state.
+_AHEAD_LIMIT_S = 3.0
+_RECENT_EDIT_S = 60.0
+_POLL_LIMIT_S = 5.0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AgreementSettings:
+    """What the instance knows from its process settings.
+
+    :param initial_config: document that the first instance writes.
+    """
+
+    instance: InstanceId
+    region: str
+    failure_domain: str
+    initial_config: ConfigBytes
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Pending:
+    request: StoreRequest
+    sent_at_s: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Stored:
+    version: int
+    sequence: int
+    tag: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Owned:
+    epoch: int
+    acts_from_s: float
+
+
+class Agreement:
+    """The agreed state as one instance sees and changes it.
+
+    :param rng: seeded generator for poll phases and choices of peers.
+    """
+
+    def __init__(
+        self, settings: AgreementSettings, now_s: float, rng: Random
+    ) -> None:
+        self._settings = settings
+        self._instance = settings.instance
+        self._rng = rng
+        self._started_s = now_s
+        self._ids = itertools.count(1)
+        self._applied = AppliedState()
+        self._applied_at_s = now_s
+        self._freshness = Freshness()
+        self._attestations = Attestations()
+        self._writes = StateWrites(self._instance, lambda: next(self._ids))
+        self._members: dict[str, Member] = {}
+        self._plan = PollPlan(uses_store=True, watches=True)
+        self._actions: list[AgreementAction] = []
+        self._stored: _Stored | None = None
+        self._diverged: AgreedState | None = None
+        self._store_requests: dict[int, _Pending] = {}
+        self._store_confirmed_at_s: float | None = None
+        self._absent_since_s: float | None = None
+        self._hold_from_s: float | None = None
+        self._polls: dict[int, tuple[str, float]] = {}
+        self._ahead: tuple[str, float] | None = None
+        self._next_store_poll_s = now_s
+        self._next_peer_poll_s = now_s + rng.random() * POLL_PERIOD_S
+        self._next_writer_poll_s = now_s
+        self._next_control_s = now_s
+        self._next_release_s = now_s
+        self._next_parent = rng.randrange(2)
+        self._owned: dict[int, _Owned] = {}
+        self._released: set[tuple[int, int]] = set()
+        self._handed_over: set[tuple[int, int]] = set()
+        self._leaving_since_s: dict[InstanceId, float] = {}
+        self._writers_lost_since_s: float | None = None
+        self._takeover_from_s: float | None = None
+        self._is_resigning = False
+        self._is_resigned = False
+        self._is_releasing = False
+        self._recent_edits: dict[str, tuple[StateEdit, float]] = {}
+        self._submitted: dict[str, StateEdit] = {}
+
+    @property
+    def state(self) -> AgreedState | None:
+        """Return the applied state."""
+        return self._applied.state
+
+    @property
+    def freshness(self) -> Freshness:
+        """Return the confirmations of the applied state."""
+        return self._freshness
+
+    @property
+    def is_writer(self) -> bool:
+        """Return whether the newest known record lists this instance."""
+        state = self._applied.state
+        return (
+            state is not None
+            and not self._is_resigned
+            and state.control.is_writer(self._instance)
+        )
+
+    @property
+    def has_resigned(self) -> bool:
+        """Return whether this instance will never write again."""
+        return self._is_resigned
+
+    def is_fresh(self, now_s: float) -> bool:
+        """Return whether the instance may act on the applied state."""
+        return self._freshness.is_fresh(now_s)
+
+    def lease(self, shard: int) -> OwnerLease | None:
+        """Return the lease on a shard that the newest record gives."""
+        owned = self._owned.get(shard)
+        if owned is None:
+            return None
+        return OwnerLease(
+            shard=shard,
+            epoch=owned.epoch,
+            is_valid=lambda now_s: self._may_act(shard, owned, now_s),
+        )
+
+    def writers_for_edit(self) -> tuple[str, ...]:
+        """Return the live writers to which to send an edit, best first."""
+        state = self._applied.state
+        if state is None:
+            return ()
+        own = self.is_writer and not self._is_resigning
+        return ((self._instance.name,) if own else ()) + tuple(
+            writer.instance.name
+            for writer in state.control.writers
+            if not is_lost(writer.instance, self._members)
+        )
+
+    def set_members(self, members: Iterable[Member]) -> None:
+        """Take the members that are known now, without this instance."""
+        self._members = {
+            member.name: member
+            for member in members
+            if member.name != self._instance.name
+        }
+        self._plan = plan_polls(
+            self._instance.name,
+            self._settings.failure_domain,
+            [*self._members.values(), self._own_member()],
+        )
+
+    def tick(self, now_s: float) -> list[AgreementAction]:
+        """Do what is due; called every ``TICK_S``."""
+        self._expire(now_s)
+        self._poll_store(now_s)
+        self._poll_peers(now_s)
+        self._poll_writers(now_s)
+        self._maintain(now_s)
+        self._step_writes(now_s)
+        return self._take_actions()
+
+    def submit(self, edit: StateEdit, now_s: float) -> list[AgreementAction]:
+        """Apply an edit as a writer; the outcome is reported later."""
+        self._submitted[edit.edit_id] = edit
+        self._writes.submit(edit, now_s)
+        self._step_writes(now_s)
+        return self._take_actions()
+
+    def resign(self, now_s: float) -> list[AgreementAction]:
+        """Stop writing for good, once the last write is settled."""
+        self._is_resigning = True
+        self._step_writes(now_s)
+        return self._take_actions()
+
+    def release_shards(self, now_s: float) -> list[AgreementAction]:
+        """Stop acting as an owner for good, and tell the assigner."""
+        self._is_releasing = True
+        self._release(now_s)
+        return self._take_actions()
+
+    def replace_lost_writers(self, now_s: float) -> list[AgreementAction]:
+        """Replace the list at once; an operator knows all are gone."""
+        self._submit_control("order-writers", self._build_ordered_takeover)
+        self._step_writes(now_s)
+        return self._take_actions()
+
+    def on_message(
+        self, now_s: float, sender: str, message: AgreementMessage
+    ) -> list[AgreementAction]:
+        """Take a message from another instance."""
+        match message:
+            case StatePoll():
+                self._answer(now_s, sender, message)
+            case StateAnswer():
+                self._on_answer(now_s, sender, message)
+            case WriterResigned(resignation=resignation):
+                self._attestations.resign(resignation)
+            case ShardsReleased():
+                self._on_released(message)
+        self._step_writes(now_s)
+        return self._take_actions()
+
+    def on_store_result(
+        self, now_s: float, request_id: int, result: StoreResult
+    ) -> list[AgreementAction]:
+        """Take the result of a store request."""
+        pending = self._store_requests.pop(request_id, None)
+        if pending is None:
+            # Only a late result of a write still matters.
+            self._after_write(now_s, request_id, result)
+        else:
+            match pending.request:
+                case StoreGet():
+                    self._on_read(now_s, pending.sent_at_s, result)
+                case StoreVersion() | StoreWatch():
+                    self._on_version(now_s, pending, result)
+                case StorePut():
+                    self._after_write(now_s, request_id, result)
+        self._step_writes(now_s)
+        return self._take_actions()
+
+    # Polls.
+
+    def _poll_store(self, now_s: float) -> None:
+        if now_s < self._next_store_poll_s:
+            return
+        age_s = self._freshness.age_s(now_s)
+        if self._plan.uses_store:
+            self._next_store_poll_s = now_s + POLL_PERIOD_S * 0.95
+        elif age_s is None or age_s > _FALLBACK_AFTER_S:
+            self._next_store_poll_s = now_s + _FALLBACK_PERIOD_S * (
+                0.5 + self._rng.random()
+            )
+        else:
+            return
+        if self._stored is None or self._writes.needs_read():
+            self._read(now_s)
+        else:
+            self._call(
+                now_s, StoreVersion(request_id=next(self._ids), key=AGREED_KEY)
+            )
+        if self._plan.watches:
+            self._watch(now_s)
+
+    def _watch(self, now_s: float) -> None:
+        if self._stored is None or self._is_pending(StoreWatch):
+            return
+        self._call(
+            now_s,
+            StoreWatch(
+                request_id=next(self._ids),
+                key=AGREED_KEY,
+                after_version=self._stored.version,
+                wait_s=WATCH_WAIT_S,
+            ),
+        )
+
+    def _read(self, now_s: float) -> None:
+        if not self._is_pending(StoreGet):
+            self._call(
+                now_s, StoreGet(request_id=next(self._ids), key=AGREED_KEY)
+            )
+
+    def _poll_peers(self, now_s: float) -> None:
+        if now_s < self._next_peer_poll_s:
+            return
+        self._next_peer_poll_s = now_s + POLL_PERIOD_S * 0.95
+        age_s = self._freshness.age_s(now_s)
+        names: set[str] = set()
+        if self._plan.parents:
+            self._next_parent += 1
+            parents = self._plan.parents
+            names.add(parents[self._next_parent % len(parents)])
+        if self._ahead is not None:
+            names.add(self._ahead[0])
+        if age_s is None or age_s > _FALLBACK_AFTER_S:
+            running = [n for n, m in self._members.items() if m.is_running]
+            names.update(self._rng.sample(running, min(2, len(running))))
+        for name in sorted(names):
+            self._poll(now_s, name)
+
+    def _poll_writers(self, now_s: float) -> None:
+        state = self._applied.state
+        age_s = self._freshness.age_s(now_s)
+        store_s = self._store_confirmed_at_s
+        if (
+            now_s < self._next_writer_poll_s
+            or state is None
+            or not (
+                self._plan.uses_store
+                or age_s is None
+                or age_s > _FALLBACK_AFTER_S
+            )
+            or (store_s is not None and now_s < store_s + _ATTEST_AFTER_S)
+        ):
+            return
+        self._next_writer_poll_s = now_s + POLL_PERIOD_S * 0.95
+        for writer in state.control.writers:
+            if writer.instance != self._instance:
+                self._poll(now_s, writer.instance.name)
+        self._attest_self(now_s)
+
+    def _poll(self, now_s: float, name: str, whole: bool = False) -> None:
+        poll_id = next(self._ids)
+        self._polls[poll_id] = (name, now_s)
+        self._send(
+            name,
+            StatePoll(
+                poll_id=poll_id,
+                sequence=self._applied.sequence,
+                tag=self._applied.tag,
+                config_revision=self._applied.config_revision,
+                whole=whole,
+            ),
+        )
+
+    def _answer(self, now_s: float, sender: str, poll: StatePoll) -> None:
+        applied = self._applied
+        lacks = applied.state is not None and (
+            poll.sequence < applied.sequence
+            or poll.config_revision < applied.config_revision
+        )
+        update = (
+            applied.update_from((poll.sequence, poll.tag), poll.whole)
+            if lacks
+            else None
+        )
+        self._send(
+            sender,
+            StateAnswer(
+                poll_id=poll.poll_id,
+                incarnation=self._instance.incarnation,
+                sequence=applied.sequence,
+                tag=applied.tag,
+                config_revision=applied.config_revision,
+                age_s=(
+                    self._freshness.age_s(now_s)
+                    if self.is_fresh(now_s)
+                    else None
+                ),
+                attests=self._attests(now_s),
+                update=update,
+                store_version=self._known_version() if lacks else 0,
+                resignations=(
+                    ()
+                    if applied.state is None
+                    else self._attestations.resignations(applied.state.control)
+                ),
+            ),
+        )
+        self._note_peer(
+            now_s, sender, poll.sequence, poll.config_revision, poll.tag
+        )
+
+    def _on_answer(
+        self, now_s: float, sender: str, answer: StateAnswer
+    ) -> None:
+        asked = self._polls.pop(answer.poll_id, None)
+        if asked is None or asked[0] != sender:
+            return
+        for resignation in answer.resignations:
+            self._attestations.resign(resignation)
+        if answer.update is not None:
+            self._on_update(now_s, sender, answer, answer.update)
+        mark = (answer.sequence, answer.tag)
+        if mark != self._applied.mark or self._applied.state is None:
+            if answer.update is None:
+                self._note_peer(
+                    now_s,
+                    sender,
+                    answer.sequence,
+                    answer.config_revision,
+                    answer.tag,
+                )
+            return
+        if answer.age_s is not None:
+            self._freshness.confirm_by_relay(asked[1], answer.age_s)
+            self._hold_from_s = None
+        if answer.attests:
+            self._attestations.attest(
+                InstanceId(name=sender, incarnation=answer.incarnation),
+                mark,
+                asked[1],
+            )
+            self._attest_self(now_s)
+
+    def _on_update(
+        self, now_s: float, sender: str, answer: StateAnswer, delta: StateDelta
+    ) -> None:
+        try:
+            data = apply_delta(self._applied.base(delta.base_sequence), delta)
+            state = AgreedState.from_bytes(data)
+        except DeltaMismatchError:
+            self._poll(now_s, sender, whole=True)
+            return
+        except AgreedStateError:
+            return
+        self._take_state(now_s, state, data, answer.store_version)
+
+    def _note_peer(
+        self,
+        now_s: float,
+        sender: str,
+        sequence: int,
+        config_revision: int,
+        tag: int,
+    ) -> None:
+        applied = self._applied
+        if (
+            sequence > applied.sequence
+            or config_revision > applied.config_revision
+        ):
+            if self._ahead is None:
+                self._ahead = (sender, now_s)
+                self._poll(now_s, sender)
+        elif sequence == applied.sequence and tag != applied.tag:
+            self._submit_repair()
+
+    def _attests(self, now_s: float) -> bool:
+        state = self._applied.state
+        return (
+            state is not None
+            and self.is_writer
+            and state.control.takeover is None
+            and self._writes.is_settled
+            and self._store_confirmed_at_s is not None
+            and now_s < self._store_confirmed_at_s + ATTEST_LIMIT_S
+        )
+
+    def _attest_self(self, now_s: float) -> None:
+        state = self._applied.state
+        if state is None:
+            return
+        if self._attests(now_s):
+            self._attestations.attest(
+                self._instance, self._applied.mark, now_s
+            )
+        times_s = self._attestations.confirmed_by(
+            state.control, self._applied.mark
+        )
+        if times_s is not None:
+            self._freshness.confirm_by_writers(times_s)
+            self._hold_from_s = None
+
+    # Store results.
+
+    def _on_version(
+        self, now_s: float, pending: _Pending, result: StoreResult
+    ) -> None:
+        request = pending.request
+        if isinstance(result, StoreAbsent):
+            self._on_read(now_s, pending.sent_at_s, result)
+        elif isinstance(result, VersionFound):
+            self._absent_since_s = None
+            stored = self._stored
+            if stored is None or result.version != stored.version:
+                self._read(now_s)
+            elif isinstance(request, StoreVersion):
+                self._confirm_by_store(now_s, pending.sent_at_s)
+        for each in self._writes.on_probe(now_s, request.request_id, result):
+            self._call(now_s, each)
+
+    def _on_read(
+        self, now_s: float, sent_at_s: float, result: StoreResult
+    ) -> None:
+        match result:
+            case StoreAbsent():
+                if self._absent_since_s is None:
+                    self._absent_since_s = sent_at_s
+                if sent_at_s >= self._applied_at_s:
+                    self._stored = _Stored(version=0, sequence=0, tag=0)
+                    self._submit_repair()
+                self._settle_by_read(now_s, sent_at_s, 0, b"")
+            case StoreValue(value=value, version=version):
+                self._absent_since_s = None
+                self._settle_by_read(now_s, sent_at_s, version, value)
+                self._take_value(now_s, sent_at_s, value, version)
+
+    def _settle_by_read(
+        self, now_s: float, sent_at_s: float, version: int, value: bytes
+    ) -> None:
+        settled, requests = self._writes.on_read(
+            now_s, sent_at_s, version, value
+        )
+        if settled is not None:
+            self._take_own_write(now_s, settled)
+        for request in requests:
+            self._call(now_s, request)
+
+    def _take_value(
+        self, now_s: float, sent_at_s: float, value: bytes, version: int
+    ) -> None:
+        try:
+            state = AgreedState.from_bytes(value)
+        except AgreedStateError:
+            if sent_at_s >= self._applied_at_s:
+                self._stored = _Stored(version=version, sequence=0, tag=0)
+                self._submit_repair()
+            return
+        comparison = self._applied.compare(state, value)
+        if comparison is Comparison.NEWER:
+            self._take_state(now_s, state, value, version)
+            self._confirm_by_store(now_s, sent_at_s)
+            return
+        if sent_at_s < self._applied_at_s:
+            return
+        self._stored = _Stored(version=version, sequence=state.sequence, tag=0)
+        if comparison is Comparison.SAME:
+            self._stored = replace(self._stored, tag=self._applied.tag)
+            self._confirm_by_store(now_s, sent_at_s)
+            return
+        if comparison is Comparison.DIVERGED:
+            self._diverged = state
+        self._submit_repair()
+
+    def _confirm_by_store(self, now_s: float, sent_at_s: float) -> None:
+        stored = self._stored
+        if (
+            stored is None
+            or (stored.sequence, stored.tag) != self._applied.mark
+            or self._ahead is not None
+        ):
+            return
+        self._store_confirmed_at_s = max(
+            sent_at_s, self._store_confirmed_at_s or sent_at_s
+        )
+        if not self._freshness.is_fresh(now_s):
+            if self._hold_from_s is None:
+                self._hold_from_s = sent_at_s
+            if sent_at_s < self._hold_from_s + _RESUME_HOLD_S:
+                return
+        self._hold_from_s = None
+        self._freshness.confirm_by_store(sent_at_s)
+
+    def _take_state(
+        self, now_s: float, state: AgreedState, data: bytes, version: int
+    ) -> None:
+        comparison = self._applied.compare(state, data)
+        if comparison is Comparison.DIVERGED:
+            self._diverged = state
+            self._ahead = None
+            self._submit_repair()
+        if not self._applied.apply(state, data):
+            return
+        self._applied_at_s = now_s
+        self._ahead = None
+        self._diverged = None
+        if version:
+            self._stored = _Stored(
+                version=version,
+                sequence=state.sequence,
+                tag=self._applied.tag,
+            )
+        if state.control.takeover != self._instance:
+            self._takeover_from_s = None
+        elif self._takeover_from_s is None:
+            self._takeover_from_s = now_s
+        self._learn_ownership(now_s, state.control)
+        self._resubmit_lost_edits(now_s, state)
+        self._actions.append(StateApplied(state=state))
+
+    # Writes.
+
+    def _step_writes(self, now_s: float) -> None:
+        if self._is_resigning:
+            self._writes.refuse_queued(
+                NotWriterError(
+                    f"{self._instance.name} is shutting down",
+                    "send the edit to another writer",
+                )
+            )
+            if self._writes.is_settled and not self._is_resigned:
+                self._announce_resignation()
+        for request in self._writes.step(now_s, self._basis()):
+            self._call(now_s, request)
+        for outcome in self._writes.take_outcomes():
+            edit = self._submitted.pop(outcome.edit_id, None)
+            if edit is not None and isinstance(outcome, EditAccepted):
+                self._recent_edits[edit.edit_id] = (edit, now_s)
+            self._actions.append(ReportEdit(outcome=outcome))
+
+    def _basis(self) -> WriteBasis | None:
+        stored = self._stored
+        if stored is None or self._ahead is not None:
+            return None
+        return WriteBasis(
+            version=stored.version,
+            sequence=stored.sequence,
+            state=self._applied.state,
+        )
+
+    def _after_write(
+        self, now_s: float, request_id: int, result: StoreResult
+    ) -> None:
+        settled = self._writes.on_put(now_s, request_id, result)
+        if settled is not None:
+            self._take_own_write(now_s, settled)
+
+    def _take_own_write(self, now_s: float, settled: SettledWrite) -> None:
+        self._absent_since_s = None
+        self._take_state(
+            now_s, settled.state, settled.state.to_bytes(), settled.version
+        )
+
+    def _resubmit_lost_edits(self, now_s: float, state: AgreedState) -> None:
+        """Apply accepted edits again that a restored store has lost.
+
+        Another writer may have repaired the store without knowing them.
+        """
+        for edit_id, (edit, accepted_s) in list(self._recent_edits.items()):
+            if now_s > accepted_s + _RECENT_EDIT_S:
+                del self._recent_edits[edit_id]
+            elif not isinstance(edit.change(state), AlreadyInForce):
+                self._submitted[edit_id] = edit
+                self._writes.submit(edit, now_s)
+
+    def _announce_resignation(self) -> None:
+        self._is_resigned = True
+        self._writes.close()
+        state = self._applied.state
+        if state is None or not state.control.is_writer(self._instance):
+            return
+        resignation = Resignation(
+            writer=self._instance,
+            writers_version=state.control.writers_version,
+            sequence=state.sequence,
+        )
+        self._attestations.resign(resignation)
+        for name, member in self._members.items():
+            if member.is_running:
+                self._send(name, WriterResigned(resignation=resignation))
+
+    def _submit_repair(self) -> None:
+        if self._applied.state is not None and self.is_writer:
+            self._submit_control("repair", self._build_repair)
+
+    def _build_repair(self, basis: WriteBasis) -> BuildResult:
+        """Return the newest state that this instance knows.
+
+        Its sequence will be above both the known and the stored one.
+        """
+        state = basis.state
+        stored = self._stored
+        if state is None or stored is None:
+            return AlreadyInForce(config_revision=0)
+        other = self._diverged
+        if other is None:
+            return state
+        newest = max(state, other, key=lambda s: s.config_revision)
+        return replace(
+            newest, control=merge_control(state.control, other.control)
+        )
+
+    # Control record.
+
+    def _maintain(self, now_s: float) -> None:
+        self._note_leaving(now_s)
+        if self._is_releasing:
+            self._release(now_s)
+        if now_s < self._next_control_s or self._is_resigning:
+            return
+        self._next_control_s = now_s + _CONTROL_PERIOD_S
+        state = self._applied.state
+        if state is None:
+            self._bootstrap(now_s)
+        elif self.is_writer:
+            self._maintain_record(now_s, state.control)
+        else:
+            self._take_over(now_s, state.control)
+
+    def _bootstrap(self, now_s: float) -> None:
+        absent_s = self._absent_since_s
+        if absent_s is None or now_s < absent_s + _BOOTSTRAP_WAIT_S:
+            return
+        self._submit_control("bootstrap", self._build_bootstrap)
+
+    def _build_bootstrap(self, basis: WriteBasis) -> BuildResult:
+        if basis.state is not None:
+            return AlreadyInForce(config_revision=0)
+        config = self._settings.initial_config
+        return AgreedState(
+            sequence=1,
+            config=config.document,
+            config_revision=config.config_revision,
+            control=ControlRecord(
+                writers=(self._own_writer(),), writers_version=1
+            ),
+        )
+
+    def _maintain_record(self, now_s: float, control: ControlRecord) -> None:
+        if (
+            now_s < self._started_s + _SETTLE_S
+            or not self._is_assigner(control)
+            or not self._is_store_up(now_s)
+        ):
+            return
+        if self._next_control(control) != control:
+            self._submit_control("maintain", self._build_maintenance)
+
+    def _next_control(self, control: ControlRecord) -> ControlRecord:
+        members = {**self._members, self._instance.name: self._own_member()}
+        overdue = {
+            instance
+            for instance, since_s in self._leaving_since_s.items()
+            if since_s == float("-inf")
+        }
+        return replace_writers(
+            assign_shards(control, members, self._handed_over, overdue),
+            members,
+            self._own_writer(),
+        )
+
+    def _build_maintenance(self, basis: WriteBasis) -> BuildResult:
+        state = basis.state
+        if state is None or not state.control.is_writer(self._instance):
+            return AlreadyInForce(config_revision=0)
+        control = self._next_control(state.control)
+        if control == state.control:
+            return AlreadyInForce(config_revision=0)
+        return replace(state, control=control)
+
+    def _is_assigner(self, control: ControlRecord) -> bool:
+        live = [
+            writer.instance.name
+            for writer in control.writers
+            if writer.instance == self._instance
+            or (
+                not is_lost(writer.instance, self._members)
+                and self._members[writer.instance.name].is_available
+            )
+        ]
+        return min(live, default="") == self._instance.name
+
+    def _take_over(self, now_s: float, control: ControlRecord) -> None:
+        """Replace the list of writers when all of them are lost.
+
+        The first write only announces the takeover. A writer that sees the
+        announcement stops attesting and removes it; one that does not see it
+        stops attesting ``ATTEST_LIMIT_S`` after its last confirmation by the
+        store, which was before the announcement.
+        """
+        lost = all(is_lost(w.instance, self._members) for w in control.writers)
+        if not lost or not self._is_store_up(now_s):
+            self._writers_lost_since_s = None
+            return
+        if self._writers_lost_since_s is None:
+            self._writers_lost_since_s = now_s
+        if now_s < self._writers_lost_since_s + _TAKEOVER_AFTER_S:
+            return
+        if control.takeover == self._instance:
+            wait_s = ATTEST_LIMIT_S * (1 + 2 * DRIFT) + FENCE_S
+            from_s = self._takeover_from_s
+            if from_s is not None and now_s >= from_s + wait_s:
+                self._submit_control("replace-writers", self._build_takeover)
+            return
+        names = [n for n, m in self._members.items() if m.is_available]
+        if min([*names, self._instance.name]) != self._instance.name:
+            return
+        if control.takeover is None or is_lost(
+            control.takeover, self._members
+        ):
+            self._submit_control("announce", self._build_announcement)
+
+    def _build_announcement(self, basis: WriteBasis) -> BuildResult:
+        state = basis.state
+        if state is None or state.sequence != basis.sequence:
+            return AlreadyInForce(config_revision=0)
+        return replace(
+            state, control=replace(state.control, takeover=self._instance)
+        )
+
+    def _build_takeover(self, basis: WriteBasis) -> BuildResult:
+        state = basis.state
+        if (
+            state is None
+            or state.sequence != basis.sequence
+            or state.control.takeover != self._instance
+        ):
+            return AlreadyInForce(config_revision=0)
+        return self._build_ordered_takeover(basis)
+
+    def _build_ordered_takeover(self, basis: WriteBasis) -> BuildResult:
+        state = basis.state
+        if state is None or self.is_writer:
+            return AlreadyInForce(config_revision=0)
+        control = state.control
+        return replace(
+            state,
+            control=replace(
+                control,
+                writers=(self._own_writer(),),
+                writers_version=control.writers_version + 1,
+                takeover=None,
+            ),
+        )
+
+    # Ownership.
+
+    def _learn_ownership(self, now_s: float, control: ControlRecord) -> None:
+        owned: dict[int, _Owned] = {}
+        for shard, owner in enumerate(control.shards):
+            if owner is None or owner.instance != self._instance:
+                continue
+            known = self._owned.get(shard)
+            if known is not None and known.epoch == owner.epoch:
+                owned[shard] = known
+                continue
+            wait_s = 0.0 if owner.handed_over else FENCE_S
+            owned[shard] = _Owned(
+                epoch=owner.epoch, acts_from_s=now_s + wait_s
+            )
+        self._owned = owned
+
+    def _may_act(self, shard: int, owned: _Owned, now_s: float) -> bool:
+        return (
+            self._owned.get(shard) == owned
+            and (shard, owned.epoch) not in self._released
+            and self.is_fresh(now_s)
+            and self._has_waited(owned)
+        )
+
+    def _has_waited(self, owned: _Owned) -> bool:
+        """Return whether no earlier owner can still be fresh.
+
+        The wait must end before a confirmation, and the confirmations must
+        have gone on without a gap for as long. Otherwise two owners could be
+        valid while a store restored to an older state confirms the earlier
+        one.
+        """
+        confirmed_s = self._freshness.confirmed_at_s
+        resumed_s = self._freshness.resumed_at_s
+        return (
+            confirmed_s is not None
+            and resumed_s is not None
+            and confirmed_s >= owned.acts_from_s
+            and confirmed_s >= resumed_s + FENCE_S
+        )
+
+    def _release(self, now_s: float) -> None:
+        """Hand over shards on which no earlier owner can be active."""
+        ready = tuple(
+            (shard, owned.epoch)
+            for shard, owned in self._owned.items()
+            if (shard, owned.epoch) in self._released
+            or self._has_waited(owned)
+        )
+        self._released.update(
+            (shard, owned.epoch) for shard, owned in self._owned.items()
+        )
+        state = self._applied.state
+        if not ready or state is None or now_s < self._next_release_s:
+            return
+        self._next_release_s = now_s + POLL_PERIOD_S
+        for writer in state.control.writers:
+            if writer.instance != self._instance:
+                self._send(
+                    writer.instance.name,
+                    ShardsReleased(owner=self._instance, shards=ready),
+                )
+        if self.is_writer:
+            self._handed_over.update(ready)
+
+    def _on_released(self, message: ShardsReleased) -> None:
+        state = self._applied.state
+        if state is None:
+            return
+        for shard, epoch in message.shards:
+            if not 0 <= shard < SHARDS:
+                continue
+            owner = state.control.shards[shard]
+            if (
+                owner is not None
+                and owner.instance == message.owner
+                and owner.epoch == epoch
+            ):
+                self._handed_over.add((shard, epoch))
+
+    def _note_leaving(self, now_s: float) -> None:
+        leaving: dict[InstanceId, float] = {}
+        for member in self._members.values():
+            if member.state is not MemberState.LEAVING:
+                continue
+            instance = InstanceId(
+                name=member.name, incarnation=member.incarnation
+            )
+            since_s = self._leaving_since_s.get(instance, now_s)
+            if now_s >= since_s + _LEAVING_GRACE_S:
+                since_s = float("-inf")
+            leaving[instance] = since_s
+        self._leaving_since_s = leaving
+
+    # Helpers.
+
+    def _is_store_up(self, now_s: float) -> bool:
+        confirmed_s = self._store_confirmed_at_s
+        return confirmed_s is not None and now_s < confirmed_s + STORE_WAIT_S
+
+    def _known_version(self) -> int:
+        stored = self._stored
+        if stored is None or stored.sequence != self._applied.sequence:
+            return 0
+        return stored.version if stored.tag == self._applied.tag else 0
+
+    def _own_writer(self) -> Writer:
+        return Writer(instance=self._instance, region=self._settings.region)
+
+    def _own_member(self) -> Member:
+        return Member(
+            name=self._instance.name,
+            incarnation=self._instance.incarnation,
+            state=(
+                MemberState.LEAVING
+                if self._is_resigning or self._is_releasing
+                else MemberState.ALIVE
+            ),
+            region=self._settings.region,
+            failure_domain=self._settings.failure_domain,
+            fresh=True,
+        )
+
+    def _expire(self, now_s: float) -> None:
+        self._polls = {
+            poll_id: poll
+            for poll_id, poll in self._polls.items()
+            if now_s < poll[1] + _POLL_LIMIT_S
+        }
+        for request_id, pending in list(self._store_requests.items()):
+            limit_s = STORE_WAIT_S
+            if isinstance(pending.request, StoreWatch):
+                limit_s += WATCH_WAIT_S
+            if now_s >= pending.sent_at_s + limit_s:
+                del self._store_requests[request_id]
+        if self._ahead and now_s >= self._ahead[1] + _AHEAD_LIMIT_S:
+            self._ahead = None
+
+    def _is_pending(self, kind: type) -> bool:
+        return any(
+            isinstance(pending.request, kind)
+            for pending in self._store_requests.values()
+        )
+
+    def _submit_control(
+        self, job_id: str, build: Callable[[WriteBasis], BuildResult]
+    ) -> None:
+        self._writes.submit_control(job_id, build)
+
+    def _call(self, now_s: float, request: StoreRequest) -> None:
+        self._store_requests[request.request_id] = _Pending(
+            request=request, sent_at_s=now_s
+        )
+        self._actions.append(CallStore(request=request))
+
+    def _send(self, name: str, message: AgreementMessage) -> None:
+        self._actions.append(SendMessage(to=name, message=message))
+
+    def _take_actions(self) -> list[AgreementAction]:
+        actions, self._actions = self._actions, []
+        return actions
--- a/packages/verbenaworks/src/verbenaworks/agreement_messages.py
+++ b/packages/verbenaworks/src/verbenaworks/agreement_messages.py
@@ -26,11 +26,15 @@
     """Asks a peer for its state and its confirmation of it.
 
     :param sequence: the state that the asking instance has applied.
+    :param tag: distinguishes states with one sequence, which exist after
+        the store was restored to an older state.
     :param whole: the peer must not answer with a delta.
     """
 
     poll_id: int
     sequence: int
+    tag: int
+    config_revision: int
     whole: bool = False
 
 
@@ -44,14 +48,18 @@
     :param attests: the answering instance is a writer, has no write in
         flight or of unknown outcome, and starts writes only after this.
     :param update: the newer state, if the asking instance lacks it.
+    :param store_version: the key's version that holds the state, if known.
     """
 
     poll_id: int
     incarnation: int
     sequence: int
+    tag: int
+    config_revision: int
     age_s: float | None
     attests: bool
     update: StateDelta | None = None
+    store_version: int = 0
     resignations: tuple[Resignation, ...] = ()
 
 
--- /dev/null
+++ b/packages/verbenaworks/src/verbenaworks/state_edit.py
@@ -0,0 +1,71 @@
+"""Edits of the configuration and their outcomes."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from verbenaworks.agreed_state import AgreedState, ConfigBytes
+from verbenaworks.errors import VerbenaError
+
+
+class NotWriterError(VerbenaError):
+    """The instance that got the edit may not write."""
+
+    code = "not-a-writer"
+
+
+class StoreDownError(VerbenaError):
+    """The store did not take the edit within the limit."""
+
+    code = "store-unavailable"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AlreadyInForce:
+    """The state holds the edit already.
+
+    :param config_revision: revision that the edit produced.
+    """
+
+    config_revision: int
+
+
+EditResult = ConfigBytes | AlreadyInForce | VerbenaError
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StateEdit:
+    """An edit as a function of the state to which it is applied.
+
+    :param change: returns the new document, or AlreadyInForce if the state
+        contains the edit id, or the reason for a refusal. It may be called
+        several times with different states.
+    """
+
+    edit_id: str
+    change: Callable[[AgreedState], EditResult]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class EditAccepted:
+    """The edit took effect, once."""
+
+    edit_id: str
+    config_revision: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class EditRejected:
+    """The edit has not taken effect and will not."""
+
+    edit_id: str
+    error: VerbenaError
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class EditUnknown:
+    """The edit may take effect; submit it again under the same id."""
+
+    edit_id: str
+
+
+EditOutcome = EditAccepted | EditRejected | EditUnknown
--- /dev/null
+++ b/packages/verbenaworks/src/verbenaworks/state_writes.py
@@ -0,0 +1,343 @@
+"""Writes of one instance to the agreed key, one at a time.
+
+Each write is preceded by a probe of the store and is a compare-and-swap. An
+outcome that is unknown is settled by reads: once the key has another version
+than the write expected, the write can no longer take effect, and the value
+shows whether it did. While the key still has the expected version, the same
+write is sent again, because the first one may yet arrive.
+"""
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+
+from verbenaworks.agreed_state import AGREED_KEY, AgreedState
+from verbenaworks.control_record import InstanceId
+from verbenaworks.errors import VerbenaError
+from verbenaworks.state_edit import (
+    AlreadyInForce,
+    EditAccepted,
+    EditOutcome,
+    EditRejected,
+    EditUnknown,
+    NotWriterError,
+    StateEdit,
+    StoreDownError,
+)
+from verbenaworks.store_requests import (
+    Conflict,
+    OutcomeUnknown,
+    Stored,
+    StorePut,
+    StoreRequest,
+    StoreResult,
+    StoreUnavailable,
+    StoreVersion,
+    VersionFound,
+)
+
+EDIT_LIMIT_S = 5.0
+STORE_WAIT_S = 2.0
+_PROBE_PERIOD_S = 0.2
+
+BuildResult = AgreedState | AlreadyInForce | VerbenaError
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class WriteBasis:
+    """What the next write builds on.
+
+    :param version: the key's version in the store; 0 when absent.
+    :param sequence: sequence of the state in the store; 0 when absent.
+    :param state: the newest state that the instance knows.
+    """
+
+    version: int
+    sequence: int
+    state: AgreedState | None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SettledWrite:
+    """A write that took effect.
+
+    :param version: the key's version after the write.
+    """
+
+    state: AgreedState
+    version: int
+
+
+@dataclass(kw_only=True, slots=True, eq=False)
+class _Job:
+    job_id: str
+    build: Callable[[WriteBasis], BuildResult]
+    edit: StateEdit | None = None
+    limit_s: float | None = None
+    reported: bool = False
+
+
+@dataclass(kw_only=True, slots=True, eq=False)
+class _Attempt:
+    job: _Job
+    basis: WriteBasis
+    state: AgreedState
+    value: bytes
+    sent_at_s: float
+    request_ids: set[int] = field(default_factory=set)
+    unknown: bool = False
+    awaiting_answer: bool = True
+
+
+class StateWrites:
+    """Queue of writes.
+
+    :param instance: the instance that writes.
+    :param next_id: returns a new request id.
+    """
+
+    def __init__(
+        self, instance: InstanceId, next_id: Callable[[], int]
+    ) -> None:
+        self._instance = instance
+        self._next_id = next_id
+        self._jobs: deque[_Job] = deque()
+        self._attempt: _Attempt | None = None
+        self._probe: tuple[int, float, WriteBasis] | None = None
+        self._probed_at_s = float("-inf")
+        self._outcomes: list[EditOutcome] = []
+        self._is_closed = False
+
+    @property
+    def is_settled(self) -> bool:
+        """Return whether no write is in flight or of unknown outcome."""
+        return self._attempt is None
+
+    @property
+    def is_idle(self) -> bool:
+        """Return whether nothing is queued or unsettled."""
+        return self._attempt is None and not self._jobs
+
+    def take_outcomes(self) -> list[EditOutcome]:
+        """Return the outcomes since the last call."""
+        outcomes, self._outcomes = self._outcomes, []
+        return outcomes
+
+    def submit(self, edit: StateEdit, now_s: float) -> None:
+        """Queue an edit; a second one with a queued id joins the first."""
+        if any(job.job_id == edit.edit_id for job in self._queued()):
+            return
+        self._jobs.append(
+            _Job(
+                job_id=edit.edit_id,
+                build=lambda basis: _build_edit(self._instance, edit, basis),
+                edit=edit,
+                limit_s=now_s + EDIT_LIMIT_S,
+            )
+        )
+
+    def submit_control(
+        self, job_id: str, build: Callable[[WriteBasis], BuildResult]
+    ) -> None:
+        """Queue a change of the control record before all edits."""
+        if not any(job.job_id == job_id for job in self._queued()):
+            self._jobs.appendleft(_Job(job_id=job_id, build=build))
+
+    def close(self) -> None:
+        """Send nothing from now on."""
+        self._is_closed = True
+
+    def refuse_queued(self, error: VerbenaError) -> None:
+        """Refuse every edit that has not been sent."""
+        for job in self._jobs:
+            self._report_rejected(job, error)
+        self._jobs.clear()
+
+    def step(
+        self, now_s: float, basis: WriteBasis | None
+    ) -> list[StoreRequest]:
+        """Start the next write, and time out what got no answer.
+
+        :param basis: None while the store's content is not known.
+        """
+        self._expire(now_s)
+        if self._attempt is not None or not self._jobs or basis is None:
+            return []
+        if self._probe is not None or self._is_closed:
+            return []
+        if now_s < self._probed_at_s + _PROBE_PERIOD_S:
+            return []
+        request = StoreVersion(request_id=self._next_id(), key=AGREED_KEY)
+        self._probe = (request.request_id, now_s, basis)
+        self._probed_at_s = now_s
+        return [request]
+
+    def on_probe(
+        self, now_s: float, request_id: int, result: StoreResult
+    ) -> list[StoreRequest]:
+        """Send the write if the store answered with the known version."""
+        if self._probe is None or self._probe[0] != request_id:
+            return []
+        basis = self._probe[2]
+        self._probe = None
+        version = result.version if isinstance(result, VersionFound) else 0
+        if isinstance(result, StoreUnavailable | OutcomeUnknown):
+            return []
+        if version != basis.version:
+            return []
+        self._probed_at_s = float("-inf")
+        return self._send_next(now_s, basis)
+
+    def on_put(
+        self, now_s: float, request_id: int, result: StoreResult
+    ) -> SettledWrite | None:
+        """Take the result of a write."""
+        attempt = self._attempt
+        if attempt is None or request_id not in attempt.request_ids:
+            return None
+        match result:
+            case Stored(version=version):
+                return self._took_effect(now_s, version)
+            case OutcomeUnknown():
+                attempt.unknown = True
+            case Conflict() | StoreUnavailable() if not attempt.unknown:
+                self._attempt = None
+                self._jobs.appendleft(attempt.job)
+        attempt.awaiting_answer = False
+        return None
+
+    def needs_read(self) -> bool:
+        """Return whether a read is needed to settle a write."""
+        return self._attempt is not None and not self._attempt.awaiting_answer
+
+    def on_read(
+        self, now_s: float, sent_at_s: float, version: int, value: bytes
+    ) -> tuple[SettledWrite | None, list[StoreRequest]]:
+        """Settle an unknown outcome by a read of the key.
+
+        :param sent_at_s: when the read was sent.
+        :param value: empty when the key is absent.
+        """
+        attempt = self._attempt
+        if (
+            attempt is None
+            or attempt.awaiting_answer
+            or sent_at_s < attempt.sent_at_s
+        ):
+            return None, []
+        if value == attempt.value:
+            return self._took_effect(now_s, version), []
+        if version == attempt.basis.version:
+            return None, [self._put(attempt, now_s)]
+        self._attempt = None
+        if attempt.job.reported and attempt.job.edit is not None:
+            return None, []
+        self._jobs.appendleft(attempt.job)
+        return None, []
+
+    def _queued(self) -> list[_Job]:
+        current = [] if self._attempt is None else [self._attempt.job]
+        return current + list(self._jobs)
+
+    def _send_next(
+        self, now_s: float, basis: WriteBasis
+    ) -> list[StoreRequest]:
+        while self._jobs and not self._is_closed:
+            job = self._jobs.popleft()
+            built = job.build(basis)
+            match built:
+                case AlreadyInForce(config_revision=revision):
+                    self._report_accepted(job, revision)
+                    continue
+                case VerbenaError():
+                    self._report_rejected(job, built)
+                    continue
+            floor = 0 if basis.state is None else basis.state.sequence
+            state = replace(built, sequence=max(floor, basis.sequence) + 1)
+            self._attempt = _Attempt(
+                job=job,
+                basis=basis,
+                state=state,
+                value=state.to_bytes(),
+                sent_at_s=now_s,
+            )
+            return [self._put(self._attempt, now_s)]
+        return []
+
+    def _put(self, attempt: _Attempt, now_s: float) -> StorePut:
+        request = StorePut(
+            request_id=self._next_id(),
+            key=AGREED_KEY,
+            value=attempt.value,
+            expected_version=attempt.basis.version,
+        )
+        attempt.request_ids.add(request.request_id)
+        attempt.awaiting_answer = True
+        attempt.sent_at_s = now_s
+        return request
+
+    def _took_effect(self, now_s: float, version: int) -> SettledWrite | None:
+        attempt = self._attempt
+        if attempt is None:
+            return None
+        self._attempt = None
+        self._report_accepted(attempt.job, attempt.state.config_revision)
+        return SettledWrite(state=attempt.state, version=version)
+
+    def _expire(self, now_s: float) -> None:
+        if self._probe and now_s >= self._probe[1] + STORE_WAIT_S:
+            self._probe = None
+        attempt = self._attempt
+        if attempt is not None:
+            if now_s >= attempt.sent_at_s + STORE_WAIT_S:
+                attempt.unknown = True
+                attempt.awaiting_answer = False
+            job = attempt.job
+            if _is_late(job, now_s) and not job.reported and job.edit:
+                job.reported = True
+                self._outcomes.append(EditUnknown(edit_id=job.job_id))
+        for job in [job for job in self._jobs if _is_late(job, now_s)]:
+            self._jobs.remove(job)
+            self._report_rejected(
+                job,
+                StoreDownError(
+                    f"the store did not take the edit within {EDIT_LIMIT_S} s",
+                    "try again when the store answers",
+                ),
+            )
+
+    def _report_accepted(self, job: _Job, config_revision: int) -> None:
+        if job.edit is not None:
+            self._outcomes.append(
+                EditAccepted(
+                    edit_id=job.job_id, config_revision=config_revision
+                )
+            )
+
+    def _report_rejected(self, job: _Job, error: VerbenaError) -> None:
+        if job.edit is not None and not job.reported:
+            self._outcomes.append(
+                EditRejected(edit_id=job.job_id, error=error)
+            )
+
+
+def _is_late(job: _Job, now_s: float) -> bool:
+    return job.limit_s is not None and now_s >= job.limit_s
+
+
+def _build_edit(
+    instance: InstanceId, edit: StateEdit, basis: WriteBasis
+) -> BuildResult:
+    state = basis.state
+    if state is None or not state.control.is_writer(instance):
+        return NotWriterError(
+            f"{instance.name} is not a writer", "send the edit to a writer"
+        )
+    result = edit.change(state)
+    if isinstance(result, AlreadyInForce | VerbenaError):
+        return result
+    return replace(
+        state,
+        config=result.document,
+        config_revision=result.config_revision,
+    )
--- /dev/null
+++ b/tools/agreement_harness.py
@@ -0,0 +1,644 @@
+"""A few instances of the agreement in virtual time, with seeded faults.
+
+Each run records a history of plain dictionaries. The checkers in
+``agreement_checkers`` read only that history.
+"""
+
+import json
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any
+
+import msgspec
+
+from verbenaworks.agreed_state import AgreedState, ConfigBytes
+from verbenaworks.agreement import TICK_S, Agreement, AgreementSettings
+from verbenaworks.agreement_actions import (
+    CallStore,
+    ReportEdit,
+    SendMessage,
+    StateApplied,
+)
+from verbenaworks.control_record import InstanceId
+from verbenaworks.freshness import DRIFT
+from verbenaworks.member import Member, MemberState
+from verbenaworks.state_edit import (
+    AlreadyInForce,
+    EditAccepted,
+    EditRejected,
+    EditResult,
+    StateEdit,
+)
+from verbenaworks.store_requests import (
+    Conflict,
+    OutcomeUnknown,
+    StoreAbsent,
+    Stored,
+    StoreGet,
+    StorePut,
+    StoreResult,
+    StoreUnavailable,
+    StoreValue,
+    StoreWatch,
+    VersionFound,
+)
+from verbenaworks.virtual_timers import VirtualTimers
+from verbenaworks.wire import decode, encode
+
+Event = dict[str, Any]
+STORE = "store"
+
+
+def encode_config(edits: list[str]) -> ConfigBytes:
+    """Return a document that lists the edits in it."""
+    return ConfigBytes(
+        document=msgspec.Raw(json.dumps(edits).encode()),
+        config_revision=len(edits),
+    )
+
+
+def edits_of(state: AgreedState | None) -> tuple[str, ...]:
+    """Return the edits in a state's document."""
+    return () if state is None else tuple(json.loads(bytes(state.config)))
+
+
+def make_edit(edit_id: str) -> StateEdit:
+    """Return an edit that appends its own id to the document."""
+
+    def change(state: AgreedState) -> EditResult:
+        edits = list(edits_of(state))
+        if edit_id in edits:
+            return AlreadyInForce(config_revision=edits.index(edit_id) + 1)
+        return encode_config([*edits, edit_id])
+
+    return StateEdit(edit_id=edit_id, change=change)
+
+
+@dataclass(kw_only=True)
+class FakeStore:
+    """In-memory store with compare-and-swap, versions and watches."""
+
+    timers: VirtualTimers
+    rng: Random
+    record: Callable[..., None]
+    value: bytes | None = None
+    version: int = 0
+    counter: int = 0
+    is_down: bool = False
+    is_silent: bool = False
+    delay_s: float = 0.002
+    lost_answers_share: float = 0.0
+    late_writes_share: float = 0.0
+    snapshots: list[tuple[float, bytes | None, int, int]] = field(
+        default_factory=list
+    )
+    watchers: list[tuple[int, Callable[[StoreResult], None]]] = field(
+        default_factory=list
+    )
+    calls: dict[str, int] = field(default_factory=dict)
+
+    def call(
+        self, request: Any, answer: Callable[[StoreResult], None]
+    ) -> None:
+        """Carry out a request that has arrived."""
+        name = type(request).__name__
+        self.calls[name] = self.calls.get(name, 0) + 1
+        if self.is_down:
+            if not self.is_silent:
+                answer(StoreUnavailable())
+            return
+        if isinstance(request, StoreWatch):
+            self._watch(request, answer)
+            return
+        if isinstance(request, StorePut):
+            self._put(request, answer)
+            return
+        if self.value is None:
+            result: StoreResult = StoreAbsent()
+        elif isinstance(request, StoreGet):
+            result = StoreValue(value=self.value, version=self.version)
+        else:
+            result = VersionFound(version=self.version)
+        self.timers.after(self.delay_s, lambda: answer(result))
+
+    def _put(
+        self, request: StorePut, answer: Callable[[StoreResult], None]
+    ) -> None:
+        if self.rng.random() < self.late_writes_share:
+            # The answer says "unknown" before the write takes effect.
+            self.timers.after(
+                self.rng.uniform(0.1, 3.0), lambda: self._write(request)
+            )
+            answer(OutcomeUnknown())
+            return
+        result = self._write(request)
+        if self.rng.random() < self.lost_answers_share:
+            if self.rng.random() < 0.5:
+                self.timers.after(0.5, lambda: answer(OutcomeUnknown()))
+            return
+        self.timers.after(self.delay_s, lambda: answer(result))
+
+    def _write(self, request: StorePut) -> StoreResult:
+        if self.is_down:
+            return StoreUnavailable()
+        if request.expected_version != self.version:
+            return Conflict()
+        self.snapshots.append(
+            (self.timers.now_s(), self.value, self.version, self.counter)
+        )
+        self.counter += 1
+        self.version, self.value = self.counter, request.value
+        self._note_effect()
+        return Stored(version=self.version)
+
+    def _note_effect(self) -> None:
+        state = None if self.value is None else decoded(self.value)
+        self.record(
+            "effect",
+            edits=edits_of(state),
+            sequence=0 if state is None else state.sequence,
+        )
+        watchers, self.watchers = self.watchers, []
+        for after_version, answer in watchers:
+            if self.version == after_version:
+                self.watchers.append((after_version, answer))
+            else:
+                self.timers.after(
+                    self.delay_s,
+                    lambda a=answer, v=self.version: a(
+                        VersionFound(version=v) if v else StoreAbsent()
+                    ),
+                )
+
+    def _watch(
+        self, request: StoreWatch, answer: Callable[[StoreResult], None]
+    ) -> None:
+        if self.version != request.after_version:
+            answer(VersionFound(version=self.version))
+            return
+        entry = (request.after_version, answer)
+        self.watchers.append(entry)
+
+        def end() -> None:
+            if entry in self.watchers:
+                self.watchers.remove(entry)
+                answer(VersionFound(version=self.version))
+
+        self.timers.after(request.wait_s, end)
+
+    def restore(self, age_s: float) -> None:
+        """Go back to the state of ``age_s`` ago, versions included."""
+        from_s = self.timers.now_s() - age_s
+        older = [s for s in self.snapshots if s[0] >= from_s]
+        if not older:
+            return
+        _, self.value, self.version, self.counter = older[0]
+        del self.snapshots[self.snapshots.index(older[0]) :]
+        self.record("restore")
+        self._note_effect()
+
+
+_decoded: dict[bytes, AgreedState] = {}
+
+
+def decoded(value: bytes) -> AgreedState:
+    """Return the state in a store value, from a small cache."""
+    if value not in _decoded:
+        if len(_decoded) > 500:
+            _decoded.clear()
+        _decoded[value] = AgreedState.from_bytes(value)
+    return _decoded[value]
+
+
+@dataclass(kw_only=True, eq=False)
+class Node:
+    """One process that runs the agreement."""
+
+    name: str
+    region: str
+    failure_domain: str
+    clock: VirtualTimers
+    incarnation: int
+    agreement: Agreement
+    is_paused: bool = False
+    backlog: list[Callable[[], None]] = field(default_factory=list)
+    seen: dict[str, float] = field(default_factory=dict)
+    edits: tuple[str, ...] = ()
+
+
+class Cluster:
+    """Instances, network, store and operators in one virtual time."""
+
+    def __init__(
+        self,
+        seed: int,
+        *,
+        names: tuple[tuple[str, str, str], ...] | None = None,
+        detect_s: float = 2.0,
+    ) -> None:
+        self.rng = Random(seed)
+        self.timers = VirtualTimers()
+        self.history: list[Event] = []
+        self.detect_s = detect_s
+        self.store = FakeStore(
+            timers=self.timers, rng=self.rng, record=self.record
+        )
+        self.store_region = "r1"
+        self.layout = names or tuple(
+            (f"i{r}{n}", f"r{r}", f"r{r}d{n}")
+            for r in (1, 2, 3)
+            for n in (1, 2)
+        )
+        self.nodes: dict[str, Node] = {}
+        self.cuts: set[tuple[str, str]] = set()
+        self.loss_share = 0.0
+        self.latency_s = (0.0005, 0.02)
+        self.incarnations = 0
+        self.edit_count = 0
+        self.messages = 0
+        self.message_bytes = 0
+        self.timers.every(0.5, self._update_members)
+        self.timers.every(0.1, self.observe)
+
+    def record(self, kind: str, **fields: Any) -> None:
+        """Append an event to the history."""
+        self.history.append(
+            {"t": round(self.timers.now_s(), 6), "kind": kind, **fields}
+        )
+
+    def start_all(self) -> None:
+        """Start every instance of the layout."""
+        for name, _, _ in self.layout:
+            self.start(name)
+
+    def start(self, name: str) -> Node:
+        """Start an instance, or a new incarnation of it."""
+        region, domain = next((r, d) for n, r, d in self.layout if n == name)
+        self.incarnations += 1
+        clock = VirtualTimers(
+            rate=1 + self.rng.uniform(-DRIFT / 2, DRIFT / 2),
+            parent=self.timers,
+        )
+        agreement = Agreement(
+            AgreementSettings(
+                instance=InstanceId(name=name, incarnation=self.incarnations),
+                region=region,
+                failure_domain=domain,
+                initial_config=encode_config([]),
+            ),
+            clock.now_s(),
+            Random(self.rng.random()),
+        )
+        node = Node(
+            name=name,
+            region=region,
+            failure_domain=domain,
+            clock=clock,
+            incarnation=self.incarnations,
+            agreement=agreement,
+        )
+        self.nodes[name] = node
+        self.record("start", node=name, incarnation=node.incarnation)
+        self._tick_later(node, self.rng.uniform(0, TICK_S))
+        return node
+
+    def kill(self, name: str) -> None:
+        """End a process at once."""
+        node = self.nodes.pop(name, None)
+        if node is not None:
+            self.record("kill", node=name, incarnation=node.incarnation)
+
+    def pause(self, name: str, duration_s: float) -> None:
+        """Stop a process; it acts on its old state when it wakes."""
+        node = self.nodes.get(name)
+        if node is None or node.is_paused:
+            return
+        node.is_paused = True
+        self.record("pause", node=name)
+        self.timers.after(duration_s, lambda: self._wake(node))
+
+    def _wake(self, node: Node) -> None:
+        if self.nodes.get(node.name) is not node:
+            return
+        node.is_paused = False
+        self.record("wake", node=node.name)
+        self.observe()
+        backlog, node.backlog = node.backlog, []
+        for callback in backlog:
+            callback()
+
+    def _run(self, node: Node, callback: Callable[[], None]) -> None:
+        if self.nodes.get(node.name) is not node:
+            return
+        if node.is_paused:
+            node.backlog.append(callback)
+        else:
+            callback()
+
+    def _tick_later(self, node: Node, delay_s: float) -> None:
+        def tick() -> None:
+            self._act(node, node.agreement.tick(node.clock.now_s()))
+            self._tick_later(node, TICK_S)
+
+        self.timers.after(delay_s, lambda: self._run(node, tick))
+
+    def _act(self, node: Node, actions: list[Any]) -> None:
+        for action in actions:
+            match action:
+                case SendMessage(to=to, message=message):
+                    self._send(node, to, encode(message))
+                case CallStore(request=request):
+                    self._call_store(node, request)
+                case ReportEdit(outcome=outcome):
+                    kind = "unknown"
+                    if isinstance(outcome, EditAccepted):
+                        kind = "accepted"
+                    elif isinstance(outcome, EditRejected):
+                        kind = "rejected"
+                    self.record(
+                        kind,
+                        node=node.name,
+                        incarnation=node.incarnation,
+                        edit=outcome.edit_id,
+                    )
+                case StateApplied(state=state):
+                    node.edits = edits_of(state)
+                    self.record(
+                        "apply",
+                        node=node.name,
+                        incarnation=node.incarnation,
+                        sequence=state.sequence,
+                        config_revision=state.config_revision,
+                        edits=node.edits,
+                    )
+
+    def is_cut(self, sender: str, receiver: str) -> bool:
+        """Return whether messages in this direction are lost."""
+        if not self.cuts:
+            return False
+        return any(
+            (a, b) in self.cuts
+            for a in (sender, self._region(sender))
+            for b in (receiver, self._region(receiver))
+        )
+
+    def _region(self, name: str) -> str:
+        if name == STORE:
+            return self.store_region
+        return name[:2].replace("i", "r")
+
+    def _delay_s(self) -> float:
+        return self.rng.uniform(*self.latency_s)
+
+    def _send(self, sender: Node, to: str, data: bytes) -> None:
+        self.messages += 1
+        self.message_bytes += len(data)
+        if self.is_cut(sender.name, to) or (
+            self.loss_share and self.rng.random() < self.loss_share
+        ):
+            return
+
+        def deliver() -> None:
+            node = self.nodes.get(to)
+            if node is not None:
+                self._run(
+                    node,
+                    lambda: self._act(
+                        node,
+                        node.agreement.on_message(
+                            node.clock.now_s(), sender.name, decode(data)
+                        ),
+                    ),
+                )
+
+        self.timers.after(self._delay_s(), deliver)
+
+    def _call_store(self, node: Node, request: Any) -> None:
+        def answer(result: StoreResult) -> None:
+            if not self.is_cut(STORE, node.name):
+                self.timers.after(self._delay_s(), lambda: deliver(result))
+
+        def deliver(result: StoreResult) -> None:
+            self._run(
+                node,
+                lambda: self._act(
+                    node,
+                    node.agreement.on_store_result(
+                        node.clock.now_s(), request.request_id, result
+                    ),
+                ),
+            )
+
+        if not self.is_cut(node.name, STORE):
+            self.timers.after(
+                self._delay_s(), lambda: self.store.call(request, answer)
+            )
+
+    def _update_members(self) -> None:
+        """Give each instance a view that lags behind reality."""
+        now_s = self.timers.now_s()
+        for node in self.nodes.values():
+            for other in self.nodes.values():
+                if not other.is_paused and not (
+                    self.is_cut(other.name, node.name)
+                    or self.is_cut(node.name, other.name)
+                ):
+                    node.seen[other.name] = now_s
+            members = []
+            for name, seen_s in node.seen.items():
+                other = self.nodes.get(name)
+                is_dead = other is None or now_s > seen_s + self.detect_s
+                members.append(
+                    Member(
+                        name=name,
+                        incarnation=other.incarnation if other else 0,
+                        state=(
+                            MemberState.DEAD if is_dead else MemberState.ALIVE
+                        ),
+                        region=self._region(name),
+                        failure_domain=other.failure_domain if other else "",
+                        fresh=other is not None
+                        and other.agreement.is_fresh(other.clock.now_s()),
+                    )
+                )
+            self._run(
+                node, lambda n=node, m=members: n.agreement.set_members(m)
+            )
+
+    def observe(self) -> None:
+        """Record what each running instance would do at this moment."""
+        seen = []
+        for node in self.nodes.values():
+            if node.is_paused:
+                continue
+            now_s = node.clock.now_s()
+            agreement = node.agreement
+            fresh = agreement.is_fresh(now_s)
+            leases = []
+            if fresh:
+                for shard in range(16):
+                    lease = agreement.lease(shard)
+                    if lease is not None and lease.is_valid(now_s):
+                        leases.append((shard, lease.epoch))
+            seen.append((node.name, fresh, node.edits, tuple(leases)))
+        self.record("observe", nodes=tuple(seen))
+
+    def submit(self, edit_id: str, names: list[str] | None = None) -> None:
+        """Send an edit as an operator would, through any instance."""
+        nodes = [n for n in self.nodes.values() if not n.is_paused]
+        self.rng.shuffle(nodes)
+        targets = names or [
+            name for n in nodes for name in n.agreement.writers_for_edit()[:1]
+        ]
+        for name in targets[:1]:
+            node = self.nodes.get(name)
+            if node is None or node.is_paused:
+                continue
+            self.record("submit", edit=edit_id, node=name)
+            self._act(
+                node,
+                node.agreement.submit(make_edit(edit_id), node.clock.now_s()),
+            )
+
+    def next_edit(self) -> str:
+        """Return a new edit id."""
+        self.edit_count += 1
+        return f"e{self.edit_count}"
+
+    def heal(self) -> None:
+        """End all faults and start what is not running."""
+        self.cuts.clear()
+        self.loss_share = 0.0
+        self.store.is_down = False
+        self.store.lost_answers_share = 0.0
+        self.store.late_writes_share = 0.0
+        self.store.delay_s = 0.002
+        for node in list(self.nodes.values()):
+            if node.is_paused:
+                self._wake(node)
+        for name, _, _ in self.layout:
+            if name not in self.nodes:
+                self.start(name)
+        self.record("heal")
+
+    def order_writers_if_lost(self) -> None:
+        """Do what the operator does when every writer is gone."""
+        if any(n.agreement.is_writer for n in self.nodes.values()):
+            return
+        node = max(
+            self.nodes.values(),
+            key=lambda n: (
+                n.agreement.state.sequence if n.agreement.state else 0
+            ),
+        )
+        self.record("order-writers", node=node.name)
+        self._act(
+            node, node.agreement.replace_lost_writers(node.clock.now_s())
+        )
+
+
+FAULTS = (
+    "store-down",
+    "store-slow",
+    "store-restored",
+    "lost-answers",
+    "late-writes",
+    "pause",
+    "pause",
+    "kill",
+    "cut",
+    "cut",
+    "region-cut",
+    "store-cut",
+    "loss",
+    "race",
+)
+
+
+def apply_fault(cluster: Cluster, fault: str) -> None:
+    """Start one fault; most end by themselves after a while."""
+    rng, store, timers = cluster.rng, cluster.store, cluster.timers
+    name = rng.choice([n for n, _, _ in cluster.layout])
+    other = rng.choice([n for n, _, _ in cluster.layout if n != name])
+    long_s = rng.choice((0.3, 1.0, 2.5, 6.0))
+    cluster.record("fault", fault=fault, node=name, duration_s=long_s)
+
+    def cut(*pairs: tuple[str, str]) -> None:
+        if rng.random() < 0.5:
+            pairs += tuple((b, a) for a, b in pairs)
+        cluster.cuts.update(pairs)
+        timers.after(long_s, lambda: cluster.cuts.difference_update(pairs))
+
+    match fault:
+        case "store-down":
+            store.is_down, store.is_silent = True, rng.random() < 0.5
+            timers.after(long_s, lambda: setattr(store, "is_down", False))
+        case "store-slow":
+            store.delay_s = rng.choice((0.3, 1.0, 1.9))
+            timers.after(long_s, lambda: setattr(store, "delay_s", 0.002))
+        case "store-restored":
+            store.restore(rng.choice((0.5, 2.0, 6.0)))
+        case "lost-answers":
+            store.lost_answers_share = 0.7
+            timers.after(
+                long_s, lambda: setattr(store, "lost_answers_share", 0.0)
+            )
+        case "late-writes":
+            store.late_writes_share = 0.7
+            timers.after(
+                long_s, lambda: setattr(store, "late_writes_share", 0.0)
+            )
+        case "pause":
+            cluster.pause(name, long_s)
+        case "kill":
+            cluster.kill(name)
+            timers.after(
+                long_s,
+                lambda: name in cluster.nodes or cluster.start(name),
+            )
+        case "cut":
+            cut((name, other))
+        case "region-cut":
+            cut(*rng.sample((("r1", "r2"), ("r2", "r3"), ("r3", "r1")), 2))
+        case "store-cut":
+            cut((name, STORE))
+        case "loss":
+            cluster.loss_share = 0.2
+            timers.after(long_s, lambda: setattr(cluster, "loss_share", 0.0))
+        case "race":
+            writers = [
+                n.name for n in cluster.nodes.values() if n.agreement.is_writer
+            ]
+            for writer in writers[:2]:
+                cluster.submit(cluster.next_edit(), [writer])
+
+
+def run_history(
+    seed: int, *, duration_s: float = 16.0, restores: bool = True
+) -> list[Event]:
+    """Return the history of one seeded run, which ends after a recovery."""
+    cluster = Cluster(seed)
+    rng = cluster.rng
+    cluster.start_all()
+    cluster.timers.advance(8.0)
+    end_s = cluster.timers.now_s() + duration_s
+    unknown: list[str] = []
+    while cluster.timers.now_s() < end_s:
+        cluster.timers.advance(rng.uniform(0.05, 1.0))
+        if rng.random() < 0.5:
+            fault = rng.choice(FAULTS)
+            if restores or fault != "store-restored":
+                apply_fault(cluster, fault)
+        if rng.random() < 0.7:
+            retry = unknown and rng.random() < 0.5
+            edit = rng.choice(unknown) if retry else cluster.next_edit()
+            unknown = [*unknown[-3:], edit]
+            cluster.submit(edit)
+    cluster.heal()
+    cluster.timers.advance(4.0)
+    cluster.heal()
+    cluster.order_writers_if_lost()
+    cluster.timers.advance(12.0)
+    cluster.record("end")
+    return cluster.history
