Add the first version of the shared budgets

Rate and burst, slots and link capacity are counted over the whole fleet, so instances need parts of them that they can use without asking.

Amounts are integers, so sums are exact. The faults are not yet exercised beyond fair_share.

--- /dev/null
+++ b/packages/verbenaworks/src/verbenaworks/budget_spec.py
@@ -0,0 +1,81 @@
+"""Kinds of budgets and the constants of their protocol.
+
+Amounts are integers, so sums and comparisons are exact: level budgets count
+whole units, rate budgets count whole tokens and rates in thousandths of a
+token per second.
+"""
+
+import zlib
+from dataclasses import dataclass
+from fractions import Fraction
+
+SHARD_COUNT = 16
+
+# Bounds the relative difference between the rates of any two clocks.
+DRIFT_PER_MILLE = 5
+DRIFT = DRIFT_PER_MILLE / 1000
+
+# An owner acts for at most this long after its last confirmation.
+FRESH_S = 2.0
+
+# A grant is valid for this long from the moment the taker sent its request.
+GRANT_TTL_S = 5
+
+
+def upper_bound_s(duration_s: float) -> float:
+    """Return a duration that outlasts ``duration_s`` of any other clock."""
+    return duration_s * (1 + 2 * DRIFT)
+
+
+OWNER_WAIT_S = upper_bound_s(FRESH_S)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LevelBudget:
+    """Limits the amount held at any one time.
+
+    :param capacity: whole units.
+    :param linger_s: how long a unit that is in use when its grant expires
+        may stay in use; the deadline of the service for slots.
+    """
+
+    name: str
+    capacity: int
+    linger_s: float = 0.0
+
+    def __post_init__(self) -> None:
+        if self.capacity < 0 or self.linger_s < 0:
+            raise ValueError(
+                f"capacity and linger_s of {self.name} must not be negative"
+            )
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RateBudget:
+    """Limits the tokens spent in each window ``[a, b]``.
+
+    At most ``rate_per_s * (b - a) + burst`` tokens are spent.
+    """
+
+    name: str
+    rate_per_s: float
+    burst: int
+
+    def __post_init__(self) -> None:
+        if self.rate_per_s < 0 or self.burst < 0:
+            raise ValueError(
+                f"rate_per_s and burst of {self.name} must not be negative"
+            )
+
+    @property
+    def rate_milli_per_s(self) -> int:
+        """The rate in thousandths of a token per second, rounded down."""
+        return int(Fraction(self.rate_per_s) * 1000)
+
+
+Budget = LevelBudget | RateBudget
+
+
+def shard_of(name: str) -> int:
+    """Return the shard that a budget or a shift belongs to."""
+    return zlib.crc32(name.encode()) % SHARD_COUNT
--- /dev/null
+++ b/packages/verbenaworks/src/verbenaworks/budget_taker.py
@@ -0,0 +1,232 @@
+"""State machine of an instance that takes from one shard's budgets."""
+
+from collections.abc import Iterable
+
+from verbenaworks.budget_spec import (
+    GRANT_TTL_S,
+    Budget,
+    LevelBudget,
+    RateBudget,
+    shard_of,
+)
+from verbenaworks.grant import GrantReply, GrantRequest
+from verbenaworks.hold import Hold
+from verbenaworks.level_holding import LevelHolding
+from verbenaworks.rate_holding import RateHolding
+
+EXCHANGE_S = 1.0
+
+# A request without a reply is replaced after several round trips between
+# regions (40 ms at most).
+RETRY_S = 0.25
+
+# Requests because of a lack follow each other at this interval; it doubles
+# up to the second value while they bring nothing.
+LACK_GAP_S = 0.05
+LACK_GAP_MAX_S = 0.5
+
+# A budget nobody asked for during this time is returned.
+IDLE_S = 3.0
+
+
+class BudgetTaker:
+    """Takes tokens and units from the grants of one instance.
+
+    Times are readings of one monotonic clock of the instance.
+
+    :param incarnation: differs for each start of a process of this name.
+    """
+
+    def __init__(self, *, shard: int, taker: str, incarnation: int) -> None:
+        self._shard = shard
+        self._taker = taker
+        self._incarnation = incarnation
+        self._budgets: dict[str, Budget] = {}
+        self._holdings: dict[str, LevelHolding | RateHolding] = {}
+        # The highest epoch that was heard of, and the highest from which a
+        # reply arrived.
+        self._highest_epoch = 0
+        self._reply_epoch = 0
+        self._seq = 0
+        self._is_waiting = False
+        self._sent_at_s = float("-inf")
+        self._is_immediate = False
+        self._has_surplus = False
+        self._lack_gap_s = LACK_GAP_S
+        self._serial = 0
+
+    def configure(self, now_s: float, budgets: Iterable[Budget]) -> None:
+        """Put the budgets of the shard in force; ignores other shards'."""
+        self._budgets = {
+            budget.name: budget
+            for budget in budgets
+            if shard_of(budget.name) == self._shard
+        }
+        for name, holding in self._holdings.items():
+            budget = self._budgets.get(name)
+            if isinstance(holding, LevelHolding) and isinstance(
+                budget, LevelBudget
+            ):
+                holding.limit_linger(budget.linger_s)
+
+    def owner_changed(self, epoch: int) -> None:
+        """Learn from the control record that the shard has a new owner."""
+        if epoch > self._highest_epoch:
+            self._highest_epoch = epoch
+            self._is_immediate = True
+
+    def try_take(
+        self,
+        now_s: float,
+        budget: str,
+        workspace: str,
+        amount: int = 1,
+        retry: bool = False,
+    ) -> Hold | None:
+        """Spend tokens or start to use units; ``None`` if there are none.
+
+        On a lack the next request is due at once; the caller tries again
+        with ``retry`` when a reply has arrived or :meth:`wait_s` has passed.
+        The grant is checked against ``now_s``: a process that pauses after
+        reading its clock acts on the state at that reading.
+        """
+        holding = self._holding(budget)
+        if holding is None:
+            return None
+        self._serial += 1
+        hold = Hold(
+            budget=budget,
+            workspace=workspace,
+            amount=amount,
+            serial=self._serial,
+        )
+        match holding:
+            case RateHolding():
+                taken = holding.try_take(now_s, workspace, amount, retry)
+            case LevelHolding():
+                taken = holding.try_take(now_s, hold, retry)
+        return hold if taken else None
+
+    def release(self, now_s: float, hold: Hold) -> bool:
+        """End the use of units; false if it had ended by itself."""
+        match self._holdings.get(hold.budget):
+            case LevelHolding() as holding:
+                return holding.release(now_s, hold)
+            case _:
+                return False
+
+    def must_end_at_s(self, hold: Hold) -> float:
+        """Return when a use of units must end unless the grant is renewed.
+
+        The linger time of slots is the service's deadline, so requests end
+        before it. Other users, such as idle connections, must check.
+        """
+        match self._holdings.get(hold.budget):
+            case LevelHolding() as holding:
+                return holding.must_end_at_s()
+            case _:
+                return float("-inf")
+
+    def wait_s(self, now_s: float, budget: str, amount: int = 1) -> float:
+        """Return when a lack of tokens ends without another grant."""
+        match self._holdings.get(budget):
+            case RateHolding() as holding:
+                return holding.wait_s(now_s, amount)
+            case _:
+                return float("inf")
+
+    def due_at_s(self) -> float:
+        """Return when :meth:`next_request` should be called next."""
+        if not self._holdings:
+            return float("inf")
+        if self._is_immediate:
+            return self._sent_at_s
+        if self._is_waiting:
+            return self._sent_at_s + RETRY_S
+        if self._has_surplus:
+            return self._sent_at_s + LACK_GAP_S
+        if any(holding.is_short for holding in self._holdings.values()):
+            return self._sent_at_s + self._lack_gap_s
+        return self._sent_at_s + EXCHANGE_S
+
+    def next_request(self, now_s: float) -> GrantRequest | None:
+        """Return the request to send now, if one is due."""
+        if not self._holdings or now_s < self.due_at_s():
+            return None
+        self._drop_unused(now_s)
+        if not self._holdings:
+            return None
+        if any(holding.is_short for holding in self._holdings.values()):
+            self._lack_gap_s = min(2 * self._lack_gap_s, LACK_GAP_MAX_S)
+        else:
+            self._lack_gap_s = LACK_GAP_S
+        self._seq += 1
+        self._sent_at_s = now_s
+        self._is_waiting = True
+        self._is_immediate = False
+        self._has_surplus = False
+        return GrantRequest(
+            shard=self._shard,
+            epoch=self._reply_epoch,
+            taker=self._taker,
+            incarnation=self._incarnation,
+            seq=self._seq,
+            entries=tuple(
+                holding.want(now_s, _is_idle(now_s, holding))
+                for holding in self._holdings.values()
+            ),
+        )
+
+    def accept(self, now_s: float, reply: GrantReply) -> bool:
+        """Put the grants of a reply in force; false if it does not count."""
+        if reply.shard != self._shard:
+            return False
+        if reply.incarnation != self._incarnation:
+            return False
+        if reply.epoch < self._highest_epoch:
+            return False
+        if reply.epoch > self._reply_epoch:
+            self._greet(reply.epoch)
+            return False
+        if reply.seq != self._seq or not self._is_waiting:
+            return False
+        self._is_waiting = False
+        for grant in reply.entries:
+            expires_at_s = self._sent_at_s + min(grant.ttl_s, GRANT_TTL_S)
+            holding = self._holdings.get(grant.budget)
+            if holding is None or now_s >= expires_at_s:
+                continue
+            if holding.accept(now_s, grant, expires_at_s):
+                self._has_surplus = True
+        return True
+
+    def _greet(self, epoch: int) -> None:
+        # The next request proves to the owner that it was sent after it
+        # started to issue.
+        self._highest_epoch = epoch
+        self._reply_epoch = epoch
+        self._is_waiting = False
+        self._is_immediate = True
+
+    def _holding(self, name: str) -> LevelHolding | RateHolding | None:
+        holding = self._holdings.get(name)
+        if holding is not None:
+            return holding
+        match self._budgets.get(name):
+            case RateBudget():
+                holding = RateHolding(name)
+            case LevelBudget(linger_s=linger_s):
+                holding = LevelHolding(name, linger_s)
+            case _:
+                return None
+        self._holdings[name] = holding
+        return holding
+
+    def _drop_unused(self, now_s: float) -> None:
+        for name, holding in list(self._holdings.items()):
+            if _is_idle(now_s, holding) and holding.is_empty(now_s):
+                del self._holdings[name]
+
+
+def _is_idle(now_s: float, holding: LevelHolding | RateHolding) -> bool:
+    return now_s - holding.asked_at_s >= IDLE_S
--- /dev/null
+++ b/packages/verbenaworks/src/verbenaworks/demand_table.py
@@ -0,0 +1,131 @@
+"""The owner's view of who wants how much, and the resulting division."""
+
+from collections.abc import Sequence
+from typing import TypeVar
+
+from verbenaworks.fair_share import fair_share
+from verbenaworks.grant import WorkspaceWant
+from verbenaworks.holding_book import Holder
+
+_Item = TypeVar("_Item")
+
+# Indivisible units move on to the next takers at this interval, so that no
+# taker is left without them for good.
+ROTATE_S = 2.0
+
+# A division over this many takers costs about as much as one exchange; with
+# more takers it is reused for a while.
+_SMALL = 32
+_REUSE_S_PER_HOLDER = 1 / 1300
+
+
+class DemandTable:
+    """Divides a total by the wants of the takers.
+
+    Workspaces share by max-min fairness; the part of each workspace goes to
+    takers in proportion to their demand of it. What remains is handed out
+    as a reserve for demand that grows between two exchanges.
+
+    :param spare: the reserve that even a small demand gets.
+    """
+
+    def __init__(self, spare: int) -> None:
+        self._spare = spare
+        self._wants: dict[Holder, tuple[WorkspaceWant, ...]] = {}
+        self._targets: dict[Holder, int] = {}
+        self._parts: dict[Holder, dict[str, int]] = {}
+        self._computed_at_s = float("-inf")
+        self._total = -1
+        self._changed = False
+
+    def set_wants(
+        self, holder: Holder, wants: Sequence[WorkspaceWant]
+    ) -> None:
+        """Replace the wants of one taker."""
+        wanted = tuple(want for want in wants if want.amount > 0)
+        if wanted == self._wants.get(holder, ()):
+            return
+        if wanted:
+            self._wants[holder] = wanted
+        else:
+            self._wants.pop(holder, None)
+        self._changed = True
+
+    def forget(self, holder: Holder) -> None:
+        """Drop the wants of a taker that was not heard of."""
+        self.set_wants(holder, ())
+
+    def divide(self, now_s: float, total: int, holder: Holder) -> bool:
+        """Bring the targets up to date; return whether they changed."""
+        age_s = now_s - self._computed_at_s
+        if total == self._total and age_s < ROTATE_S:
+            if not self._changed:
+                return False
+            count = len(self._wants)
+            known = (holder in self._targets) == (holder in self._wants)
+            if known and count > _SMALL:
+                reuse_s = min(1.0, count * _REUSE_S_PER_HOLDER)
+                if age_s < reuse_s:
+                    return False
+        self._compute(now_s, total)
+        return True
+
+    def targets(self) -> dict[Holder, int]:
+        """Return the amount that each taker should hold."""
+        return self._targets
+
+    def target(self, holder: Holder) -> int:
+        """Return the amount that a taker should hold."""
+        return self._targets.get(holder, 0)
+
+    def parts(self, holder: Holder) -> tuple[WorkspaceWant, ...]:
+        """Return a taker's amounts by workspace.
+
+        Empty unless several workspaces want more than there is.
+        """
+        parts = self._parts.get(holder, {})
+        return tuple(
+            WorkspaceWant(workspace=name, amount=amount)
+            for name, amount in parts.items()
+        )
+
+    def _compute(self, now_s: float, total: int) -> None:
+        self._computed_at_s = now_s
+        self._total = total
+        self._changed = False
+        demand: dict[str, list[tuple[Holder, int]]] = {}
+        order = _rotated(list(self._wants), int(now_s / ROTATE_S))
+        for holder in order:
+            for want in self._wants[holder]:
+                takers = demand.setdefault(want.workspace, [])
+                takers.append((holder, want.amount))
+        names = _rotated(sorted(demand), int(now_s / ROTATE_S))
+        sums = [sum(amount for _, amount in demand[name]) for name in names]
+        shares = fair_share(total, sums)
+        scarce = sum(sums) > total
+        self._targets = dict.fromkeys(order, 0)
+        self._parts = {}
+        for name, share in zip(names, shares, strict=True):
+            wants = [amount for _, amount in demand[name]]
+            amounts = fair_share(share, wants, wants)
+            for (holder, _), amount in zip(demand[name], amounts, strict=True):
+                self._targets[holder] += amount
+                if scarce and len(names) > 1:
+                    self._parts.setdefault(holder, {})[name] = amount
+        self._add_reserve(total - sum(shares), order)
+
+    def _add_reserve(self, total: int, order: list[Holder]) -> None:
+        reserves = [
+            sum(want.amount for want in self._wants[holder]) // 2 + self._spare
+            for holder in order
+        ]
+        shares = fair_share(total, reserves, reserves)
+        for holder, share in zip(order, shares, strict=True):
+            self._targets[holder] += share
+
+
+def _rotated(items: list[_Item], by: int) -> list[_Item]:
+    if not items:
+        return items
+    start = by % len(items)
+    return items[start:] + items[:start]
--- /dev/null
+++ b/packages/verbenaworks/src/verbenaworks/hold.py
@@ -0,0 +1,13 @@
+"""What a taker hands to a caller."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Hold:
+    """Tokens that were spent or units that are in use until released."""
+
+    budget: str
+    workspace: str
+    amount: int
+    serial: int
--- /dev/null
+++ b/packages/verbenaworks/src/verbenaworks/level_holding.py
@@ -0,0 +1,154 @@
+"""The taker's part of one level budget."""
+
+from verbenaworks.fair_share import fair_share
+from verbenaworks.grant import Grant, GrantWant, WorkspaceWant
+from verbenaworks.hold import Hold
+
+# Peaks of use are kept for one to two of these periods.
+_PEAK_S = 1.0
+
+
+class LevelHolding:
+    """Units that callers use and release."""
+
+    def __init__(self, name: str, linger_s: float) -> None:
+        self._name = name
+        self._linger_s = linger_s
+        self._amount = 0
+        self._expires_at_s = float("-inf")
+        self._holds: dict[int, Hold] = {}
+        self._in_use = 0
+        self._used: dict[str, int] = {}
+        self._parts: dict[str, int] = {}
+        self._peaks: dict[str, int] = {}
+        self._earlier_peaks: dict[str, int] = {}
+        self._peaks_since_s = 0.0
+        self._missing: dict[str, int] = {}
+        self._asked_at_s = float("-inf")
+
+    @property
+    def is_short(self) -> bool:
+        """Whether a caller waits for units."""
+        return bool(self._missing)
+
+    @property
+    def asked_at_s(self) -> float:
+        """When a caller last asked for units."""
+        return self._asked_at_s
+
+    @property
+    def in_use(self) -> int:
+        """The number of units in use."""
+        return self._in_use
+
+    def must_end_at_s(self) -> float:
+        """Return when uses must end unless the grant is renewed."""
+        return self._expires_at_s + self._linger_s
+
+    def limit_linger(self, linger_s: float) -> None:
+        """Apply changed settings; an increase waits for a new process."""
+        self._linger_s = min(self._linger_s, linger_s)
+
+    def is_empty(self, now_s: float) -> bool:
+        """Return whether nothing is held."""
+        self.expire(now_s)
+        return self._amount == 0 and self._in_use == 0
+
+    def try_take(self, now_s: float, hold: Hold, retry: bool) -> bool:
+        """Use units if the grant and the workspace's part allow it."""
+        self.expire(now_s)
+        self._asked_at_s = now_s
+        workspace, amount = hold.workspace, hold.amount
+        if not self._has_room(workspace, amount):
+            self._note_missing(workspace, amount, retry)
+            return False
+        self._holds[hold.serial] = hold
+        self._in_use += amount
+        used = self._used.get(workspace, 0) + amount
+        self._used[workspace] = used
+        if used > self._peaks.get(workspace, 0):
+            self._peaks[workspace] = used
+        return True
+
+    def release(self, now_s: float, hold: Hold) -> bool:
+        """End a use; false if it was ended already."""
+        self.expire(now_s)
+        if self._holds.pop(hold.serial, None) is None:
+            return False
+        self._in_use -= hold.amount
+        left = self._used[hold.workspace] - hold.amount
+        if left:
+            self._used[hold.workspace] = left
+        else:
+            del self._used[hold.workspace]
+        return True
+
+    def expire(self, now_s: float) -> None:
+        """Stop new uses after the grant's end, and all uses after linger."""
+        if now_s < self._expires_at_s:
+            return
+        self._amount = 0
+        if self._holds and now_s >= self.must_end_at_s():
+            self._holds.clear()
+            self._used.clear()
+            self._in_use = 0
+
+    def want(self, now_s: float, is_idle: bool) -> GrantWant:
+        """State what is kept from now on; an idle budget keeps nothing."""
+        self.expire(now_s)
+        if is_idle:
+            self._amount = 0
+        wants = []
+        for workspace in self._peaks | self._earlier_peaks | self._missing:
+            peak = max(
+                self._peaks.get(workspace, 0),
+                self._earlier_peaks.get(workspace, 0),
+            )
+            # Callers that wait may be counted more than once.
+            missing = min(self._missing.get(workspace, 0), max(1, peak))
+            if peak + missing > 0:
+                wants.append(
+                    WorkspaceWant(workspace=workspace, amount=peak + missing)
+                )
+        self._missing = {}
+        if now_s - self._peaks_since_s >= _PEAK_S:
+            self._earlier_peaks = self._peaks
+            self._peaks = dict(self._used)
+            self._peaks_since_s = now_s
+        return GrantWant(
+            budget=self._name,
+            kept=max(self._amount, self._in_use),
+            in_use=self._in_use,
+            wants=tuple(wants),
+        )
+
+    def accept(self, now_s: float, grant: Grant, expires_at_s: float) -> bool:
+        """Put a grant in force; return whether it freed units to return."""
+        is_smaller = grant.amount < self._amount
+        self._amount = grant.amount
+        self._expires_at_s = expires_at_s
+        names = [part.workspace for part in grant.parts]
+        shares = fair_share(
+            grant.amount, [part.amount for part in grant.parts]
+        )
+        self._parts = dict(zip(names, shares, strict=True))
+        return is_smaller
+
+    def _has_room(self, workspace: str, amount: int) -> bool:
+        if self._in_use + amount > self._amount:
+            return False
+        if not self._parts:
+            return True
+        # Units set aside for other workspaces that use less than their part.
+        set_aside = sum(
+            max(0, part - self._used.get(name, 0))
+            for name, part in self._parts.items()
+            if name != workspace
+        )
+        return self._in_use + amount + set_aside <= self._amount
+
+    def _note_missing(self, workspace: str, amount: int, retry: bool) -> None:
+        missing = self._missing.get(workspace, 0)
+        if retry and missing:
+            return
+        self._missing[workspace] = missing + amount
