Test the choice of target

A rank from crc32 put 10 of 11 instances on a cold target at once, because crc32 of similar names is correlated; blake2b replaces it. Fewer than 0.01 requests on average no longer keep a unit.

--- a/packages/verbenaworks/src/verbenaworks/slow_start.py
+++ b/packages/verbenaworks/src/verbenaworks/slow_start.py
@@ -7,7 +7,7 @@
 its units.
 """
 
-from zlib import crc32
+from hashlib import blake2b
 
 RAMP_S = 10.0
 _FIRST_SHARE = 0.2
@@ -22,14 +22,17 @@
     def __init__(self, instance: str) -> None:
         self._instance = instance
         self._began_s: dict[str, float] = {}
+        self._ranks: dict[str, float] = {}
 
     def begin(self, now_s: float, target: str) -> None:
         """Start the ramp of a target that is new or was re-admitted."""
         self._began_s[target] = now_s
+        self._ranks[target] = self._rank(target)
 
     def forget(self, target: str) -> None:
         """Drop a target that was removed."""
         self._began_s.pop(target, None)
+        self._ranks.pop(target, None)
 
     def active(self, target: str) -> bool:
         """Tell whether the target may be on its ramp."""
@@ -51,9 +54,11 @@
             del self._began_s[target]
             return slots
         share = _FIRST_SHARE + (1.0 - _FIRST_SHARE) * elapsed_s / RAMP_S
-        if not all_cold and self._rank(target) >= share:
+        if not all_cold and self._ranks[target] >= share:
             return 0
         return max(1, int(slots * share))
 
     def _rank(self, target: str) -> float:
-        return crc32(f"{self._instance}/{target}".encode()) / 2**32
+        name = f"{self._instance}/{target}".encode()
+        digest = blake2b(name, digest_size=4).digest()
+        return int.from_bytes(digest) / 2**32
--- a/packages/verbenaworks/src/verbenaworks/unit_demand.py
+++ b/packages/verbenaworks/src/verbenaworks/unit_demand.py
@@ -12,6 +12,8 @@
 _RESERVE = 1.5
 # An instance without requests keeps one unit for this long.
 _KEEP_ONE_S = 30.0
+# Fewer requests than this on average are none.
+_IDLE = 0.01
 
 
 class UnitDemand:
@@ -35,12 +37,14 @@
         self._age(now_s)
         busy = sum(self._busy.values())
         mean = sum(self._means.values())
+        if mean < _IDLE:
+            mean = 0.0
         least = 1 if now_s - self._seen_s < _KEEP_ONE_S else 0
         wanted = max(busy, least, ceil(mean + _RESERVE * sqrt(mean)))
         amounts = dict(self._busy)
         self._add_reserve(amounts, wanted - busy, mean)
         for workspace, amount in list(amounts.items()):
-            if amount == 0 and self._means[workspace] < 0.01:
+            if amount == 0 and self._means[workspace] < _IDLE:
                 del self._busy[workspace], self._means[workspace]
         return amounts
 
--- a/packages/verbenaworks/src/verbenaworks/unit_split.py
+++ b/packages/verbenaworks/src/verbenaworks/unit_split.py
@@ -8,7 +8,7 @@
 """
 
 from collections.abc import Mapping, Sequence
-from zlib import crc32
+from hashlib import blake2b
 
 from verbenaworks.near_table import Place
 from verbenaworks.target import TargetInfo
@@ -74,13 +74,14 @@
             if sum(left.values()) == before:
                 return
 
-    def _rank(self, target: TargetInfo) -> tuple[int, int]:
+    def _rank(self, target: TargetInfo) -> tuple[int, bytes]:
         """Order by distance, and differently at each instance."""
         place = self._place
         distance = 2
         if target.region == place.region:
             distance = int(target.failure_domain != place.failure_domain)
-        return distance, crc32(f"{place.instance}/{target.name}".encode())
+        name = f"{place.instance}/{target.name}".encode()
+        return distance, blake2b(name, digest_size=8).digest()
 
 
 def _fill(part: dict[str, int], left: dict[str, int], room: int) -> None:
--- /dev/null
+++ b/tests/choice_fakes.py
@@ -0,0 +1,101 @@
+"""Small fakes for the tests of the choice of target."""
+
+from collections import Counter
+from random import Random
+
+from verbenaworks.choice_result import ChoiceRequest
+from verbenaworks.near_table import Place
+from verbenaworks.target import TargetInfo
+from verbenaworks.target_choice import TargetChoice
+
+
+class FakeUnits:
+    """Units that the test grants."""
+
+    def __init__(self, default: int = 0, **granted: int) -> None:
+        self.default = default
+        self.granted = dict(granted)
+        self.used: Counter[str] = Counter()
+        self.wants: dict[tuple[str, str], int] = {}
+
+    def available(self, target: str) -> int:
+        """Return the granted units that are not in use."""
+        return self.granted.get(target, self.default) - self.used[target]
+
+    def take(self, target: str, workspace: str) -> bool:
+        """Put one unit in use."""
+        if self.available(target) < 1:
+            return False
+        self.used[target] += 1
+        return True
+
+    def release(self, target: str, workspace: str) -> None:
+        """Return one unit."""
+        assert self.used[target] > 0
+        self.used[target] -= 1
+
+    def want(self, service: str, workspace: str, amount: int) -> None:
+        """Record the newest want."""
+        self.wants[service, workspace] = amount
+
+
+PLACE = Place(
+    instance="i0",
+    region="nairobi",
+    failure_domain="nairobi-a",
+    domain_delay_s=0.0015,
+    region_delay_s=0.012,
+)
+
+
+def target(
+    name: str,
+    region: str = "nairobi",
+    failure_domain: str | None = None,
+    *,
+    slots: int = 4,
+    draining: bool = False,
+) -> TargetInfo:
+    """Return a target of the service ``stock``."""
+    return TargetInfo(
+        name=name,
+        service="stock",
+        address="127.0.0.1:1",
+        region=region,
+        failure_domain=failure_domain or f"{region}-a",
+        slots=slots,
+        connections=360,
+        draining=draining,
+    )
+
+
+def request(
+    number: int = 0,
+    workspace: str = "w",
+    *,
+    deadline_s: float = 1e9,
+    tried: frozenset[str] = frozenset(),
+) -> ChoiceRequest:
+    """Return a request for the service ``stock``."""
+    return ChoiceRequest(
+        request_id=f"{workspace}-{number}",
+        service="stock",
+        workspace=workspace,
+        deadline_s=deadline_s,
+        tried=tried,
+    )
+
+
+def chooser(
+    units: FakeUnits,
+    regions: FakeUnits | None = None,
+    links: FakeUnits | None = None,
+) -> TargetChoice:
+    """Return a choice at :data:`PLACE` with a fixed seed."""
+    return TargetChoice(
+        place=PLACE,
+        units=units,
+        region_units=regions or FakeUnits(1000),
+        link_units=links,
+        random=Random(7),
+    )
