--- a/packages/verbenaworks/src/verbenaworks/config_document.py
+++ b/packages/verbenaworks/src/verbenaworks/config_document.py
@@ -1,5 +1,6 @@
 """The configuration document: revision, settings tree, last edits."""
 
+import re
 import zlib
 from dataclasses import dataclass, field, replace
 from functools import cached_property
@@ -22,6 +23,7 @@
 EDIT_BYTES = 100_000
 DOCUMENT_BYTES = 900_000
 _FORMAT = 1
+_EDIT_ID = re.compile("[0-9A-Za-z-]{1,64}")
 _MAX_INFLATED_BYTES = 64_000_000
 _REMEDY = "check that all instances run compatible versions"
 
@@ -80,18 +82,41 @@
     def apply_edit(self, edit: Edit) -> Result["ConfigDocument", EditRefused]:
         """Return the document after an edit.
 
-        An edit that was applied before returns this document unchanged.
+        An edit that was applied before returns this document unchanged. An
+        edit without changes cancels its id: an edit with the same id that
+        arrives later is refused.
         """
         earlier = self.find_edit(edit.edit_id)
         if earlier is not None:
             return self._repeated(earlier, edit)
-        refusal = self._size_refusal(edit) or self._race_refusal(edit)
+        refusal = _form_refusal(edit) or self._race_refusal(edit)
         if refusal is not None:
             return Err(refusal)
         return self.tree.apply(edit).and_then(
             lambda tree: self._with(edit, tree)
         )
 
+    def replay(
+        self, accepted: AcceptedEdit
+    ) -> Result["ConfigDocument", EditRefused]:
+        """Return the document after the next accepted edit.
+
+        Instances that receive edits from a relay use this; the writer has
+        validated the edit.
+        """
+        if accepted.config_revision != self.config_revision + 1:
+            return Err(
+                EditRefused(
+                    "revision-mismatch",
+                    f"revision {accepted.config_revision} does not follow "
+                    f"revision {self.config_revision}",
+                    "read the whole document",
+                )
+            )
+        return self.tree.replay(accepted.edit).map(
+            lambda tree: self._after(accepted, tree)
+        )
+
     def to_bytes(self) -> bytes:
         """Return the document as bytes for the store."""
         return self._bytes
@@ -152,6 +177,15 @@
     ) -> Result["ConfigDocument", EditRefused]:
         if earlier.edit.same_request(edit):
             return Ok(self)
+        if not earlier.edit.changes:
+            return Err(
+                EditRefused(
+                    "edit-cancelled",
+                    f"edit {edit.edit_id} was cancelled at revision "
+                    f"{earlier.config_revision}",
+                    "send the changes under a new edit id",
+                )
+            )
         return Err(
             EditRefused(
                 "edit-id-reused",
@@ -161,16 +195,6 @@
             )
         )
 
-    def _size_refusal(self, edit: Edit) -> EditRefused | None:
-        size_bytes = len(_encoder.encode(edit))
-        if size_bytes <= EDIT_BYTES:
-            return None
-        return EditRefused(
-            "edit-too-large",
-            f"the edit has {size_bytes} bytes, more than {EDIT_BYTES}",
-            "split it into several edits",
-        )
-
     def _race_refusal(self, edit: Edit) -> EditRefused | None:
         now = self.config_revision
         if edit.expected_revision not in (None, now):
@@ -215,17 +239,23 @@
         """Return whether all edits after ``revision`` are in the history."""
         return revision >= self.config_revision - len(self.history)
 
-    def _with(
-        self, edit: Edit, tree: SettingsTree
-    ) -> Result["ConfigDocument", EditRefused]:
-        revision = self.config_revision + 1
-        accepted = AcceptedEdit(config_revision=revision, edit=edit)
-        document = replace(
+    def _after(
+        self, accepted: AcceptedEdit, tree: SettingsTree
+    ) -> "ConfigDocument":
+        return replace(
             self,
-            config_revision=revision,
+            config_revision=accepted.config_revision,
             tree=tree,
             history=_trimmed((*self.history, accepted)),
         )
+
+    def _with(
+        self, edit: Edit, tree: SettingsTree
+    ) -> Result["ConfigDocument", EditRefused]:
+        accepted = AcceptedEdit(
+            config_revision=self.config_revision + 1, edit=edit
+        )
+        document = self._after(accepted, tree)
         size_bytes = len(document.to_bytes())
         if size_bytes > DOCUMENT_BYTES:
             return Err(
@@ -239,6 +269,23 @@
         return Ok(document)
 
 
+def _form_refusal(edit: Edit) -> EditRefused | None:
+    if not _EDIT_ID.fullmatch(edit.edit_id):
+        return EditRefused(
+            "invalid-edit-id",
+            f"{edit.edit_id!r} is not an edit id",
+            "use 1 to 64 letters, digits and -",
+        )
+    size_bytes = len(_encoder.encode(edit))
+    if size_bytes > EDIT_BYTES:
+        return EditRefused(
+            "edit-too-large",
+            f"the edit has {size_bytes} bytes, more than {EDIT_BYTES}",
+            "split it into several edits",
+        )
+    return None
+
+
 def _trimmed(
     history: tuple[AcceptedEdit, ...],
 ) -> tuple[AcceptedEdit, ...]:
--- a/packages/verbenaworks/src/verbenaworks/errors.py
+++ b/packages/verbenaworks/src/verbenaworks/errors.py
@@ -45,3 +45,19 @@
     def __init__(self, code: str, message: str, remedy: str) -> None:
         super().__init__(message, remedy)
         self.code = code
+
+
+class OutcomeUnknown(VerbenaError):  # noqa: N818 (name fixed by the design)
+    """It is not known whether an edit was applied.
+
+    :param edit_id: finds the edit again.
+    """
+
+    code = "outcome-unknown"
+
+    def __init__(self, edit_id: str) -> None:
+        super().__init__(
+            f"it is not known whether edit {edit_id} was applied",
+            f"determine the outcome with: verbena settle {edit_id}",
+        )
+        self.edit_id = edit_id
--- a/packages/verbenaworks/src/verbenaworks/settings_tree.py
+++ b/packages/verbenaworks/src/verbenaworks/settings_tree.py
@@ -124,22 +124,25 @@
 
     def apply(self, edit: Edit) -> Result["SettingsTree", EditRefused]:
         """Return the tree after an edit, checked as a whole."""
-        if not edit.changes:
-            return _refuse(
-                "empty-edit", "the edit has no changes", "name a change"
-            )
-        draft = _Draft(self)
-        for change in edit.changes:
-            refusal = draft.apply(change)
-            if refusal is not None:
-                return Err(refusal)
-        match draft.finish():
+        match self.replay(edit):
             case Err(refusal):
                 return Err(refusal)
             case Ok(tree):
                 broken = broken_rule(tree)
                 return Ok(tree) if broken is None else Err(broken)
 
+    def replay(self, edit: Edit) -> Result["SettingsTree", EditRefused]:
+        """Return the tree after an edit that was accepted elsewhere.
+
+        The rules between values are not checked again.
+        """
+        draft = _Draft(self)
+        for change in edit.changes:
+            refusal = draft.apply(change)
+            if refusal is not None:
+                return Err(refusal)
+        return draft.finish()
+
     @cached_property
     def _collections(self) -> dict[str, list[str]]:
         collections: dict[str, list[str]] = {}
@@ -306,12 +309,6 @@
     return EditRefused(code, error.message, error.remedy)
 
 
-def _refuse(
-    code: str, message: str, remedy: str
-) -> Result[SettingsTree, EditRefused]:
-    return Err(EditRefused(code, message, remedy))
-
-
 def branch_problem(path: str, values: Branch) -> str | None:
     """Return what is wrong with a decoded branch, or None.
 
--- a/packages/verbenaworks/src/verbenaworks/tree_rules.py
+++ b/packages/verbenaworks/src/verbenaworks/tree_rules.py
@@ -31,6 +31,7 @@
         _bursts,
         _shifts,
         _region_slots,
+        _operators,
     ):
         for refusal in rule(tree):
             return refusal
@@ -167,3 +168,14 @@
                 f"slots, more than slot_limit = {slot_limit}",
                 "lower the slots of targets or raise slot_limit",
             )
+
+
+def _operators(tree: SettingsTree) -> Iterator[EditRefused]:
+    """Check that someone can still change the configuration."""
+    paths = [f"/operators/{name}" for name in tree.names("/operators")]
+    if paths and all(tree.value(path, "role") == "read" for path in paths):
+        yield EditRefused(
+            "no-writer",
+            "no operator would have the role write",
+            "keep or create an operator with the role write",
+        )
