Add the operators' command line

Edits carry an id that begins with the revision that was read, so that settle can tell a forgotten edit from one that was not applied.

--- /dev/null
+++ b/packages/verbena/src/verbena/edit_session.py
@@ -0,0 +1,133 @@
+"""Sends edits and reports their outcome."""
+
+import secrets
+import time
+from collections.abc import Sequence
+from typing import Any
+
+import msgspec
+
+from verbena.admin_client import AdminClient
+from verbena.cli_errors import NotEverywhere
+from verbena.console_output import print_json
+from verbena.options import EditOptions
+from verbenaworks.admin_messages import EditAccepted, InstanceStatus
+from verbenaworks.config_document import ConfigDocument
+from verbenaworks.edit import Change, Edit
+
+_POLL_S = 0.2
+LIVE_STATES = ("alive", "suspect")
+
+
+class EditSession:
+    """Reads the configuration once and sends edits made from it.
+
+    :ivar document: the configuration that was read.
+    """
+
+    def __init__(self, options: EditOptions) -> None:
+        self._options = options
+        self._client = options.client()
+        self.document: ConfigDocument = self._client.config()
+
+    def new_edit_id(self) -> str:
+        """Return an edit id that was never used.
+
+        It begins with the revision that was read, from which verbena settle
+        sees whether the history reaches back far enough.
+        """
+        return f"{self.document.config_revision}-{secrets.token_hex(8)}"
+
+    def submit(
+        self,
+        changes: Sequence[Change],
+        expected_revision: int | None = None,
+        edit_id: str | None = None,
+    ) -> EditAccepted:
+        """Send an edit and return the accepting answer."""
+        edit = Edit(
+            edit_id=edit_id or self._options.edit_id or self.new_edit_id(),
+            operator="",
+            read_revision=self.document.config_revision,
+            expected_revision=expected_revision,
+            changes=tuple(changes),
+        )
+        return self._client.submit(edit, self._options.dry_run)
+
+    def run(
+        self,
+        changes: Sequence[Change],
+        message: str,
+        **details: Any,
+    ) -> None:
+        """Send an edit, wait if asked to, and print the outcome.
+
+        :param message: what the accepted edit did, for readers.
+        :param details: more members of the JSON output.
+        """
+        accepted = self.submit(changes, self._options.expected_revision)
+        self.report(accepted, message, **details)
+
+    def report(
+        self, accepted: EditAccepted, message: str, **details: Any
+    ) -> None:
+        """Print an accepted edit, then wait if asked to.
+
+        The outcome is printed first, so that a wait that is interrupted does
+        not hide it.
+        """
+        if self._options.json:
+            print_json({**msgspec.to_builtins(accepted), **details})
+        elif accepted.dry_run:
+            print(
+                f"dry run: would be accepted at revision "
+                f"{accepted.config_revision}; nothing was changed"
+            )
+        else:
+            print(f"{message} (revision {accepted.config_revision})")
+        if self._options.wait and not accepted.dry_run:
+            self._wait(accepted.config_revision)
+
+    def _wait(self, revision: int) -> None:
+        wait_until_in_force(self._client, revision, self._options.timeout_s)
+        if not self._options.json:
+            print(f"revision {revision} is in force on every live instance")
+
+
+def read_revision_in(edit_id: str) -> int:
+    """Return the revision that was read before an edit was made.
+
+    It is 0, the oldest one, if the id does not say it.
+    """
+    text = edit_id.partition("-")[0]
+    return int(text) if text.isascii() and text.isdigit() else 0
+
+
+def wait_until_in_force(
+    client: AdminClient, revision: int, timeout_s: float
+) -> None:
+    """Return when every live instance has the revision in force.
+
+    :raises NotEverywhere: if that takes longer than ``timeout_s``.
+    """
+    end_s = time.monotonic() + timeout_s
+    while True:
+        behind = _behind(client.status(), revision)
+        if not behind:
+            return
+        if time.monotonic() >= end_s:
+            raise NotEverywhere(
+                f"revision {revision} is accepted, but not in force on "
+                + ", ".join(behind),
+                "see the instances with: verbena status",
+            )
+        time.sleep(_POLL_S)
+
+
+def _behind(instances: list[InstanceStatus], revision: int) -> list[str]:
+    return [
+        instance.name
+        for instance in instances
+        if instance.state in LIVE_STATES
+        and instance.config_revision < revision
+    ]
--- a/packages/verbenad/src/verbenad/admin_api.py
+++ b/packages/verbenad/src/verbenad/admin_api.py
@@ -191,7 +191,7 @@
         query = parse_qs(environ.get("QUERY_STRING", ""))
         dry_run = query.get("dry_run") == ["1"]
         outcome = self._dry_run(edit) if dry_run else self._port.submit(edit)
-        answer = _answer(outcome, self._port.document(), dry_run)
+        answer = _answer(edit, outcome, self._port.document(), dry_run)
         _audit.info(_audit_line(edit, answer))
         return _answer_reply(answer)
 
@@ -257,12 +257,16 @@
 
 
 def _answer(
+    edit: Edit,
     outcome: Result[int, EditRefused | OutcomeUnknown],
     document: ConfigDocument,
     dry_run: bool,
 ) -> Answer:
     match outcome:
         case Ok(revision):
+            known = document.find_edit(edit.edit_id)
+            if known is not None:
+                revision = known.config_revision
             return EditAccepted(config_revision=revision, dry_run=dry_run)
         case Err(error):
             return _error_answer(error, document)
--- a/packages/verbenaworks/src/verbenaworks/config_document.py
+++ b/packages/verbenaworks/src/verbenaworks/config_document.py
@@ -175,8 +175,18 @@
     def _repeated(
         self, earlier: AcceptedEdit, edit: Edit
     ) -> Result["ConfigDocument", EditRefused]:
-        if earlier.edit.same_request(edit):
+        both_cancel = not edit.changes and not earlier.edit.changes
+        if both_cancel or earlier.edit.same_request(edit):
             return Ok(self)
+        if not edit.changes:
+            return Err(
+                EditRefused(
+                    "already-accepted",
+                    f"edit {edit.edit_id} was accepted at revision "
+                    f"{earlier.config_revision}",
+                    "undo it with a new edit if it is not wanted",
+                )
+            )
         if not earlier.edit.changes:
             return Err(
                 EditRefused(
@@ -197,7 +207,9 @@
 
     def _race_refusal(self, edit: Edit) -> EditRefused | None:
         now = self.config_revision
-        if edit.expected_revision not in (None, now):
+        if edit.expected_revision == now:
+            return None
+        if edit.expected_revision is not None:
             return EditRefused(
                 "revision-mismatch",
                 f"the edit expects revision {edit.expected_revision}, the "
