--- /dev/null
+++ b/packages/verbenad/src/verbenad/answer_head.py
@@ -0,0 +1,106 @@
+"""Head of a backend server's answer and its strict parser.
+
+The parser of the standard library accepts bare line feeds, signed chunk
+sizes and repeated lengths, and takes more time than the rest of an attempt.
+"""
+
+import re
+from dataclasses import dataclass
+
+from verbenad.http_syntax import (
+    Headers,
+    list_tokens,
+    parse_header_lines,
+    parse_length,
+)
+from verbenad.protocol_errors import MalformedAnswerError, ProtocolError
+from verbenad.request_head import HeadLimits
+
+_STATUS_LINE = re.compile(
+    r"HTTP/1\.([01]) ([1-9][0-9]{2})(?: ([\t\x20-\x7e\x80-\xff]*))?"
+)
+_FRAMING = frozenset({"content-length", "transfer-encoding", "connection"})
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AnswerHead:
+    """A parsed answer head.
+
+    :param length: length of the body; none if chunked or until the close.
+    :param chunked: whether the body is in chunked coding.
+    :param connection_fields: lower-case names listed in Connection.
+    :param keep_alive: whether the connection can carry another request.
+    """
+
+    status: int
+    reason: str
+    headers: Headers
+    length: int | None
+    chunked: bool
+    connection_fields: frozenset[str]
+    keep_alive: bool
+
+    @property
+    def sized(self) -> bool:
+        """Whether the end of the body can be told from a closed connection."""
+        return self.chunked or self.length is not None
+
+
+def parse_answer_head(
+    block: bytes, method: str, limits: HeadLimits
+) -> AnswerHead:
+    """Parse a head; ``block`` ends with the empty line.
+
+    :param method: method of the request.
+    :raises MalformedAnswerError: if it breaks RFC 9112 or a limit.
+    """
+    line, _, rest = block.decode("latin-1").partition("\r\n")
+    match = _STATUS_LINE.fullmatch(line)
+    if match is None:
+        raise MalformedAnswerError("the answer has no valid status line")
+    minor, code, reason = match.groups()
+    status = int(code)
+    try:
+        headers = parse_header_lines(rest[:-2])
+        if len(headers) > limits.header_count:
+            raise MalformedAnswerError("the answer has too many headers")
+        return _framed(status, reason or "", minor, headers, method)
+    except ProtocolError as error:
+        if isinstance(error, MalformedAnswerError):
+            raise
+        raise MalformedAnswerError(
+            f"in the backend server's answer: {error.message}"
+        ) from error
+
+
+def _framed(
+    status: int, reason: str, minor: str, headers: Headers, method: str
+) -> AnswerHead:
+    special: dict[str, list[str]] = {}
+    for name, value in headers:
+        key = name.lower()
+        if key in _FRAMING:
+            special.setdefault(key, []).append(value)
+    lengths = special.get("content-length", [])
+    codings = special.get("transfer-encoding", [])
+    length = parse_length(lengths)
+    if codings:
+        if lengths:
+            raise ProtocolError("ambiguous-length")
+        if codings[0].lower() != "chunked" or len(codings) > 1:
+            raise ProtocolError("unknown-transfer-coding")
+        if minor == "0":
+            raise ProtocolError("unknown-transfer-coding")
+    chunked = bool(codings)
+    if method == "HEAD" or status in (204, 304) or status < 200:
+        length, chunked = 0, False
+    fields = list_tokens(special.get("connection", []))
+    return AnswerHead(
+        status=status,
+        reason=reason,
+        headers=headers,
+        length=length,
+        chunked=chunked,
+        connection_fields=fields,
+        keep_alive=minor == "1" and "close" not in fields,
+    )
--- /dev/null
+++ b/packages/verbenad/src/verbenad/attempt_failed.py
@@ -0,0 +1,62 @@
+"""Why one attempt brought no answer."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from verbenad.protocol_errors import BodyError
+
+
+class FailureKind(Enum):
+    """Why one attempt brought no answer; the value is a refusal code."""
+
+    CONNECTION_LIMIT = "overloaded"
+    CONNECT_FAILED = "connect-failed"
+    REFUSED_NOT_RUN = "backend-refused"
+    CLOSED = "backend-closed"
+    SILENT = "backend-silent"
+    DEADLINE = "deadline-exceeded"
+    MALFORMED_ANSWER = "malformed-answer"
+    CALLER_GONE = "caller-gone"
+    BODY = "body-too-short"
+    KEY_IN_PATH = "key-misplaced"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AttemptFailed:
+    """Why one attempt brought no answer.
+
+    :param may_have_run: whether a byte of the request may have reached the
+        backend server; false also where the backend server itself said that
+        it did not run the request.
+    :param looks_like_crash: the connection was closed or reset after bytes
+        of the request were sent and before any byte of an answer.
+    :param reused: whether the connection had served a request before; the
+        backend server may then just have closed it as idle.
+    :param body_error: what is wrong with the caller's body.
+    :param retry_after_s: the backend server's Retry-After, if it gave one.
+    """
+
+    kind: FailureKind
+    may_have_run: bool
+    looks_like_crash: bool = False
+    reused: bool = False
+    message: str
+    body_error: BodyError | None = None
+    retry_after_s: float | None = None
+
+    @property
+    def refused_not_run(self) -> bool:
+        """Whether the backend server refused with ``X-Not-Run: 1``."""
+        return self.kind is FailureKind.REFUSED_NOT_RUN
+
+    @property
+    def silent(self) -> bool:
+        """Whether a reused connection gave no first byte in time."""
+        return self.kind is FailureKind.SILENT
+
+    @property
+    def code(self) -> str:
+        """Return the code of the refusal for the caller."""
+        if self.body_error is not None:
+            return self.body_error.code
+        return self.kind.value
--- /dev/null
+++ b/packages/verbenad/src/verbenad/caller_connection.py
@@ -0,0 +1,24 @@
+"""What the application may know about the caller's connection."""
+
+from verbenad.cancellation import Cancellation
+from verbenad.socket_stream import SocketStream
+
+
+class CallerConnection:
+    """The caller's side of the request that is running.
+
+    The application finds it in ``environ["verbena.caller"]``.
+
+    :param stream: the caller's connection.
+    """
+
+    __slots__ = ("cancellation", "stream")
+
+    def __init__(self, stream: SocketStream) -> None:
+        self.stream = stream
+        self.cancellation = Cancellation()
+
+    @property
+    def gone(self) -> bool:
+        """Whether the caller has closed its connection."""
+        return self.cancellation.cancelled
--- /dev/null
+++ b/packages/verbenad/src/verbenad/forward_request.py
@@ -0,0 +1,30 @@
+"""A request as the forwarder takes it."""
+
+from dataclasses import dataclass
+
+from verbenad.cancellation import Cancellation
+from verbenad.http_syntax import Headers
+from verbenad.request_body import RequestBody
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ForwardRequest:
+    """A request as the forwarder takes it.
+
+    :param target: path and query in origin form.
+    :param host: value of the Host field for the backend server.
+    :param headers: the caller's fields; the forwarder removes what is not
+        for the backend server, the key above all.
+    :param body: bytes, a body to stream, or none.
+    :param idempotent: whether the request may be sent twice.
+    :param cancellation: closes the connection to the backend server.
+    """
+
+    request_id: str
+    method: str
+    target: str
+    host: str
+    headers: Headers
+    body: RequestBody | bytes | None = None
+    idempotent: bool
+    cancellation: Cancellation | None = None
--- /dev/null
+++ b/packages/verbenad/src/verbenad/forwarder.py
@@ -0,0 +1,482 @@
+"""One attempt to run a request on a backend server."""
+
+import contextlib
+import functools
+import time
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from result import Err, Ok, Result
+
+from verbenad.answer_head import AnswerHead, parse_answer_head
+from verbenad.attempt_failed import AttemptFailed, FailureKind
+from verbenad.forward_request import ForwardRequest
+from verbenad.forwarded_headers import (
+    KeyInPathError,
+    answer_headers,
+    request_headers,
+    sent_keys,
+    target_without_key,
+)
+from verbenad.protocol_errors import (
+    AnswerTruncatedError,
+    BodyError,
+    MalformedAnswerError,
+)
+from verbenad.request_body import RequestBody
+from verbenad.request_head import HeadLimits
+from verbenad.target_address import TargetAddress
+from verbenad.upstream_answer import AnswerBody, UpstreamAnswer
+from verbenad.upstream_connection import UpstreamConnection
+from verbenad.upstream_pool import ConnectFailure, UpstreamPool
+
+_MAX_INTERIM_ANSWERS = 16
+# After a failed send, the answer that explains it has normally arrived.
+_EARLY_ANSWER_S = 0.5
+_REFUSAL_BODY_BYTES = 65536
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ForwarderSettings:
+    """Settings of the forwarder.
+
+    :param via_name: name of this entry instance in the Via field.
+    :param answer_stall_s: longest wait for the next byte of a body.
+    :param accept_unsized_answers: whether to pass on answers that end with
+        the connection. A crash of the backend server may look like the end
+        of such an answer, so promise 5 does not hold for them.
+    """
+
+    via_name: str = "verbenad"
+    answer_stall_s: float = 30.0
+    accept_unsized_answers: bool = False
+    answer_head: HeadLimits = field(
+        default_factory=lambda: HeadLimits(
+            line_bytes=16384, block_bytes=65536, header_count=200
+        )
+    )
+
+
+class _FailureError(Exception):
+    """Ends an attempt."""
+
+    def __init__(self, failed: AttemptFailed) -> None:
+        super().__init__(failed.message)
+        self.failed = failed
+
+
+class Forwarder:
+    """Runs single attempts; whether to try again is the caller's decision.
+
+    :param pool: connections to backend servers.
+    :param now_s: monotonic clock.
+    """
+
+    def __init__(
+        self,
+        pool: UpstreamPool,
+        settings: ForwarderSettings | None = None,
+        now_s: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.pool = pool
+        self.settings = settings or ForwarderSettings()
+        self.counters: Counter[str] = Counter()
+        self._now_s = now_s
+        self._via = f"1.1 {self.settings.via_name}"
+
+    def attempt(
+        self,
+        request: ForwardRequest,
+        target_address: TargetAddress,
+        deadline_s: float,
+        *,
+        connection_limit: int,
+        silent_after_s: float | None = None,
+        fresh: bool = False,
+    ) -> Result[UpstreamAnswer, AttemptFailed]:
+        """Send the request once and return the answer's head.
+
+        :param deadline_s: monotonic time by which the head must arrive.
+        :param connection_limit: most connections to the target.
+        :param silent_after_s: longest wait for the first byte on a reused
+            connection; applies to idempotent requests.
+        :param fresh: use a new connection.
+        """
+        attempt = _Attempt(self, request, deadline_s, silent_after_s)
+        try:
+            return Ok(attempt.run(target_address, connection_limit, fresh))
+        except _FailureError as failure:
+            self.counters[failure.failed.kind.name.lower()] += 1
+            return Err(failure.failed)
+
+    def now_s(self) -> float:
+        """Return the monotonic time."""
+        return self._now_s()
+
+    @property
+    def via(self) -> str:
+        """Return the value of this instance's Via field."""
+        return self._via
+
+
+class _Attempt:
+    """State of one attempt."""
+
+    __slots__ = (
+        "_answered",
+        "_deadline_s",
+        "_forwarder",
+        "_request",
+        "_silent_after_s",
+        "_ended",
+        "_sent_whole",
+    )
+
+    def __init__(
+        self,
+        forwarder: Forwarder,
+        request: ForwardRequest,
+        deadline_s: float,
+        silent_after_s: float | None,
+    ) -> None:
+        self._forwarder = forwarder
+        self._request = request
+        self._deadline_s = deadline_s
+        self._silent_after_s = silent_after_s
+        self._sent_whole = False
+        self._answered = False
+        self._ended = False
+
+    def run(
+        self, address: TargetAddress, limit: int, fresh: bool
+    ) -> UpstreamAnswer:
+        request = self._request
+        self._check_cancelled()
+        body = request.body
+        if isinstance(body, RequestBody) and body.replayable:
+            body.rewind()
+            # The whole body is at hand: its length is known even if the
+            # caller sent it in chunks.
+            body = body.prefix if body.exists else None
+        lines = self._head_lines()
+        first = self._first_piece(body)
+        connection = self._connect(address, limit, fresh)
+        connection.stream.sent_any = False
+        if request.cancellation is not None:
+            request.cancellation.on_cancel(connection.stream.shutdown)
+        try:
+            head = self._exchange(connection, body, lines, first)
+            return self._answer(connection, head)
+        except (OSError, MalformedAnswerError) as error:
+            raise self._failure(connection, error) from error
+        finally:
+            if not self._answered:
+                self._end(connection, False, False)
+
+    def _first_piece(self, body: RequestBody | bytes | None) -> bytes:
+        if not isinstance(body, RequestBody):
+            return body or b""
+        try:
+            return body.read_some() if body.exists else b""
+        except BodyError as error:
+            raise self._body_failure(error, may_have_run=False) from error
+
+    def _connect(
+        self, address: TargetAddress, limit: int, fresh: bool
+    ) -> UpstreamConnection:
+        left_s = self._left_s()
+        if left_s <= 0:
+            raise self._fail(FailureKind.DEADLINE, "the deadline has passed")
+        acquired = self._forwarder.pool.acquire(
+            address,
+            limit=limit,
+            idempotent=self._request.idempotent,
+            timeout_s=left_s,
+            fresh=fresh,
+        )
+        match acquired:
+            case Ok(connection):
+                return connection
+            case Err(ConnectFailure.LIMIT as failure):
+                kind = FailureKind.CONNECTION_LIMIT
+            case Err(failure):
+                kind = FailureKind.CONNECT_FAILED
+        raise self._fail(kind, failure.value)
+
+    def _exchange(
+        self,
+        connection: UpstreamConnection,
+        body: RequestBody | bytes | None,
+        lines: list[str],
+        first: bytes,
+    ) -> AnswerHead:
+        chunked = (
+            isinstance(body, RequestBody)
+            and body.exists
+            and body.content_length is None
+        )
+        head = self._encode_head(lines, body, chunked)
+        stream = connection.stream
+        piece = _chunk(first) if chunked and first else first
+        stream.send_all(head + piece, self._left_s())
+        if isinstance(body, RequestBody) and body.exists:
+            early = self._send_rest(connection, body, chunked)
+            if early is not None:
+                return early
+        self._sent_whole = True
+        return self._read_final_head(connection)
+
+    def _send_rest(
+        self,
+        connection: UpstreamConnection,
+        body: RequestBody,
+        chunked: bool,
+    ) -> AnswerHead | None:
+        """Send the rest; returns the head of an answer that came before."""
+        stream = connection.stream
+        while True:
+            if stream.has_input():
+                head = self._read_head(connection, self._left_s())
+                if head.status >= 200:
+                    return head
+                continue
+            try:
+                piece = body.read_some()
+            except BodyError as error:
+                raise self._body_failure(error, may_have_run=True) from error
+            try:
+                if chunked:
+                    stream.send_all(_chunk(piece), self._left_s())
+                elif piece:
+                    stream.send_all(piece, self._left_s())
+            except TimeoutError:
+                raise
+            except OSError:
+                return self._answer_after_reset(connection)
+            if not piece:
+                return None
+
+    def _answer_after_reset(
+        self, connection: UpstreamConnection
+    ) -> AnswerHead:
+        head = self._read_head(
+            connection, min(_EARLY_ANSWER_S, self._left_s())
+        )
+        if head.status < 200:
+            raise ConnectionResetError
+        return head
+
+    def _read_final_head(self, connection: UpstreamConnection) -> AnswerHead:
+        for _ in range(_MAX_INTERIM_ANSWERS):
+            head = self._read_head(connection, self._first_byte_s(connection))
+            if head.status >= 200:
+                return head
+        raise MalformedAnswerError("the answer has too many interim heads")
+
+    def _first_byte_s(self, connection: UpstreamConnection) -> float:
+        left_s = self._left_s()
+        if self._bounded_wait(connection):
+            return min(left_s, self._silent_after_s or left_s)
+        return left_s
+
+    def _bounded_wait(self, connection: UpstreamConnection) -> bool:
+        return (
+            connection.reused
+            and self._request.idempotent
+            and self._silent_after_s is not None
+        )
+
+    def _read_head(
+        self, connection: UpstreamConnection, first_byte_s: float
+    ) -> AnswerHead:
+        stream = connection.stream
+        wait_s = first_byte_s
+        limits = self._forwarder.settings.answer_head
+        while True:
+            end = stream.buffer.find(b"\r\n\r\n", stream.position)
+            if end >= 0:
+                block = stream.take(end + 4 - stream.position)
+                head = parse_answer_head(block, self._request.method, limits)
+                if head.status == 101:
+                    raise MalformedAnswerError("the answer switches protocols")
+                return head
+            if stream.buffered_bytes > limits.block_bytes:
+                raise MalformedAnswerError(
+                    "the head of the answer is too long"
+                )
+            if not stream.refill(wait_s):
+                raise ConnectionResetError("closed before an answer")
+            wait_s = self._left_s()
+
+    def _answer(
+        self, connection: UpstreamConnection, head: AnswerHead
+    ) -> UpstreamAnswer:
+        settings = self._forwarder.settings
+        if not head.sized and not settings.accept_unsized_answers:
+            raise MalformedAnswerError("the answer states no length")
+        keep = head.keep_alive and head.sized and self._sent_whole
+        body = AnswerBody(
+            connection.stream,
+            head,
+            stall_s=settings.answer_stall_s,
+            on_end=functools.partial(self._end, connection, keep),
+        )
+        if head.status == 503 and _says_not_run(head):
+            raise self._refused(body, head)
+        headers = answer_headers(head.headers, head.connection_fields)
+        if head.status == 204:
+            headers = [
+                item for item in headers if item[0].lower() != "content-length"
+            ]
+        headers.append(("Via", self._forwarder.via))
+        self._answered = True
+        return UpstreamAnswer(
+            status=head.status,
+            reason=head.reason,
+            headers=headers,
+            body=body,
+            reused=connection.reused,
+        )
+
+    def _refused(self, body: AnswerBody, head: AnswerHead) -> _FailureError:
+        # Reading a short body to its end keeps the connection.
+        if 0 < (head.length or 0) <= _REFUSAL_BODY_BYTES:
+            with contextlib.suppress(AnswerTruncatedError):
+                while body.read_some():
+                    pass
+        return _FailureError(
+            AttemptFailed(
+                kind=FailureKind.REFUSED_NOT_RUN,
+                may_have_run=False,
+                message="the backend server refused without running it",
+                retry_after_s=_retry_after_s(head),
+            )
+        )
+
+    def _end(
+        self, connection: UpstreamConnection, keep: bool, complete: bool
+    ) -> None:
+        if self._ended:
+            return
+        self._ended = True
+        cancellation = self._request.cancellation
+        if cancellation is not None:
+            cancellation.on_cancel(None)
+        if keep and complete:
+            self._forwarder.pool.release(connection)
+        else:
+            self._forwarder.pool.discard(connection)
+
+    def _head_lines(self) -> list[str]:
+        request = self._request
+        keys = sent_keys(request.headers, request.target)
+        try:
+            target = target_without_key(request.target, keys)
+        except KeyInPathError:
+            raise self._fail(
+                FailureKind.KEY_IN_PATH, "the path contains the key"
+            ) from None
+        lines = [
+            f"{request.method} {target} HTTP/1.1",
+            f"Host: {request.host}",
+        ]
+        for name, value in request_headers(request.headers, keys):
+            lines.append(f"{name}: {value}")
+        lines.append(f"X-Request-Id: {request.request_id}")
+        lines.append(f"Via: {self._forwarder.via}")
+        return lines
+
+    def _encode_head(
+        self,
+        lines: list[str],
+        body: RequestBody | bytes | None,
+        chunked: bool,
+    ) -> bytes:
+        left_ms = max(1, int(self._left_s() * 1000))
+        lines.append(f"X-Request-Deadline-Ms: {left_ms}")
+        if chunked:
+            lines.append("Transfer-Encoding: chunked")
+        elif isinstance(body, bytes):
+            lines.append(f"Content-Length: {len(body)}")
+        elif body is not None and body.exists:
+            lines.append(f"Content-Length: {body.content_length}")
+        text = "\r\n".join(lines)
+        if text.count("\n") != len(lines) - 1:
+            raise ValueError("a request header has a line break")
+        return text.encode("latin-1") + b"\r\n\r\n"
+
+    def _left_s(self) -> float:
+        return self._deadline_s - self._forwarder.now_s()
+
+    def _check_cancelled(self) -> None:
+        cancellation = self._request.cancellation
+        if cancellation is not None and cancellation.cancelled:
+            raise self._fail(FailureKind.CALLER_GONE, "the caller has gone")
+
+    def _fail(self, kind: FailureKind, message: str) -> _FailureError:
+        return _FailureError(
+            AttemptFailed(kind=kind, may_have_run=False, message=message)
+        )
+
+    def _body_failure(
+        self, error: BodyError, *, may_have_run: bool
+    ) -> _FailureError:
+        return _FailureError(
+            AttemptFailed(
+                kind=FailureKind.BODY,
+                may_have_run=may_have_run,
+                message=error.message,
+                body_error=error,
+            )
+        )
+
+    def _failure(
+        self, connection: UpstreamConnection, error: Exception
+    ) -> _FailureError:
+        sent = connection.stream.sent_any
+        cancellation = self._request.cancellation
+        crash = False
+        if cancellation is not None and cancellation.cancelled:
+            kind = FailureKind.CALLER_GONE
+            message = "the caller has gone"
+        elif isinstance(error, MalformedAnswerError):
+            kind = FailureKind.MALFORMED_ANSWER
+            message = error.message
+        elif not isinstance(error, TimeoutError):
+            kind = FailureKind.CLOSED
+            crash = sent
+            message = "the connection was closed before an answer"
+        elif self._bounded_wait(connection) and self._left_s() > 0:
+            kind = FailureKind.SILENT
+            message = "the reused connection gave no first byte in time"
+        else:
+            kind = FailureKind.DEADLINE
+            message = "the deadline passed before an answer"
+        return _FailureError(
+            AttemptFailed(
+                kind=kind,
+                may_have_run=sent,
+                looks_like_crash=crash,
+                reused=connection.reused,
+                message=message,
+            )
+        )
+
+
+def _chunk(data: bytes) -> bytes:
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+def _says_not_run(head: AnswerHead) -> bool:
+    return any(
+        name.lower() == "x-not-run" and value == "1"
+        for name, value in head.headers
+    )
+
+
+def _retry_after_s(head: AnswerHead) -> float | None:
+    for name, value in head.headers:
+        if name.lower() == "retry-after" and value.isdecimal():
+            return float(value[:6])
+    return None
--- /dev/null
+++ b/packages/verbenad/src/verbenad/front.py
@@ -0,0 +1,236 @@
+"""Listener and server for callers."""
+
+import functools
+import secrets
+import select
+import socket
+from collections import Counter
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import eventlet
+import logbook
+from eventlet import wsgi
+from eventlet.greenio import GreenSocket
+from eventlet.patcher import original
+
+from verbenad.front_limits import FrontLimits
+from verbenad.http_protocol import HttpProtocol
+from verbenad.listener import Listener
+from verbenad.refusal import NOT_RUN, refuse
+from verbenad.response_writer import ResponseWriter
+from verbenad.socket_stream import SocketStream
+
+Application = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
+
+_log = logbook.Logger("verbenad.front")
+_BACKLOG = 1024
+# Callers that are being refused for lack of connections at any one time;
+# more are closed without an answer.
+_MAX_REFUSING = 32
+_REFUSE_S = 0.5
+_ABORT_S = 1.0
+# Handlers that are closing need room next to the admitted ones.
+_POOL_SLACK = 256
+# Eventlet's replacement of the module lacks poll.
+_poll = original("select").poll
+_GONE = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+
+
+class Front:
+    """Serves a WSGI application to callers.
+
+    Beside the standard keys, the application's ``environ`` holds
+    ``verbena.head`` (:class:`~verbenad.request_head.RequestHead`) and
+    ``verbena.caller``
+    (:class:`~verbenad.caller_connection.CallerConnection`); its
+    ``wsgi.input`` is a :class:`~verbenad.request_body.RequestBody`. An
+    exception raised while the result is iterated aborts the response so that
+    the caller sees a failure.
+
+    :param application: the WSGI application.
+    :param host: IP address to listen on.
+    :param port: port to listen on; 0 lets the system choose.
+    """
+
+    def __init__(
+        self,
+        application: Application,
+        *,
+        host: str,
+        port: int,
+        limits: FrontLimits | None = None,
+    ) -> None:
+        self.application = application
+        self.limits = limits or FrontLimits()
+        self.draining = False
+        self.connections: set[HttpProtocol] = set()
+        self.running: set[HttpProtocol] = set()
+        # Ordered: the first one has been idle for the longest time.
+        self.idle: dict[HttpProtocol, None] = {}
+        self.counters: Counter[str] = Counter()
+        self._refusing = 0
+        # Admitted ones count from the start; their handlers start later.
+        self._open_connections = 0
+        self._listener = Listener(
+            _listen(host, port), self._admit, self._close_longest_idle
+        )
+        self.address: tuple[str, int] = self._listener.getsockname()[:2]
+        self._server: Any = None
+        self._watcher: Any = None
+
+    def start(self) -> None:
+        """Start accepting connections."""
+        self._server = eventlet.spawn(self._serve)
+        self._watcher = eventlet.spawn(self._watch_callers)
+
+    def drain(self) -> None:
+        """Tell callers to close: each response closes its connection."""
+        self.draining = True
+
+    def close(self, limit_s: float | None = None) -> bool:
+        """Stop accepting and wait until the running requests are finished.
+
+        :param limit_s: after this time the rest is cut off.
+        :return: whether every request was finished.
+        """
+        self.drain()
+        self._listener.stop()
+        finished = True
+        with eventlet.Timeout(limit_s, False):
+            self._wait_until_closed()
+        if self.connections:
+            finished = not self.running
+            self.abort()
+            with eventlet.Timeout(_ABORT_S, False):
+                self._server.wait()
+        self._watcher.kill()
+        return finished
+
+    def abort(self) -> None:
+        """Cut off all connections and cancel their requests."""
+        for connection in list(self.connections):
+            connection.stream.shutdown()
+            connection.caller.cancellation.cancel()
+
+    def opened(self, connection: HttpProtocol) -> None:
+        """Register a connection."""
+        self.connections.add(connection)
+
+    def closed(self, connection: HttpProtocol) -> None:
+        """Remove a connection; repeated calls do nothing."""
+        if connection in self.connections:
+            self.connections.discard(connection)
+            self._open_connections -= 1
+
+    def count(self, event: str) -> None:
+        """Count an event."""
+        self.counters[event] += 1
+
+    def _serve(self) -> None:
+        wsgi.server(
+            self._listener,
+            self.application,
+            protocol=functools.partial(HttpProtocol, front=self),
+            custom_pool=eventlet.GreenPool(
+                self.limits.connections + _POOL_SLACK
+            ),
+            log_output=False,
+            debug=False,
+        )
+
+    def _wait_until_closed(self) -> None:
+        while True:
+            for connection in list(self.idle):
+                connection.close_if_idle()
+            if self._server.dead and not self.connections:
+                return
+            eventlet.sleep(0.01)
+
+    def _admit(self, client: GreenSocket) -> bool:
+        if self._open_connections >= self.limits.connections:
+            self._close_longest_idle()
+        if self._open_connections < self.limits.connections:
+            self._open_connections += 1
+            self.count("accepted_connections")
+            return True
+        self.count("refused_connections")
+        if self._refusing < _MAX_REFUSING:
+            self._refusing += 1
+            eventlet.spawn_n(self._refuse, client)
+        else:
+            client.close()
+        return False
+
+    def _close_longest_idle(self) -> None:
+        for connection in list(self.idle):
+            if connection.close_if_idle():
+                # Its own handler would remove it only after this call.
+                self.closed(connection)
+                self.idle.pop(connection, None)
+                self.count("evicted_connections")
+                return
+
+    def _refuse(self, client: GreenSocket) -> None:
+        stream = SocketStream(client)
+        refusal = refuse(
+            "too-many-connections",
+            run=NOT_RUN,
+            request_id=secrets.token_hex(8),
+            retry_after_s=1.0,
+        )
+        writer = ResponseWriter(
+            stream,
+            method="GET",
+            version=(1, 1),
+            timeout_s=_REFUSE_S,
+            decide_close=lambda: True,
+        )
+        try:
+            writer.send_refusal(refusal)
+            client.shutdown(socket.SHUT_WR)
+            # Closing with unread input would reset the connection before the
+            # caller has read the refusal.
+            with eventlet.Timeout(_REFUSE_S, False):
+                while stream.receive(_REFUSE_S):
+                    pass
+        except OSError:
+            pass
+        finally:
+            self._refusing -= 1
+            client.close()
+
+    def _watch_callers(self) -> None:
+        while True:
+            eventlet.sleep(self.limits.caller_check_s)
+            try:
+                self._cancel_gone()
+            except Exception:
+                _log.exception("the check for closed callers failed")
+
+    def _cancel_gone(self) -> None:
+        if not self.running:
+            return
+        by_descriptor = {
+            connection.connection.fileno(): connection
+            for connection in self.running
+        }
+        by_descriptor.pop(-1, None)
+        poll = _poll()
+        for descriptor in by_descriptor:
+            poll.register(descriptor, select.POLLRDHUP)
+        for descriptor, events in poll.poll(0):
+            if events & _GONE:
+                self.count("gone_callers")
+                by_descriptor[descriptor].caller.cancellation.cancel()
+
+
+def _listen(host: str, port: int) -> socket.socket:
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    sock: socket.socket = original("socket").socket(family, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    # Accepted connections inherit the option.
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.bind((host, port))
+    sock.listen(_BACKLOG)
+    return sock
--- /dev/null
+++ b/packages/verbenad/src/verbenad/front_limits.py
@@ -0,0 +1,34 @@
+"""Limits of the callers' side."""
+
+from dataclasses import dataclass, field
+
+from verbenad.request_body import BodyLimits
+from verbenad.request_head import HeadLimits
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class FrontLimits:
+    """Limits of the callers' side.
+
+    :param connections: open connections; at the limit the longest idle one
+        is closed for a new one.
+    :param idle_s: how long a connection may wait for its next request.
+    :param head_s: time for a whole request head, from its first byte.
+    :param write_stall_s: longest wait for the caller to take bytes.
+    :param discard_bytes: largest rest of a body that is read and dropped to
+        keep the connection.
+    :param linger_s: how long input is dropped after a refusal, so that the
+        caller can read the refusal before the connection is reset.
+    :param caller_check_s: period in which closed callers are looked for.
+    """
+
+    connections: int = 4000
+    idle_s: float = 60.0
+    head_s: float = 10.0
+    write_stall_s: float = 30.0
+    discard_bytes: int = 65536
+    linger_s: float = 2.0
+    linger_bytes: int = 1 << 20
+    caller_check_s: float = 0.25
+    head: HeadLimits = field(default_factory=HeadLimits)
+    body: BodyLimits = field(default_factory=BodyLimits)
--- /dev/null
+++ b/packages/verbenad/src/verbenad/http_protocol.py
@@ -0,0 +1,343 @@
+"""Strict HTTP/1.1 on one caller's connection."""
+
+import secrets
+import socket
+import struct
+import sys
+import time
+from collections.abc import Iterable
+from typing import TYPE_CHECKING, Any
+from urllib.parse import unquote
+
+import eventlet
+import logbook
+from eventlet import wsgi
+
+from verbenad.caller_connection import CallerConnection
+from verbenad.http_syntax import BARE_LINE_FEED
+from verbenad.protocol_errors import BodyError, ProtocolError
+from verbenad.refusal import NOT_RUN, OUTCOME_UNKNOWN, RunStatus, refuse
+from verbenad.request_body import RequestBody
+from verbenad.request_head import RequestHead, parse_request_head
+from verbenad.response_writer import Framing, ResponseWriter
+from verbenad.socket_stream import SocketStream
+from verbenaworks.errors import VerbenaError
+
+if TYPE_CHECKING:
+    from verbenad.front import Front
+
+_log = logbook.Logger("verbenad.front")
+_CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+_FIRST_BYTES = frozenset(
+    b"!#$%&'*+-.^_`|~0123456789"
+    b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz\r"
+)
+
+
+class HttpProtocol(wsgi.HttpProtocol):
+    """Serves the requests of one connection.
+
+    Every malformed request ends the connection, because what follows it
+    cannot be told apart from the next request.
+
+    :param conn_state: eventlet's list of address, socket and state.
+    :param server: eventlet's server.
+    :param front: limits and registers of all connections.
+    """
+
+    def __init__(
+        self, conn_state: list[Any], server: Any, front: "Front"
+    ) -> None:
+        self.conn_state = conn_state
+        self.client_address, self.connection = conn_state[0], conn_state[1]
+        self.server = server
+        self.front = front
+        self.limits = front.limits
+        self.stream = SocketStream(self.connection)
+        self.caller = CallerConnection(self.stream)
+        self.idle = False
+        self._reset = False
+        self._linger = False
+        # The server would otherwise close connections on its own that it
+        # takes for idle, although a request may be waiting in the kernel.
+        conn_state[2] = wsgi.STATE_REQUEST
+        front.opened(self)
+        try:
+            self.handle()
+        finally:
+            front.closed(self)
+            self.finish()
+
+    def handle(self) -> None:
+        """Serve requests until the connection ends."""
+        while self._wait_for_request() and self.handle_one_request():
+            pass
+
+    def handle_one_request(self) -> bool:
+        """Serve one request and return whether the connection stays open."""
+        try:
+            head = self._read_head()
+        except ProtocolError as error:
+            self._refuse_head(error)
+            return False
+        except OSError:
+            return False
+        if head is None:
+            return False
+        return self._serve(head)
+
+    def close_if_idle(self) -> bool:
+        """Close the connection if no request is waiting on it."""
+        if not self.idle or self.stream.has_input():
+            return False
+        self.stream.shutdown()
+        return True
+
+    def finish(self) -> None:
+        """Close the connection."""
+        sock = self.connection
+        try:
+            if self._reset:
+                sock.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+                )
+            elif self._linger:
+                self._drop_input()
+        except OSError:
+            pass
+        finally:
+            sock.close()
+
+    def _wait_for_request(self) -> bool:
+        if self.stream.buffered_bytes:
+            return True
+        self.idle = True
+        self.front.idle[self] = None
+        try:
+            return self.stream.refill(self.limits.idle_s) > 0
+        except OSError:
+            return False
+        finally:
+            self.idle = False
+            self.front.idle.pop(self, None)
+
+    def _read_head(self) -> RequestHead | None:
+        stream = self.stream
+        deadline_s: float | None = None
+        skipped = False
+        while True:
+            if not skipped and stream.buffer.startswith(
+                b"\r\n", stream.position
+            ):
+                # RFC 9112 section 2.2: an empty line before the request
+                # line is ignored.
+                stream.take(2)
+                skipped = True
+            end = stream.buffer.find(b"\r\n\r\n", stream.position)
+            if end >= 0:
+                block = stream.take(end + 4 - stream.position)
+                return parse_request_head(block, self.limits.head)
+            self._check_partial_head()
+            now_s = time.monotonic()
+            if deadline_s is None:
+                deadline_s = now_s + self.limits.head_s
+            try:
+                if not stream.refill(deadline_s - now_s):
+                    return None
+            except TimeoutError as error:
+                raise ProtocolError("request-too-slow") from error
+
+    def _check_partial_head(self) -> None:
+        stream = self.stream
+        held_bytes = stream.buffered_bytes
+        if not held_bytes:
+            return
+        limits = self.limits.head
+        if held_bytes > limits.block_bytes:
+            raise ProtocolError("headers-too-large")
+        if stream.buffer[stream.position] not in _FIRST_BYTES:
+            raise ProtocolError("malformed-request-line")
+        partial = stream.buffer[stream.position :]
+        if BARE_LINE_FEED.search(partial):
+            raise ProtocolError(
+                "malformed-header", "a header line ends in a bare LF"
+            )
+        if max(map(len, partial.split(b"\r\n"))) <= limits.line_bytes + 1:
+            return
+        if b"\r\n" in partial:
+            raise ProtocolError("headers-too-large")
+        raise ProtocolError("target-too-long")
+
+    def _refuse_head(self, error: ProtocolError) -> None:
+        self.front.count("refused_malformed")
+        self._linger = True
+        writer = self._writer("GET", (1, 1), lambda: True)
+        self._send_refusal(writer, error, NOT_RUN)
+
+    def _send_refusal(
+        self, writer: ResponseWriter, error: ProtocolError, run: RunStatus
+    ) -> None:
+        refusal = refuse(
+            error.code,
+            run=run,
+            request_id=secrets.token_hex(8),
+            message=error.message,
+        )
+        try:
+            writer.send_refusal(refusal)
+        except OSError:
+            return
+
+    def _writer(
+        self, method: str, version: tuple[int, int], decide_close: Any
+    ) -> ResponseWriter:
+        return ResponseWriter(
+            self.stream,
+            method=method,
+            version=version,
+            timeout_s=self.limits.write_stall_s,
+            decide_close=decide_close,
+        )
+
+    def _serve(self, head: RequestHead) -> bool:
+        front = self.front
+        writer: ResponseWriter
+
+        def send_continue() -> None:
+            if not writer.head_sent:
+                self.stream.send_all(_CONTINUE, self.limits.write_stall_s)
+
+        def decide_close() -> bool:
+            return head.close or front.draining or not self._skippable(body)
+
+        body = RequestBody(
+            self.stream,
+            content_length=head.content_length,
+            chunked=head.chunked,
+            limits=self.limits.body,
+            send_continue=send_continue if head.expects_continue else None,
+        )
+        writer = self._writer(head.method, head.version, decide_close)
+        self.caller = CallerConnection(self.stream)
+        front.running.add(self)
+        try:
+            self._run(writer, self._environ(head, body))
+        finally:
+            front.running.discard(self)
+        if not writer.finished:
+            return False
+        if writer.close or not self._discard(body):
+            self._linger = not body.received
+            return False
+        return True
+
+    def _run(self, writer: ResponseWriter, environ: dict[str, Any]) -> None:
+        self._reset = True
+        result: Iterable[bytes] | None = None
+        try:
+            try:
+                result = self.front.application(environ, writer.start_response)
+                writer.write_result(result)
+            finally:
+                close = getattr(result, "close", None)
+                if close is not None:
+                    close()
+        except (Exception, eventlet.Timeout) as error:
+            self._end_failed(writer, error)
+        if writer.finished:
+            self._reset = False
+
+    def _end_failed(
+        self, writer: ResponseWriter, error: BaseException
+    ) -> None:
+        if not isinstance(error, OSError | VerbenaError):
+            _log.exception("the application failed on a request")
+        if writer.head_sent:
+            self.front.count("aborted_responses")
+            # A body of stated length is visibly short without a reset, and
+            # the caller can still read what was sent.
+            self._reset = writer.framing is not Framing.SIZED
+            return
+        writer.close = True
+        self._linger = True
+        failed = self._writer("GET", (1, 1), lambda: True)
+        if not isinstance(error, ProtocolError):
+            error = ProtocolError("internal-error")
+        self._send_refusal(failed, error, OUTCOME_UNKNOWN)
+        self._reset = False
+
+    def _skippable(self, body: RequestBody) -> bool:
+        if body.received:
+            return True
+        left_bytes = body.left_bytes
+        return (
+            left_bytes is not None
+            and left_bytes <= self.limits.discard_bytes
+            and not body.waits_for_continue
+            and not body.failed
+        )
+
+    def _discard(self, body: RequestBody) -> bool:
+        if body.received:
+            return True
+        try:
+            while body.read_some():
+                pass
+        except BodyError:
+            return False
+        return True
+
+    def _drop_input(self) -> None:
+        self.connection.shutdown(socket.SHUT_WR)
+        deadline_s = time.monotonic() + self.limits.linger_s
+        left_bytes = self.limits.linger_bytes
+        while left_bytes > 0:
+            data = self.stream.receive(deadline_s - time.monotonic())
+            if not data:
+                return
+            left_bytes -= len(data)
+
+    def _environ(self, head: RequestHead, body: RequestBody) -> dict[str, Any]:
+        path, _, query = head.target.partition("?")
+        client = self.client_address
+        environ: dict[str, Any] = {
+            "REQUEST_METHOD": head.method,
+            "SCRIPT_NAME": "",
+            "RAW_PATH_INFO": path,
+            "PATH_INFO": (
+                unquote(path, encoding="latin-1") if "%" in path else path
+            ),
+            "QUERY_STRING": query,
+            "SERVER_PROTOCOL": f"HTTP/{head.version[0]}.{head.version[1]}",
+            "SERVER_NAME": self.front.address[0],
+            "SERVER_PORT": str(self.front.address[1]),
+            "REMOTE_ADDR": client[0],
+            "REMOTE_PORT": str(client[1]),
+            "wsgi.version": (1, 0),
+            "wsgi.url_scheme": "http",
+            "wsgi.errors": sys.stderr,
+            "wsgi.input": body,
+            "wsgi.input_terminated": True,
+            "wsgi.multithread": True,
+            "wsgi.multiprocess": False,
+            "wsgi.run_once": False,
+            "verbena.head": head,
+            "verbena.caller": self.caller,
+        }
+        _add_headers(environ, head)
+        return environ
+
+
+def _add_headers(environ: dict[str, Any], head: RequestHead) -> None:
+    for name, value in head.headers:
+        # An underscore would make two names look like one.
+        if "_" in name:
+            continue
+        key = name.upper().replace("-", "_")
+        if key not in ("CONTENT_TYPE", "CONTENT_LENGTH"):
+            key = "HTTP_" + key
+        held = environ.get(key)
+        environ[key] = value if held is None else f"{held},{value}"
+    if head.host:
+        environ["HTTP_HOST"] = head.host
--- /dev/null
+++ b/packages/verbenad/src/verbenad/listener.py
@@ -0,0 +1,103 @@
+"""Listening socket that refuses, drains and survives overload."""
+
+import errno
+import socket
+from collections.abc import Callable
+from typing import Any
+
+import eventlet
+from eventlet import hubs
+from eventlet.greenio import GreenSocket
+from eventlet.support.greenlets import getcurrent
+
+# Out of file descriptors or memory: accepting works again once connections
+# have closed.
+_SHORTAGE = frozenset(
+    {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM}
+)
+_SHORTAGE_PAUSE_S = 0.05
+
+
+class ListenerClosedError(OSError):
+    """The listener stopped accepting.
+
+    Eventlet's accept loop ends quietly on this error number.
+    """
+
+    def __init__(self) -> None:
+        super().__init__(errno.ESHUTDOWN, "the listener stopped accepting")
+
+
+class Listener(GreenSocket):
+    """Accepts connections for eventlet's server.
+
+    :param sock: a listening socket of the operating system.
+    :param admit: decides about each new connection; one that is not admitted
+        is left to it.
+    :param make_room: called when file descriptors run out.
+    """
+
+    def __init__(
+        self,
+        sock: socket.socket,
+        admit: Callable[[GreenSocket], bool],
+        make_room: Callable[[], None],
+    ) -> None:
+        super().__init__(sock)
+        self._admit = admit
+        self._make_room = make_room
+        self._closing = False
+        self._waiting: Any = None
+
+    def accept(self) -> tuple[GreenSocket, Any]:
+        """Return the next admitted connection.
+
+        :raises ListenerClosedError: after :meth:`stop`, once every connection
+            that the kernel had accepted was handed on.
+        """
+        while True:
+            accepted = self._accept_now()
+            if accepted is None:
+                self._wait()
+                continue
+            client = GreenSocket(accepted[0])
+            if self._admit(client):
+                return client, accepted[1]
+
+    def stop(self) -> None:
+        """Stop accepting once the kernel's queue is empty."""
+        self._closing = True
+        if self._waiting is not None:
+            hubs.get_hub().schedule_call_global(
+                0, self._waiting.throw, ListenerClosedError()
+            )
+
+    def _accept_now(self) -> tuple[socket.socket, Any] | None:
+        try:
+            client, address = self.fd.accept()
+        except BlockingIOError:
+            return None
+        except OSError as error:
+            if error.errno in _SHORTAGE:
+                self._make_room()
+                eventlet.sleep(_SHORTAGE_PAUSE_S)
+                return None
+            if error.errno == errno.ECONNABORTED:
+                return None
+            raise
+        hubs.notify_opened(client.fileno())
+        return client, address
+
+    def _wait(self) -> None:
+        if self._closing:
+            # Lets the handlers of the last connections start, so that the
+            # server does not take them for idle.
+            eventlet.sleep(0)
+            raise ListenerClosedError
+        self._waiting = getcurrent()
+        try:
+            hubs.trampoline(self.fd, read=True)
+        except ListenerClosedError:
+            return
+        finally:
+            self._waiting = None
--- /dev/null
+++ b/packages/verbenad/src/verbenad/request_body.py
@@ -0,0 +1,235 @@
+"""Body of a caller's request."""
+
+import time
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+
+from eventlet import wsgi
+
+from verbenad.chunked_decoder import ChunkedDecoder
+from verbenad.protocol_errors import (
+    BodyTooLargeError,
+    BodyTooShortError,
+    BodyTooSlowError,
+)
+from verbenad.socket_stream import RECEIVE_BYTES, SocketStream
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class BodyLimits:
+    """Limits on one body.
+
+    :param body_bytes: largest body.
+    :param stall_s: longest wait for the next byte.
+    :param grace_s: time spent waiting for the sender before the minimum
+        rate applies.
+    :param min_bytes_per_s: minimum rate over the time spent waiting for the
+        sender; time in which nobody reads does not count.
+    """
+
+    body_bytes: int = 1 << 30
+    stall_s: float = 10.0
+    grace_s: float = 10.0
+    min_bytes_per_s: int = 1024
+
+
+class RequestBody(wsgi.Input):
+    """Reads a body; every read raises a ``BodyError`` where it falls short.
+
+    ``b""`` is returned only at the verified end of the body.
+
+    :param stream: the caller's connection.
+    :param content_length: stated length; none means no body unless chunked.
+    :param chunked: whether the body is in chunked coding.
+    :param limits: limits on the body.
+    :param send_continue: called once before the first wait for the sender.
+    """
+
+    def __init__(
+        self,
+        stream: SocketStream,
+        *,
+        content_length: int | None,
+        chunked: bool,
+        limits: BodyLimits,
+        send_continue: Callable[[], None] | None = None,
+    ) -> None:
+        self.content_length = content_length
+        self.chunked_input = chunked
+        self._stream = stream
+        self._limits = limits
+        self._send_continue = send_continue
+        self._decoder = (
+            ChunkedDecoder(stream, self._refill) if chunked else None
+        )
+        self._left_bytes = content_length or 0
+        self._read_bytes = 0
+        self._waited_s = 0.0
+        self._arrived_bytes = 0
+        self._prefix = b""
+        self._prefix_position = 0
+        self.failed = False
+
+    @property
+    def exists(self) -> bool:
+        """Whether the request states a body, even an empty one."""
+        return self.chunked_input or self.content_length is not None
+
+    @property
+    def received(self) -> bool:
+        """Whether the whole body has arrived."""
+        if self._decoder is not None:
+            return self._decoder.finished
+        return not self._left_bytes
+
+    @property
+    def waits_for_continue(self) -> bool:
+        """Whether the caller still waits for ``100 Continue``."""
+        return self._send_continue is not None
+
+    @property
+    def left_bytes(self) -> int | None:
+        """Bytes that have not been read yet; none if not known."""
+        return None if self._decoder is not None else self._left_bytes
+
+    @property
+    def replayable(self) -> bool:
+        """Whether :meth:`rewind` can return to the first byte."""
+        return self.received and self._read_bytes == len(self._prefix)
+
+    @property
+    def prefix(self) -> bytes:
+        """The bytes that :meth:`prefetch` holds."""
+        return self._prefix
+
+    def prefetch(self, limit_bytes: int) -> bool:
+        """Hold up to ``limit_bytes`` and return whether that is all.
+
+        Call it before the first read.
+
+        :raises BodyError: if the body cannot be read.
+        """
+        pieces: list[bytes] = []
+        held_bytes = 0
+        while held_bytes < limit_bytes:
+            piece = self._read_stream(limit_bytes - held_bytes)
+            if not piece:
+                break
+            pieces.append(piece)
+            held_bytes += len(piece)
+        self._prefix = b"".join(pieces)
+        self._prefix_position = 0
+        return self.received
+
+    def rewind(self) -> None:
+        """Return to the first byte.
+
+        :raises ValueError: if the body is not replayable.
+        """
+        if not self.replayable:
+            raise ValueError("the body was not held whole")
+        self._prefix_position = 0
+
+    def read_some(self, limit_bytes: int = RECEIVE_BYTES) -> bytes:
+        """Return the next bytes, or ``b""`` at the end of the body.
+
+        :raises BodyError: if the body cannot be read.
+        """
+        if self._prefix_position < len(self._prefix):
+            start = self._prefix_position
+            self._prefix_position = min(start + limit_bytes, len(self._prefix))
+            return self._prefix[start : self._prefix_position]
+        return self._read_stream(limit_bytes)
+
+    def read(self, length: int | None = None) -> bytes:
+        """Return ``length`` bytes, or fewer at the end of the body.
+
+        :raises BodyError: if the body cannot be read.
+        """
+        wanted = None if length is None or length < 0 else length
+        pieces: list[bytes] = []
+        while wanted is None or wanted > 0:
+            piece = self.read_some(
+                RECEIVE_BYTES if wanted is None else min(wanted, RECEIVE_BYTES)
+            )
+            if not piece:
+                break
+            pieces.append(piece)
+            if wanted is not None:
+                wanted -= len(piece)
+        return b"".join(pieces)
+
+    def readline(self, size: int | None = None) -> bytes:
+        """Return one line of the body."""
+        limit = -1 if size is None else size
+        line = bytearray()
+        while limit < 0 or len(line) < limit:
+            piece = self.read_some(1)
+            line += piece
+            if not piece or piece == b"\n":
+                break
+        return bytes(line)
+
+    def readlines(self, hint: int | None = None) -> list[bytes]:
+        """Return lines of the body, up to ``hint`` bytes."""
+        lines: list[bytes] = []
+        held_bytes = 0
+        for line in iter(self.readline, b""):
+            lines.append(line)
+            held_bytes += len(line)
+            if hint and held_bytes >= hint:
+                break
+        return lines
+
+    def __iter__(self) -> Iterator[bytes]:
+        return iter(self.readline, b"")
+
+    def _read_stream(self, limit_bytes: int) -> bytes:
+        if self.received:
+            return b""
+        try:
+            data = self._next_bytes(limit_bytes)
+        except Exception:
+            self.failed = True
+            raise
+        self._read_bytes += len(data)
+        return data
+
+    def _next_bytes(self, limit_bytes: int) -> bytes:
+        self._check_size()
+        if self._decoder is not None:
+            data = self._decoder.read_some(limit_bytes)
+            if self._read_bytes + len(data) > self._limits.body_bytes:
+                raise BodyTooLargeError
+            return data
+        if not self._stream.buffered_bytes:
+            self._refill()
+        data = self._stream.take(min(limit_bytes, self._left_bytes))
+        self._left_bytes -= len(data)
+        return data
+
+    def _check_size(self) -> None:
+        if (self.content_length or 0) > self._limits.body_bytes:
+            raise BodyTooLargeError
+
+    def _refill(self) -> None:
+        if self._send_continue is not None:
+            send, self._send_continue = self._send_continue, None
+            send()
+        started_s = time.monotonic()
+        try:
+            count = self._stream.refill(self._limits.stall_s)
+        except TimeoutError as error:
+            raise BodyTooSlowError from error
+        except OSError as error:
+            raise BodyTooShortError from error
+        if not count:
+            raise BodyTooShortError
+        self._waited_s += time.monotonic() - started_s
+        self._arrived_bytes += count
+        limits = self._limits
+        if (
+            self._waited_s > limits.grace_s
+            and self._arrived_bytes < self._waited_s * limits.min_bytes_per_s
+        ):
+            raise BodyTooSlowError
--- /dev/null
+++ b/packages/verbenad/src/verbenad/response_writer.py
@@ -0,0 +1,230 @@
+"""Writes one response to a caller."""
+
+import time
+from collections.abc import Callable, Iterable
+from enum import Enum
+from types import TracebackType
+
+from eventlet.wsgi import format_date_time
+
+from verbenad.refusal import Refusal
+from verbenad.socket_stream import SocketStream
+
+_ExcInfo = tuple[type[BaseException], BaseException, TracebackType | None]
+# The writer decides about these fields itself.
+_OWN_FIELDS = frozenset(
+    {"connection", "keep-alive", "transfer-encoding", "upgrade"}
+)
+_date_cache: tuple[int, str] = (0, "")
+
+
+class ResponseError(Exception):
+    """The application broke the contract of the response."""
+
+
+class Framing(Enum):
+    """How the end of the body is shown to the caller."""
+
+    NONE = "no body"
+    SIZED = "stated length"
+    CHUNKED = "chunked coding"
+    CLOSE = "end of connection"
+
+
+def _date() -> str:
+    global _date_cache
+    now_s = int(time.time())
+    if _date_cache[0] != now_s:
+        _date_cache = (now_s, format_date_time(now_s))
+    return _date_cache[1]
+
+
+class ResponseWriter:
+    """Frames one response.
+
+    The body's end is written only by :meth:`finish`. Whatever else ends the
+    response leaves it visibly incomplete.
+
+    :param stream: the caller's connection.
+    :param method: method of the request.
+    :param version: version of the request.
+    :param timeout_s: longest wait for the caller to take bytes.
+    :param decide_close: called when the head is written; returns whether
+        the connection closes after this response.
+    """
+
+    __slots__ = (
+        "_decide_close",
+        "_headers",
+        "_left_bytes",
+        "_status",
+        "_stream",
+        "_timeout_s",
+        "_method",
+        "_version",
+        "close",
+        "finished",
+        "framing",
+        "head_sent",
+    )
+
+    def __init__(
+        self,
+        stream: SocketStream,
+        *,
+        method: str,
+        version: tuple[int, int],
+        timeout_s: float,
+        decide_close: Callable[[], bool],
+    ) -> None:
+        self._stream = stream
+        self._method = method
+        self._version = version
+        self._timeout_s = timeout_s
+        self._decide_close = decide_close
+        self._status = ""
+        self._headers: list[tuple[str, str]] = []
+        self._left_bytes = 0
+        self.framing = Framing.NONE
+        self.close = False
+        self.head_sent = False
+        self.finished = False
+
+    def start_response(
+        self,
+        status: str,
+        headers: list[tuple[str, str]],
+        exc_info: _ExcInfo | None = None,
+    ) -> Callable[[bytes], None]:
+        """Set status and headers; the WSGI callable.
+
+        :raises ResponseError: if the head was sent already.
+        """
+        if self.head_sent:
+            if exc_info:
+                raise exc_info[1].with_traceback(exc_info[2])
+            raise ResponseError("start_response after the head was sent")
+        if self._status and not exc_info:
+            raise ResponseError("start_response was called twice")
+        self._status = status
+        self._headers = headers
+        return self.write
+
+    def write(self, data: bytes) -> None:
+        """Send ``data``; an empty piece sends the head alone."""
+        if not self.head_sent:
+            head = self._head(None)
+            self._send(head + self._frame(data))
+        elif data:
+            self._send(self._frame(data))
+
+    def write_result(self, result: Iterable[bytes]) -> None:
+        """Send the pieces of a WSGI result and finish.
+
+        :raises ResponseError: if the body does not match its stated length.
+        """
+        if isinstance(result, list | tuple) and not self.head_sent:
+            body = result[0] if len(result) == 1 else b"".join(result)
+            head = self._head(len(body))
+            self._send(head + self._frame(body) + self._end())
+            self.finished = True
+            return
+        for piece in result:
+            self.write(piece)
+        self.finish()
+
+    def finish(self) -> None:
+        """Write the end of the body."""
+        head = b"" if self.head_sent else self._head(0)
+        end = self._end()
+        if head or end:
+            self._send(head + end)
+        self.finished = True
+
+    def send_refusal(self, refusal: Refusal) -> None:
+        """Send a refusal as the whole response."""
+        body = refusal.body()
+        self._status = refusal.status_line
+        self._headers = refusal.headers(body)
+        self.write_result([body])
+
+    def _send(self, data: bytes) -> None:
+        if data:
+            self._stream.send_all(data, self._timeout_s)
+
+    def _head(self, body_bytes: int | None) -> bytes:
+        if not self._status:
+            raise ResponseError("the response has no status")
+        code = int(self._status[:3])
+        lines = [f"HTTP/1.1 {self._status}"]
+        length: str | None = None
+        dated = False
+        for name, value in self._headers:
+            key = name.lower()
+            if key in _OWN_FIELDS:
+                continue
+            if key == "content-length":
+                length = value
+                continue
+            dated = dated or key == "date"
+            lines.append(f"{name}: {value}")
+        if not dated:
+            lines.append(f"Date: {_date()}")
+        self._choose_framing(code, length, body_bytes, lines)
+        if self._decide_close() or self.framing is Framing.CLOSE:
+            self.close = True
+            lines.append("Connection: close")
+        text = "\r\n".join(lines)
+        breaks = len(lines) - 1
+        if (
+            text.count("\n") != breaks
+            or text.count("\r") != breaks
+            or "\0" in text
+        ):
+            raise ResponseError("a response header has a line break")
+        self.head_sent = True
+        return text.encode("latin-1") + b"\r\n\r\n"
+
+    def _choose_framing(
+        self,
+        code: int,
+        length: str | None,
+        body_bytes: int | None,
+        lines: list[str],
+    ) -> None:
+        if code == 204 or code < 200:
+            self.framing = Framing.NONE
+            return
+        # A HEAD response without a body says nothing about the length.
+        if length is None and code != 304 and self._method != "HEAD":
+            length = None if body_bytes is None else str(body_bytes)
+        if length is not None:
+            lines.append(f"Content-Length: {length}")
+        if code == 304 or self._method == "HEAD":
+            self.framing = Framing.NONE
+        elif length is not None:
+            self.framing = Framing.SIZED
+            self._left_bytes = int(length)
+        elif self._version >= (1, 1):
+            self.framing = Framing.CHUNKED
+            lines.append("Transfer-Encoding: chunked")
+        else:
+            self.framing = Framing.CLOSE
+
+    def _frame(self, data: bytes) -> bytes:
+        if not data:
+            return b""
+        framing = self.framing
+        if framing is Framing.SIZED:
+            self._left_bytes -= len(data)
+            if self._left_bytes < 0:
+                raise ResponseError("the body is longer than its length")
+            return data
+        if framing is Framing.CHUNKED:
+            return b"%x\r\n%b\r\n" % (len(data), data)
+        return data if framing is Framing.CLOSE else b""
+
+    def _end(self) -> bytes:
+        if self._left_bytes:
+            raise ResponseError("the body is shorter than its length")
+        return b"0\r\n\r\n" if self.framing is Framing.CHUNKED else b""
--- /dev/null
+++ b/packages/verbenad/src/verbenad/socket_stream.py
@@ -0,0 +1,136 @@
+"""Buffered reading and writing on one socket.
+
+Eventlet's socket turns a connection reset into an end of stream. An answer
+whose end is the end of the stream would then look complete after a crash, so
+this class calls the operating system's socket and waits on the event loop
+itself.
+"""
+
+import socket
+from typing import Any
+
+from eventlet.hubs import trampoline
+
+RECEIVE_BYTES = 65536
+
+
+class SocketStream:
+    """Reads and writes one socket; works on green and on plain sockets."""
+
+    __slots__ = ("_green", "_raw", "buffer", "position", "sent_any", "sock")
+
+    def __init__(self, sock: Any) -> None:
+        self.sock = sock
+        raw = getattr(sock, "fd", None)
+        self._green = raw is not None
+        self._raw = sock if raw is None else raw
+        self.buffer = b""
+        self.position = 0
+        self.sent_any = False
+
+    @property
+    def buffered_bytes(self) -> int:
+        """Return how many received bytes were not taken yet."""
+        return len(self.buffer) - self.position
+
+    def receive(self, timeout_s: float | None) -> bytes:
+        """Return the next bytes, or ``b""`` at the end of the stream.
+
+        :raises TimeoutError: if nothing arrives in time.
+        :raises OSError: if the connection was reset.
+        """
+        if timeout_s is not None and timeout_s <= 0:
+            raise TimeoutError("no time left to receive")
+        if not self._green:
+            self._raw.settimeout(timeout_s)
+            return self._raw.recv(RECEIVE_BYTES)
+        while True:
+            try:
+                return self._raw.recv(RECEIVE_BYTES)
+            except BlockingIOError:
+                pass
+            trampoline(
+                self._raw,
+                read=True,
+                timeout=timeout_s,
+                timeout_exc=TimeoutError,
+            )
+
+    def refill(self, timeout_s: float | None) -> int:
+        """Receive into the buffer and return the number of new bytes.
+
+        Zero means the end of the stream.
+        """
+        data = self.receive(timeout_s)
+        if self.position >= len(self.buffer):
+            self.buffer = data
+        else:
+            self.buffer = self.buffer[self.position :] + data
+        self.position = 0
+        return len(data)
+
+    def take(self, limit_bytes: int) -> bytes:
+        """Return up to ``limit_bytes`` received bytes without waiting."""
+        start = self.position
+        end = start + limit_bytes
+        if end >= len(self.buffer):
+            data = self.buffer[start:] if start else self.buffer
+            self.buffer = b""
+            self.position = 0
+            return data
+        self.position = end
+        return self.buffer[start:end]
+
+    def send_all(
+        self, data: bytes | memoryview, timeout_s: float | None
+    ) -> None:
+        """Send all bytes.
+
+        :raises TimeoutError: if the peer takes nothing for ``timeout_s``.
+        :raises OSError: if the connection is closed or reset.
+        """
+        if timeout_s is not None and timeout_s <= 0:
+            raise TimeoutError("no time left to send")
+        if not self._green:
+            self._raw.settimeout(timeout_s)
+        sent = self._send(data, timeout_s)
+        self.sent_any = True
+        if sent == len(data):
+            return
+        rest = memoryview(data)[sent:]
+        while rest:
+            rest = rest[self._send(rest, timeout_s) :]
+
+    def _send(self, data: bytes | memoryview, timeout_s: float | None) -> int:
+        if not self._green:
+            return self._raw.send(data)
+        while True:
+            try:
+                return self._raw.send(data)
+            except BlockingIOError:
+                pass
+            trampoline(
+                self._raw,
+                write=True,
+                timeout=timeout_s,
+                timeout_exc=TimeoutError,
+            )
+
+    def has_input(self) -> bool:
+        """Return whether data, an end of stream or an error is waiting."""
+        if self.position < len(self.buffer):
+            return True
+        try:
+            self._raw.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        return True
+
+    def shutdown(self) -> None:
+        """End both directions; wakes whoever waits on the socket."""
+        try:
+            self._raw.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            return
--- /dev/null
+++ b/packages/verbenad/src/verbenad/target_address.py
@@ -0,0 +1,3 @@
+"""Address of a backend server."""
+
+TargetAddress = tuple[str, int]
