--- a/packages/verbenad/src/verbenad/request_head.py
+++ b/packages/verbenad/src/verbenad/request_head.py
@@ -131,6 +131,8 @@
 def _parse_request_line(line: str) -> tuple[str, str, tuple[int, int]]:
     match = _REQUEST_LINE.fullmatch(line)
     if match is None:
+        if "\n" in line:
+            raise ProtocolError("malformed-header", "a line ends in a bare LF")
         raise ProtocolError("malformed-request-line")
     method, target, major, minor = match.groups()
     if major != "1":
