--- a/tests/edge_server.py
+++ b/tests/edge_server.py
@@ -1,8 +1,9 @@
 """Front and forwarder in a process of their own, for the tests.
 
 tests/edge_process.py starts it and imports the monkey patch before it. The
-options are one JSON argument; the process prints one JSON line with the port. SIGTERM closes the front gracefully; the process then prints
-one JSON line with the result.
+options are one JSON argument; the process prints one JSON line with the
+port. SIGTERM closes the front gracefully; the process then prints one JSON
+line with the result.
 """
 
 import json
