Settle superseded writes at once and distrust versions after a gap

An edit whose write had an unknown outcome was reported as rejected when its time limit passed or its writer lost the role before the outcome was known. It is now settled by the first read that shows another version. A reused version number of a restored store let a writer overwrite a newer state, so a version is trusted only while the instance asks at least once a second.

--- a/packages/verbenaworks/src/verbenaworks/agreement.py
+++ b/packages/verbenaworks/src/verbenaworks/agreement.py
@@ -77,6 +77,7 @@
     StorePut,
     StoreRequest,
     StoreResult,
+    StoreUnavailable,
     StoreValue,
     StoreVersion,
     StoreWatch,
@@ -96,6 +97,10 @@
 # An instance that was not fresh believes the store only after this time, in
 # which a writer finds and repairs a store restored to an older state.
 _RESUME_HOLD_S = 1.0
+_VERSION_TRUST_S = 1.0
+# A write after a restore is repeated until its version is above the known
+# ones, unless so many versions were lost that other keys used them up.
+_MAX_REPEATS = 64
 _BOOTSTRAP_WAIT_S = 1.0
 # A new assigner first learns who is alive.
 _SETTLE_S = 3.0
@@ -164,6 +169,8 @@
         self._plan = PollPlan(uses_store=True, watches=True)
         self._actions: list[AgreementAction] = []
         self._stored: _Stored | None = None
+        self._stored_seen_s = now_s
+        self._highest_version = 0
         self._diverged: AgreedState | None = None
         self._store_requests: dict[int, _Pending] = {}
         self._store_confirmed_at_s: float | None = None
@@ -557,14 +564,27 @@
             self._on_read(now_s, pending.sent_at_s, result)
         elif isinstance(result, VersionFound):
             self._absent_since_s = None
-            stored = self._stored
-            if stored is None or result.version != stored.version:
+            if not self._is_known(result.version, pending.sent_at_s):
                 self._read(now_s)
+                result = StoreUnavailable()
             elif isinstance(request, StoreVersion):
                 self._confirm_by_store(now_s, pending.sent_at_s)
         for each in self._writes.on_probe(now_s, request.request_id, result):
             self._call(now_s, each)
 
+    def _is_known(self, version: int, sent_at_s: float) -> bool:
+        """Return whether a version identifies the state last seen there.
+
+        A store that was restored reuses versions. An instance that has not
+        asked for a while may have missed that, so it reads the value.
+        """
+        stored = self._stored
+        return (
+            stored is not None
+            and stored.version == version
+            and sent_at_s < self._stored_seen_s + _VERSION_TRUST_S
+        )
+
     def _on_read(
         self, now_s: float, sent_at_s: float, result: StoreResult
     ) -> None:
@@ -626,6 +646,7 @@
             or self._ahead is not None
         ):
             return
+        self._stored_seen_s = max(self._stored_seen_s, sent_at_s)
         self._store_confirmed_at_s = max(
             sent_at_s, self._store_confirmed_at_s or sent_at_s
         )
@@ -656,6 +677,8 @@
                 sequence=state.sequence,
                 tag=self._applied.tag,
             )
+            self._stored_seen_s = now_s
+            self._highest_version = max(self._highest_version, version)
         if state.control.takeover != self._instance:
             self._takeover_from_s = None
         elif self._takeover_from_s is None:
@@ -706,6 +729,8 @@
         self._take_state(
             now_s, settled.state, settled.state.to_bytes(), settled.version
         )
+        if 0 < self._highest_version - settled.version < _MAX_REPEATS:
+            self._submit_repair()
 
     def _resubmit_lost_edits(self, now_s: float, state: AgreedState) -> None:
         """Apply accepted edits again that a restored store has lost.
--- a/packages/verbenaworks/src/verbenaworks/state_writes.py
+++ b/packages/verbenaworks/src/verbenaworks/state_writes.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
-from verbenaworks.agreed_state import AGREED_KEY, AgreedState
+from verbenaworks.agreed_state import AGREED_KEY, AgreedState, AgreedStateError
 from verbenaworks.control_record import InstanceId
 from verbenaworks.errors import VerbenaError
 from verbenaworks.state_edit import (
@@ -230,11 +230,26 @@
         if version == attempt.basis.version:
             return None, [self._put(attempt, now_s)]
         self._attempt = None
-        if attempt.job.reported and attempt.job.edit is not None:
-            return None, []
-        self._jobs.appendleft(attempt.job)
+        self._settle_superseded(attempt.job, value)
         return None, []
 
+    def _settle_superseded(self, job: _Job, value: bytes) -> None:
+        """Settle a write whose expected version is gone from the store.
+
+        It took effect only if the value contains it.
+        """
+        if job.edit is not None:
+            try:
+                found = job.edit.change(AgreedState.from_bytes(value))
+            except AgreedStateError:
+                found = None
+            if isinstance(found, AlreadyInForce):
+                self._report_accepted(job, found.config_revision)
+                return
+            if job.reported:
+                return
+        self._jobs.appendleft(job)
+
     def _queued(self) -> list[_Job]:
         current = [] if self._attempt is None else [self._attempt.job]
         return current + list(self._jobs)
@@ -329,12 +344,17 @@
     instance: InstanceId, edit: StateEdit, basis: WriteBasis
 ) -> BuildResult:
     state = basis.state
-    if state is None or not state.control.is_writer(instance):
-        return NotWriterError(
-            f"{instance.name} is not a writer", "send the edit to a writer"
-        )
+    not_writer = NotWriterError(
+        f"{instance.name} is not a writer", "send the edit to a writer"
+    )
+    if state is None:
+        return not_writer
     result = edit.change(state)
-    if isinstance(result, AlreadyInForce | VerbenaError):
+    if isinstance(result, AlreadyInForce):
+        return result
+    if not state.control.is_writer(instance):
+        return not_writer
+    if isinstance(result, VerbenaError):
         return result
     return replace(
         state,
