--- a/packages/verbenaworks/src/verbenaworks/agreement.py
+++ b/packages/verbenaworks/src/verbenaworks/agreement.py
@@ -568,6 +568,9 @@
                 self._read(now_s)
                 result = StoreUnavailable()
             elif isinstance(request, StoreVersion):
+                self._stored_seen_s = max(
+                    self._stored_seen_s, pending.sent_at_s
+                )
                 self._confirm_by_store(now_s, pending.sent_at_s)
         for each in self._writes.on_probe(now_s, request.request_id, result):
             self._call(now_s, each)
@@ -594,6 +597,7 @@
                     self._absent_since_s = sent_at_s
                 if sent_at_s >= self._applied_at_s:
                     self._stored = _Stored(version=0, sequence=0, tag=0)
+                    self._stored_seen_s = sent_at_s
                     self._submit_repair()
                 self._settle_by_read(now_s, sent_at_s, 0, b"")
             case StoreValue(value=value, version=version):
@@ -620,6 +624,7 @@
         except AgreedStateError:
             if sent_at_s >= self._applied_at_s:
                 self._stored = _Stored(version=version, sequence=0, tag=0)
+                self._stored_seen_s = sent_at_s
                 self._submit_repair()
             return
         comparison = self._applied.compare(state, value)
@@ -630,6 +635,7 @@
         if sent_at_s < self._applied_at_s:
             return
         self._stored = _Stored(version=version, sequence=state.sequence, tag=0)
+        self._stored_seen_s = sent_at_s
         if comparison is Comparison.SAME:
             self._stored = replace(self._stored, tag=self._applied.tag)
             self._confirm_by_store(now_s, sent_at_s)
@@ -646,7 +652,6 @@
             or self._ahead is not None
         ):
             return
-        self._stored_seen_s = max(self._stored_seen_s, sent_at_s)
         self._store_confirmed_at_s = max(
             sent_at_s, self._store_confirmed_at_s or sent_at_s
         )
