--- a/packages/verbenaworks/src/verbenaworks/agreement.py
+++ b/packages/verbenaworks/src/verbenaworks/agreement.py
@@ -77,6 +77,7 @@
     StorePut,
     StoreRequest,
     StoreResult,
+    StoreUnavailable,
     StoreValue,
     StoreVersion,
     StoreWatch,
@@ -96,6 +97,10 @@
 # An instance that was not fresh believes the store only after this time, in
 # which a writer finds and repairs a store restored to an older state.
 _RESUME_HOLD_S = 1.0
+_VERSION_TRUST_S = 1.0
+# A write after a restore is repeated until its version is above the known
+# ones, unless so many versions were lost that other keys used them up.
+_MAX_REPEATS = 64
 _BOOTSTRAP_WAIT_S = 1.0
 # A new assigner first learns who is alive.
 _SETTLE_S = 3.0
@@ -164,6 +169,8 @@
         self._plan = PollPlan(uses_store=True, watches=True)
         self._actions: list[AgreementAction] = []
         self._stored: _Stored | None = None
+        self._stored_seen_s = now_s
+        self._highest_version = 0
         self._diverged: AgreedState | None = None
         self._store_requests: dict[int, _Pending] = {}
         self._store_confirmed_at_s: float | None = None
@@ -557,14 +564,30 @@
             self._on_read(now_s, pending.sent_at_s, result)
         elif isinstance(result, VersionFound):
             self._absent_since_s = None
-            stored = self._stored
-            if stored is None or result.version != stored.version:
+            if not self._is_known(result.version, pending.sent_at_s):
                 self._read(now_s)
+                result = StoreUnavailable()
             elif isinstance(request, StoreVersion):
+                self._stored_seen_s = max(
+                    self._stored_seen_s, pending.sent_at_s
+                )
                 self._confirm_by_store(now_s, pending.sent_at_s)
         for each in self._writes.on_probe(now_s, request.request_id, result):
             self._call(now_s, each)
 
+    def _is_known(self, version: int, sent_at_s: float) -> bool:
+        """Return whether a version identifies the state last seen there.
+
+        A store that was restored reuses versions. An instance that has not
+        asked for a while may have missed that, so it reads the value.
+        """
+        stored = self._stored
+        return (
+            stored is not None
+            and stored.version == version
+            and sent_at_s < self._stored_seen_s + _VERSION_TRUST_S
+        )
+
     def _on_read(
         self, now_s: float, sent_at_s: float, result: StoreResult
     ) -> None:
@@ -574,6 +597,7 @@
                     self._absent_since_s = sent_at_s
                 if sent_at_s >= self._applied_at_s:
                     self._stored = _Stored(version=0, sequence=0, tag=0)
+                    self._stored_seen_s = sent_at_s
                     self._submit_repair()
                 self._settle_by_read(now_s, sent_at_s, 0, b"")
             case StoreValue(value=value, version=version):
@@ -600,6 +624,7 @@
         except AgreedStateError:
             if sent_at_s >= self._applied_at_s:
                 self._stored = _Stored(version=version, sequence=0, tag=0)
+                self._stored_seen_s = sent_at_s
                 self._submit_repair()
             return
         comparison = self._applied.compare(state, value)
@@ -610,6 +635,7 @@
         if sent_at_s < self._applied_at_s:
             return
         self._stored = _Stored(version=version, sequence=state.sequence, tag=0)
+        self._stored_seen_s = sent_at_s
         if comparison is Comparison.SAME:
             self._stored = replace(self._stored, tag=self._applied.tag)
             self._confirm_by_store(now_s, sent_at_s)
@@ -656,6 +682,8 @@
                 sequence=state.sequence,
                 tag=self._applied.tag,
             )
+            self._stored_seen_s = now_s
+            self._highest_version = max(self._highest_version, version)
         if state.control.takeover != self._instance:
             self._takeover_from_s = None
         elif self._takeover_from_s is None:
@@ -706,6 +734,8 @@
         self._take_state(
             now_s, settled.state, settled.state.to_bytes(), settled.version
         )
+        if 0 < self._highest_version - settled.version < _MAX_REPEATS:
+            self._submit_repair()
 
     def _resubmit_lost_edits(self, now_s: float, state: AgreedState) -> None:
         """Apply accepted edits again that a restored store has lost.
