--- a/packages/verbenaworks/src/verbenaworks/state_writes.py
+++ b/packages/verbenaworks/src/verbenaworks/state_writes.py
@@ -75,6 +75,8 @@
     edit: StateEdit | None = None
     limit_s: float | None = None
     reported: bool = False
+    # A restored store hides whether the write took effect before.
+    is_doubtful: bool = False
 
 
 @dataclass(kw_only=True, slots=True, eq=False)
@@ -230,19 +232,26 @@
         if version == attempt.basis.version:
             return None, [self._put(attempt, now_s)]
         self._attempt = None
-        self._settle_superseded(attempt.job, value)
+        self._settle_superseded(attempt, value)
         return None, []
 
-    def _settle_superseded(self, job: _Job, value: bytes) -> None:
+    def _settle_superseded(self, attempt: _Attempt, value: bytes) -> None:
         """Settle a write whose expected version is gone from the store.
 
-        It took effect only if the value contains it.
+        It took effect only if the value contains it, unless the store was
+        restored to an older state.
         """
+        job = attempt.job
         if job.edit is not None:
             try:
-                found = job.edit.change(AgreedState.from_bytes(value))
+                state = AgreedState.from_bytes(value)
             except AgreedStateError:
-                found = None
+                job.is_doubtful = True
+                self._jobs.appendleft(job)
+                return
+            if state.sequence < attempt.state.sequence:
+                job.is_doubtful = True
+            found = job.edit.change(state)
             if isinstance(found, AlreadyInForce):
                 self._report_accepted(job, found.config_revision)
                 return
@@ -330,10 +339,13 @@
             )
 
     def _report_rejected(self, job: _Job, error: VerbenaError) -> None:
-        if job.edit is not None and not job.reported:
-            self._outcomes.append(
-                EditRejected(edit_id=job.job_id, error=error)
-            )
+        if job.edit is None or job.reported:
+            return
+        self._outcomes.append(
+            EditUnknown(edit_id=job.job_id)
+            if job.is_doubtful
+            else EditRejected(edit_id=job.job_id, error=error)
+        )
 
 
 def _is_late(job: _Job, now_s: float) -> bool:
--- a/tools/agreement_checkers.py
+++ b/tools/agreement_checkers.py
@@ -28,8 +28,14 @@
 
 
 def check_reverts(history: list[Event]) -> list[str]:
-    """Return edits that an instance had applied and then lost."""
+    """Return edits that an instance had applied and then lost.
+
+    An edit that took effect within 3 s of the store being restored, before
+    or after, is excused for 6 s: the writer that repairs the store may not
+    have known it. ``check_accepted`` requires that it comes back.
+    """
     found = []
+    excused = _edits_near_restore(history)
     held: dict[tuple[str, int], Event] = {}
     for event in history:
         if event["kind"] != "apply":
@@ -41,7 +47,14 @@
             found.append(f"t={event['t']}: an edit is applied twice")
         if before is None:
             continue
-        lost = set(before["edits"]) - set(event["edits"])
+        lost = {
+            edit
+            for edit in set(before["edits"]) - set(event["edits"])
+            if not any(
+                from_s <= event["t"] <= until_s
+                for from_s, until_s in excused.get(edit, ())
+            )
+        }
         if lost:
             found.append(f"t={event['t']}: {run} lost {sorted(lost)}")
         if event["sequence"] <= before["sequence"]:
@@ -51,6 +64,25 @@
     return found
 
 
+def _edits_near_restore(
+    history: list[Event],
+) -> dict[str, list[tuple[float, float]]]:
+    restores = [e["t"] for e in history if e["kind"] == "restore"]
+    spans: dict[str, list[tuple[float, float]]] = {}
+    present: set[str] = set()
+    for event in history:
+        if event["kind"] != "effect":
+            continue
+        for edit in set(event["edits"]) - present:
+            spans.setdefault(edit, []).extend(
+                (restore_s, restore_s + 6.0)
+                for restore_s in restores
+                if abs(restore_s - event["t"]) <= 3.0
+            )
+        present = set(event["edits"])
+    return spans
+
+
 def check_accepted(history: list[Event]) -> list[str]:
     """Return accepted edits that are missing at the end, anywhere.
 
