--- /dev/null
+++ b/packages/verbenaworks/src/verbenaworks/membership_messages.py
@@ -0,0 +1,76 @@
+"""Messages of the membership protocol.
+
+``updates`` holds member records in the encoding of ``member_updates``.
+"""
+
+from dataclasses import dataclass
+
+from verbenaworks.wire import wire_message
+
+
+@wire_message
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Join:
+    """Asks a seed for all members; carries the sender's record."""
+
+    reply_to: str
+    updates: bytes
+
+
+@wire_message
+@dataclass(frozen=True, kw_only=True, slots=True)
+class MemberList:
+    """Answers a Join with a part of the members, or an AskMembers."""
+
+    updates: bytes
+
+
+@wire_message
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AskMembers:
+    """Asks for the full records of members known only by brief ones."""
+
+    reply_to: str
+    names: tuple[str, ...]
+    updates: bytes
+
+
+@wire_message
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Ping:
+    """Asks whether the receiver is alive."""
+
+    seq: int
+    reply_to: str
+    updates: bytes
+
+
+@wire_message
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PingVia:
+    """Asks the receiver to ping ``target`` and to pass on its answer."""
+
+    seq: int
+    reply_to: str
+    target: str
+    updates: bytes
+
+
+@wire_message
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Ack:
+    """Answers a Ping, or a PingVia whose target answered."""
+
+    seq: int
+    updates: bytes
+
+
+MembershipMessage = Join | MemberList | AskMembers | Ping | PingVia | Ack
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SendTo:
+    """Send a message to a bus address; it may be lost."""
+
+    address: str
+    message: MembershipMessage
