--- a/packages/verbenaworks/src/verbenaworks/agreement.py
+++ b/packages/verbenaworks/src/verbenaworks/agreement.py
@@ -236,6 +236,14 @@
             is_valid=lambda now_s: self._may_act(shard, owned, now_s),
         )
 
+    def leases(self) -> tuple[OwnerLease, ...]:
+        """Return the leases on all shards that the newest record gives."""
+        return tuple(
+            lease
+            for lease in map(self.lease, self._owned)
+            if lease is not None
+        )
+
     def writers_for_edit(self) -> tuple[str, ...]:
         """Return the live writers to which to send an edit, best first."""
         state = self._applied.state
--- a/tools/agreement_harness.py
+++ b/tools/agreement_harness.py
@@ -222,6 +222,7 @@
     incarnation: int
     agreement: Agreement
     is_paused: bool = False
+    is_leaving: bool = False
     backlog: list[Callable[[], None]] = field(default_factory=list)
     seen: dict[str, float] = field(default_factory=dict)
     edits: tuple[str, ...] = ()
@@ -309,6 +310,33 @@
         if node is not None:
             self.record("kill", node=name, incarnation=node.incarnation)
 
+    def leave(self, name: str) -> None:
+        """Shut a process down gracefully, and start it again."""
+        node = self.nodes.get(name)
+        if node is None or node.is_leaving:
+            return
+        node.is_leaving = True
+        self.record("leave", node=name)
+
+        def call(action: Callable[[float], list[Any]]) -> None:
+            self._run(
+                node, lambda: self._act(node, action(node.clock.now_s()))
+            )
+
+        def end() -> None:
+            if self.nodes.get(name) is node:
+                self.kill(name)
+                self.timers.after(1.0, lambda: self.start_again(name))
+
+        call(node.agreement.release_shards)
+        self.timers.after(0.7, lambda: call(node.agreement.resign))
+        self.timers.after(2.0, end)
+
+    def start_again(self, name: str) -> None:
+        """Start an instance unless it runs."""
+        if name not in self.nodes:
+            self.start(name)
+
     def pause(self, name: str, duration_s: float) -> None:
         """Stop a process; it acts on its old state when it wakes."""
         node = self.nodes.get(name)
@@ -454,7 +482,11 @@
                         name=name,
                         incarnation=other.incarnation if other else 0,
                         state=(
-                            MemberState.DEAD if is_dead else MemberState.ALIVE
+                            MemberState.DEAD
+                            if is_dead
+                            else MemberState.LEAVING
+                            if other.is_leaving
+                            else MemberState.ALIVE
                         ),
                         region=self._region(name),
                         failure_domain=other.failure_domain if other else "",
@@ -475,12 +507,13 @@
             now_s = node.clock.now_s()
             agreement = node.agreement
             fresh = agreement.is_fresh(now_s)
-            leases = []
+            leases: list[tuple[int, int]] = []
             if fresh:
-                for shard in range(16):
-                    lease = agreement.lease(shard)
-                    if lease is not None and lease.is_valid(now_s):
-                        leases.append((shard, lease.epoch))
+                leases = [
+                    (lease.shard, lease.epoch)
+                    for lease in agreement.leases()
+                    if lease.is_valid(now_s)
+                ]
             seen.append((node.name, fresh, node.edits, tuple(leases)))
         self.record("observe", nodes=tuple(seen))
 
@@ -553,6 +586,7 @@
     "store-cut",
     "loss",
     "race",
+    "leave",
 )
 
 
@@ -593,16 +627,15 @@
             cluster.pause(name, long_s)
         case "kill":
             cluster.kill(name)
-            timers.after(
-                long_s,
-                lambda: name in cluster.nodes or cluster.start(name),
-            )
+            timers.after(long_s, lambda: cluster.start_again(name))
         case "cut":
             cut((name, other))
         case "region-cut":
             cut(*rng.sample((("r1", "r2"), ("r2", "r3"), ("r3", "r1")), 2))
         case "store-cut":
             cut((name, STORE))
+        case "leave":
+            cluster.leave(name)
         case "loss":
             cluster.loss_share = 0.2
             timers.after(long_s, lambda: setattr(cluster, "loss_share", 0.0))
