--- a/packages/verbenaworks/src/verbenaworks/agreement.py
+++ b/packages/verbenaworks/src/verbenaworks/agreement.py
@@ -186,6 +186,7 @@
         self._next_parent = rng.randrange(2)
         self._owned: dict[int, _Owned] = {}
         self._released: set[tuple[int, int]] = set()
+        self._waited: set[tuple[int, int]] = set()
         self._handed_over: set[tuple[int, int]] = set()
         self._leaving_since_s: dict[InstanceId, float] = {}
         self._writers_lost_since_s: float | None = None
@@ -981,14 +982,14 @@
 
     def _release(self, now_s: float) -> None:
         """Hand over shards on which no earlier owner can be active."""
+        for shard, owned in self._owned.items():
+            self._released.add((shard, owned.epoch))
+            if self._has_waited(owned):
+                self._waited.add((shard, owned.epoch))
         ready = tuple(
             (shard, owned.epoch)
             for shard, owned in self._owned.items()
-            if (shard, owned.epoch) in self._released
-            or self._has_waited(owned)
-        )
-        self._released.update(
-            (shard, owned.epoch) for shard, owned in self._owned.items()
+            if (shard, owned.epoch) in self._waited
         )
         state = self._applied.state
         if not ready or state is None or now_s < self._next_release_s:
--- a/packages/verbenaworks/src/verbenaworks/state_writes.py
+++ b/packages/verbenaworks/src/verbenaworks/state_writes.py
@@ -85,6 +85,7 @@
     basis: WriteBasis
     state: AgreedState
     value: bytes
+    started_at_s: float
     sent_at_s: float
     request_ids: set[int] = field(default_factory=set)
     unknown: bool = False
@@ -221,15 +222,13 @@
         :param value: empty when the key is absent.
         """
         attempt = self._attempt
-        if (
-            attempt is None
-            or attempt.awaiting_answer
-            or sent_at_s < attempt.sent_at_s
-        ):
+        if attempt is None or sent_at_s < attempt.started_at_s:
             return None, []
         if value == attempt.value:
             return self._took_effect(now_s, version), []
         if version == attempt.basis.version:
+            if attempt.awaiting_answer or sent_at_s < attempt.sent_at_s:
+                return None, []
             return None, [self._put(attempt, now_s)]
         self._attempt = None
         self._settle_superseded(attempt, value)
@@ -283,6 +282,7 @@
                 basis=basis,
                 state=state,
                 value=state.to_bytes(),
+                started_at_s=now_s,
                 sent_at_s=now_s,
             )
             return [self._put(self._attempt, now_s)]
--- /dev/null
+++ b/tests/test_agreement.py
@@ -0,0 +1,416 @@
+"""Rules of the agreement that the seeded histories reach only by chance."""
+
+from collections.abc import Iterable
+from random import Random
+from typing import Any
+
+from agreement_harness import Cluster, encode_config, make_edit
+from verbenaworks.agreed_state import AgreedState
+from verbenaworks.agreement import (
+    ATTEST_LIMIT_S,
+    TICK_S,
+    Agreement,
+    AgreementSettings,
+)
+from verbenaworks.agreement_actions import CallStore, SendMessage
+from verbenaworks.agreement_messages import (
+    ShardsReleased,
+    StateAnswer,
+    StatePoll,
+    WriterResigned,
+)
+from verbenaworks.control_record import (
+    ControlRecord,
+    InstanceId,
+    ShardOwner,
+    Writer,
+)
+from verbenaworks.freshness import DRIFT, FENCE_S, FRESH_S
+from verbenaworks.member import Member, MemberState
+from verbenaworks.state_delta import whole_state
+from verbenaworks.store_requests import (
+    OutcomeUnknown,
+    StoreGet,
+    StorePut,
+    StoreValue,
+    StoreVersion,
+    StoreWatch,
+    VersionFound,
+)
+
+_OWN = InstanceId(name="a", incarnation=1)
+_PEER = InstanceId(name="b", incarnation=1)
+
+
+def make_state(
+    sequence: int,
+    *,
+    writers: Iterable[InstanceId] = (),
+    owner: ShardOwner | None = None,
+    takeover: InstanceId | None = None,
+) -> AgreedState:
+    """Return a state whose shard 3 has the given owner."""
+    config = encode_config([])
+    return AgreedState(
+        sequence=sequence,
+        config=config.document,
+        config_revision=0,
+        control=ControlRecord(
+            writers=tuple(
+                Writer(instance=w, region=f"r{w.name}") for w in writers
+            ),
+            writers_version=1,
+            shards=(None,) * 3 + (owner,) + (None,) * 12,
+            takeover=takeover,
+        ),
+    )
+
+
+class Solo:
+    """One instance whose store and peers are played by the test."""
+
+    def __init__(self, state: AgreedState | None) -> None:
+        self.agreement = Agreement(
+            AgreementSettings(
+                instance=_OWN,
+                region="ra",
+                failure_domain="da",
+                initial_config=encode_config([]),
+            ),
+            0.0,
+            Random(1),
+        )
+        self.state = state
+        self.version = 7
+        self.now_s = 0.0
+        self.answers_store = True
+        self.sent: list[SendMessage] = []
+        self.held: list[Any] = []
+
+    def act(self, actions: list[Any]) -> None:
+        """Carry out actions against a store that holds one state."""
+        for action in actions:
+            if isinstance(action, SendMessage):
+                self.sent.append(action)
+            if not isinstance(action, CallStore):
+                continue
+            request = action.request
+            if isinstance(request, StorePut | StoreWatch) or (
+                not self.answers_store
+            ):
+                self.held.append(request)
+                continue
+            self.answer(request)
+
+    def answer(self, request: Any) -> None:
+        """Answer a read with the store's present state."""
+        assert self.state is not None
+        result: Any = VersionFound(version=self.version)
+        if isinstance(request, StoreGet):
+            result = StoreValue(
+                value=self.state.to_bytes(), version=self.version
+            )
+        self.act(
+            self.agreement.on_store_result(
+                self.now_s, request.request_id, result
+            )
+        )
+
+    def run(self, duration_s: float) -> None:
+        """Let time pass with a tick every ``TICK_S``."""
+        for _ in range(round(duration_s / TICK_S)):
+            self.now_s += TICK_S
+            self.act(self.agreement.tick(self.now_s))
+
+    def poll(self) -> StateAnswer:
+        """Return the answer to a peer's poll."""
+        self.sent.clear()
+        poll = StatePoll(poll_id=5, sequence=0, tag=0, config_revision=0)
+        self.act(self.agreement.on_message(self.now_s, "b", poll))
+        return next(
+            s.message for s in self.sent if isinstance(s.message, StateAnswer)
+        )
+
+    @property
+    def is_fresh(self) -> bool:
+        """Return whether the instance is fresh now."""
+        return self.agreement.is_fresh(self.now_s)
+
+
+def held_of(solo: Solo, kind: type) -> Any:
+    """Return the newest unanswered store request of a kind."""
+    return [r for r in solo.held if isinstance(r, kind)][-1]
+
+
+def test_delayed_store_answer_confirms_its_send_time() -> None:
+    """Guards against freshness counted from the receive time."""
+    solo = Solo(make_state(4, writers=[_PEER]))
+    solo.run(3.0)
+    solo.answers_store = False
+    solo.held.clear()
+    solo.run(0.5)
+    request = held_of(solo, StoreVersion)
+    sent_s = solo.now_s
+    solo.run(1.5)
+    solo.answer(request)
+    confirmed_s = solo.agreement.freshness.confirmed_at_s
+    assert confirmed_s is not None and confirmed_s <= sent_s
+    solo.run(0.6)
+    assert not solo.is_fresh
+
+
+def test_starting_instance_does_not_believe_the_store_at_once() -> None:
+    """Guards against serving from a restored store before its repair."""
+    solo = Solo(make_state(4, writers=[_PEER]))
+    solo.run(0.8)
+    assert solo.agreement.state is not None and not solo.is_fresh
+    solo.run(1.0)
+    assert solo.is_fresh
+
+
+def test_writer_attests_only_while_settled() -> None:
+    """Guards against attesting a state that a late write replaces."""
+    solo = Solo(make_state(4, writers=[_OWN]))
+    solo.run(1.0)
+    assert solo.poll().attests
+    solo.act(solo.agreement.submit(make_edit("e1"), solo.now_s))
+    put = held_of(solo, StorePut)
+    assert not solo.poll().attests
+    solo.act(
+        solo.agreement.on_store_result(
+            solo.now_s, put.request_id, OutcomeUnknown()
+        )
+    )
+    assert not solo.poll().attests
+    # Only a version other than the expected one settles the write.
+    solo.run(0.5)
+    assert not solo.poll().attests
+    solo.version, solo.state = 8, AgreedState.from_bytes(put.value)
+    solo.run(0.6)
+    assert solo.poll().attests
+
+
+def test_writer_stops_attesting_after_the_limit() -> None:
+    """Guards against attesting a list that was replaced meanwhile."""
+    solo = Solo(make_state(4, writers=[_OWN]))
+    solo.run(2.0)
+    solo.answers_store = False
+    solo.now_s += ATTEST_LIMIT_S - 2.0
+    assert solo.poll().attests
+    solo.now_s += 3.0
+    assert not solo.poll().attests
+
+
+def test_writer_does_not_attest_during_a_takeover() -> None:
+    """Guards against attestations while a list is being replaced."""
+    solo = Solo(make_state(4, writers=[_OWN], takeover=_PEER))
+    solo.run(2.0)
+    assert not solo.poll().attests
+
+
+def test_one_of_two_writers_is_not_enough() -> None:
+    """Guards against freshness while one writer may have written."""
+    state = make_state(4, writers=[_PEER, InstanceId(name="c", incarnation=1)])
+    solo = Solo(state)
+    solo.run(1.0)
+    solo.answers_store = False
+    for _ in range(40):
+        solo.run(TICK_S)
+        for sent in solo.sent:
+            if sent.to == "b" and isinstance(sent.message, StatePoll):
+                answer = StateAnswer(
+                    poll_id=sent.message.poll_id,
+                    incarnation=1,
+                    sequence=4,
+                    tag=sent.message.tag,
+                    config_revision=0,
+                    age_s=None,
+                    attests=True,
+                )
+                solo.act(solo.agreement.on_message(solo.now_s, "b", answer))
+        solo.sent.clear()
+    assert not solo.is_fresh
+
+
+def test_new_owner_waits_and_must_be_confirmed_after_the_wait() -> None:
+    """Guards against two owners while the earlier one is still fresh."""
+    earlier = ShardOwner(instance=_PEER, epoch=1)
+    solo = Solo(make_state(4, writers=[_PEER], owner=earlier))
+    solo.run(6.0)
+    solo.state = make_state(
+        5, writers=[_PEER], owner=ShardOwner(instance=_OWN, epoch=2)
+    )
+    solo.version = 8
+    solo.run(0.5)
+    lease = solo.agreement.lease(3)
+    assert lease is not None and lease.epoch == 2
+    solo.run(FENCE_S - 0.6)
+    assert not lease.is_valid(solo.now_s)
+    solo.answers_store = False
+    solo.run(0.3)
+    assert solo.is_fresh and not lease.is_valid(solo.now_s)
+    solo.answers_store = True
+    solo.run(0.9)
+    assert lease.is_valid(solo.now_s)
+    assert not lease.is_valid(solo.now_s + FRESH_S)
+
+
+def test_owner_waits_again_after_a_gap() -> None:
+    """Guards against an owner that wakes while its store is restored."""
+    owner = ShardOwner(instance=_OWN, epoch=2)
+    solo = Solo(make_state(4, writers=[_PEER], owner=owner))
+    solo.run(6.0)
+    lease = solo.agreement.lease(3)
+    assert lease is not None and lease.is_valid(solo.now_s)
+    solo.now_s += 10.0
+    assert not lease.is_valid(solo.now_s)
+    solo.run(2.5)
+    assert solo.is_fresh and not lease.is_valid(solo.now_s)
+    solo.run(2.0)
+    assert lease.is_valid(solo.now_s)
+
+
+def test_graceful_handover_needs_no_wait() -> None:
+    """Guards against seconds without an owner on every shutdown."""
+    solo = Solo(make_state(4, writers=[_PEER]))
+    solo.run(6.0)
+    owner = ShardOwner(instance=_OWN, epoch=2, handed_over=True)
+    solo.state, solo.version = make_state(5, writers=[_PEER], owner=owner), 8
+    solo.run(1.0)
+    lease = solo.agreement.lease(3)
+    assert lease is not None and lease.is_valid(solo.now_s)
+    solo.sent.clear()
+    solo.act(solo.agreement.release_shards(solo.now_s))
+    assert not lease.is_valid(solo.now_s)
+    released = [m.message for m in solo.sent]
+    assert ShardsReleased(owner=_OWN, shards=((3, 2),)) in released
+
+
+def test_shard_is_not_handed_over_during_the_wait() -> None:
+    """Guards against a successor without wait while an owner is fresh."""
+    solo = Solo(make_state(4, writers=[_PEER]))
+    solo.run(6.0)
+    owner = ShardOwner(instance=_OWN, epoch=2)
+    solo.state, solo.version = make_state(5, writers=[_PEER], owner=owner), 8
+    solo.run(0.5)
+    solo.sent.clear()
+    solo.act(solo.agreement.release_shards(solo.now_s))
+    solo.run(0.5)
+    assert not any(isinstance(s.message, ShardsReleased) for s in solo.sent)
+
+
+def test_version_is_not_trusted_after_a_gap() -> None:
+    """Guards against a restored store that reuses a version number."""
+    solo = Solo(make_state(4, writers=[_OWN]))
+    solo.run(2.0)
+    solo.state = make_state(6, writers=[_OWN])
+    solo.now_s += 5.0
+    solo.run(0.6)
+    assert solo.agreement.state == solo.state
+
+
+def test_writer_repairs_a_restored_store() -> None:
+    """Guards against edits that are lost with the store's newest state."""
+    solo = Solo(make_state(4, writers=[_OWN]))
+    solo.run(2.0)
+    solo.state, solo.version = make_state(2, writers=[_PEER]), 5
+    solo.run(1.0)
+    put = held_of(solo, StorePut)
+    written = AgreedState.from_bytes(put.value)
+    assert (put.expected_version, written.sequence) == (5, 5)
+    assert written.control.is_writer(_OWN)
+
+
+def test_resigned_writer_sends_nothing_more() -> None:
+    """Guards against a write after the promise never to write."""
+    solo = Solo(make_state(4, writers=[_OWN]))
+    solo.agreement.set_members([Member(name="b", incarnation=1)])
+    solo.run(2.0)
+    solo.act(solo.agreement.submit(make_edit("e1"), solo.now_s))
+    put = held_of(solo, StorePut)
+    solo.act(solo.agreement.resign(solo.now_s))
+    assert not solo.agreement.has_resigned
+    solo.version, solo.state = 8, AgreedState.from_bytes(put.value)
+    solo.sent.clear()
+    solo.run(3.0)
+    assert solo.agreement.has_resigned
+    (promise,) = [
+        s.message.resignation
+        for s in solo.sent
+        if isinstance(s.message, WriterResigned)
+    ]
+    assert (promise.writer, promise.sequence) == (_OWN, 5)
+    solo.held.clear()
+    solo.act(solo.agreement.submit(make_edit("e2"), solo.now_s))
+    solo.state, solo.version = make_state(2, writers=[_OWN]), 5
+    solo.run(3.0)
+    assert not any(isinstance(r, StorePut) for r in solo.held)
+
+
+def test_lost_writers_are_replaced_only_after_the_limit() -> None:
+    """Guards against a takeover while a cut-off writer still attests."""
+    solo = Solo(make_state(4, writers=[_PEER]))
+    solo.agreement.set_members(
+        [Member(name="b", incarnation=1, state=MemberState.DEAD)]
+    )
+    solo.run(15.0)
+    put = held_of(solo, StorePut)
+    announced = AgreedState.from_bytes(put.value)
+    assert announced.control.takeover == _OWN
+    assert announced.control.is_writer(_PEER)
+    solo.held.clear()
+    solo.state, solo.version = announced, 8
+    solo.run(10.0)
+    assert not any(isinstance(r, StorePut) for r in solo.held)
+    solo.now_s += ATTEST_LIMIT_S * (1 + 2 * DRIFT)
+    solo.run(15.0)
+    taken = AgreedState.from_bytes(held_of(solo, StorePut).value)
+    assert taken.control.is_writer(_OWN)
+    assert not taken.control.is_writer(_PEER)
+
+
+def test_relayed_state_with_a_lower_revision_is_refused() -> None:
+    """Guards against a relay that brings back an earlier document."""
+    solo = Solo(make_state(4, writers=[_PEER]))
+    solo.run(3.0)
+    solo.answers_store = False
+    solo.agreement.set_members([Member(name="b", incarnation=1)])
+    solo.run(2.0)
+    poll = [
+        s.message
+        for s in solo.sent
+        if s.to == "b" and isinstance(s.message, StatePoll)
+    ][-1]
+    older = make_state(3, writers=[_PEER]).to_bytes()
+    solo.act(
+        solo.agreement.on_message(
+            solo.now_s,
+            "b",
+            StateAnswer(
+                poll_id=poll.poll_id,
+                incarnation=1,
+                sequence=3,
+                tag=1,
+                config_revision=0,
+                age_s=0.0,
+                attests=True,
+                update=whole_state(older),
+            ),
+        )
+    )
+    assert solo.agreement.state == make_state(4, writers=[_PEER])
+    assert not solo.is_fresh
+
+
+def test_instance_starts_from_the_writers_while_the_store_is_down() -> None:
+    """Guards against restarts that wait for the store to return."""
+    cluster = Cluster(3)
+    cluster.start_all()
+    cluster.timers.advance(8.0)
+    cluster.store.is_down = True
+    cluster.timers.advance(3.0)
+    node = next(n for n in cluster.nodes.values() if not n.agreement.is_writer)
+    cluster.kill(node.name)
+    node = cluster.start(node.name)
+    cluster.timers.advance(3.0)
+    assert node.agreement.is_fresh(node.clock.now_s())
