Test forwarder, pool and front over real sockets

Cause: truncated answers, short bodies, reused connections and closed callers had no tests. Change: raw-socket backend servers in the tests; 200 MB in each direction through front and forwarder in a process of its own. urllib3 derives a refused connection from a connect timeout, so refusals were counted as timeouts; the pool now tells them apart.

--- a/packages/verbenad/src/verbenad/socket_stream.py
+++ b/packages/verbenad/src/verbenad/socket_stream.py
@@ -120,6 +120,8 @@
         """Return whether data, an end of stream or an error is waiting."""
         if self.position < len(self.buffer):
             return True
+        if not self._green:
+            self._raw.settimeout(0)
         try:
             self._raw.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
         except BlockingIOError:
--- a/packages/verbenad/src/verbenad/upstream_pool.py
+++ b/packages/verbenad/src/verbenad/upstream_pool.py
@@ -7,7 +7,11 @@
 from enum import Enum
 
 from result import Err, Ok, Result
-from urllib3.exceptions import ConnectTimeoutError, HTTPError
+from urllib3.exceptions import (
+    ConnectTimeoutError,
+    HTTPError,
+    NewConnectionError,
+)
 
 from verbenad.target_address import TargetAddress
 from verbenad.upstream_connection import UpstreamConnection
@@ -175,10 +179,13 @@
         try:
             connection = UpstreamConnection(address, connect_s)
             opened = True
-        except ConnectTimeoutError:
-            self.counters["connect_timeouts"] += 1
-            return Err(ConnectFailure.TIMEOUT)
-        except (HTTPError, OSError):
+        except (HTTPError, OSError) as error:
+            # urllib3 derives the refused connection from the timeout.
+            if isinstance(error, ConnectTimeoutError) and not isinstance(
+                error, NewConnectionError
+            ):
+                self.counters["connect_timeouts"] += 1
+                return Err(ConnectFailure.TIMEOUT)
             self.counters["connect_failures"] += 1
             return Err(ConnectFailure.REFUSED)
         finally:
--- a/tests/edge_process.py
+++ b/tests/edge_process.py
@@ -36,6 +36,7 @@
             text=True,
         )
         self.port: int = self.read_line()["port"]
+        self.errors = ""
 
     def read_line(self) -> Any:
         """Return the next JSON line that the process prints."""
@@ -85,9 +86,11 @@
         if self.process.poll() is None:
             self.process.kill()
             self.process.wait(WAIT_S)
-        for pipe in (self.process.stdout, self.process.stderr):
-            if pipe is not None:
-                pipe.close()
+        if self.process.stderr is not None and not self.process.stderr.closed:
+            self.errors = self.process.stderr.read()
+            self.process.stderr.close()
+        if self.process.stdout is not None:
+            self.process.stdout.close()
 
 
 @contextlib.contextmanager
--- /dev/null
+++ b/tests/test_front.py
@@ -0,0 +1,378 @@
+"""Front and forwarder together, in a process of their own."""
+
+import json
+import re
+import socket
+import threading
+import time
+
+import pytest
+
+from edge_process import (
+    WAIT_S,
+    BackendConnection,
+    EdgeProcess,
+    edge,
+    raw_backend,
+    read_to_end,
+)
+
+_GET = b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n"
+_LAST = b"GET /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+_MIB = 1 << 20
+_TRANSFER_BYTES = 200 * _MIB
+
+
+def _content(answer: bytes) -> dict[str, str]:
+    return json.loads(answer.partition(b"\r\n\r\n")[2])
+
+
+def _hello(connection: BackendConnection, number: int) -> None:
+    while True:
+        connection.read_request()
+        connection.send(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello")
+
+
+def _wait_for_count(server: EdgeProcess, part: str, name: str) -> None:
+    deadline_s = time.monotonic() + WAIT_S
+    while not server.state()[part].get(name):
+        assert time.monotonic() < deadline_s, f"{part}.{name} stayed 0"
+        time.sleep(0.02)
+
+
+def test_request_is_forwarded_on_pooled_connections() -> None:
+    """Guards against a new connection for each request."""
+    with raw_backend(_hello) as backend:
+        with edge(backend_port=backend.port) as server:
+            answer = server.exchange(_GET * 4 + _LAST)
+            assert answer.count(b"\r\n\r\nhello") == 5
+        assert backend.accepted == 1
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nhello",
+    ],
+)
+@pytest.mark.parametrize("version", [b"1.0", b"1.1"])
+def test_truncated_answer_is_a_visible_failure(
+    head: bytes, version: bytes
+) -> None:
+    """Guards against a truncated answer that reaches the caller as whole."""
+    got_head = threading.Event()
+
+    def handle(connection: BackendConnection, number: int) -> None:
+        connection.read_request()
+        connection.send(head)
+        got_head.wait(WAIT_S)
+
+    with (
+        raw_backend(handle) as backend,
+        edge(backend_port=backend.port) as server,
+        server.connect() as sock,
+    ):
+        sock.sendall(b"GET /x HTTP/" + version + b"\r\nHost: a\r\n\r\n")
+        answer = b""
+        while b"hello" not in answer:
+            answer += sock.recv(65536)
+        got_head.set()
+        reset = False
+        try:
+            while data := sock.recv(65536):
+                answer += data
+        except ConnectionResetError:
+            reset = True
+    assert not answer.endswith(b"0\r\n\r\n")
+    if b"Content-Length" not in answer:
+        assert reset, "the end of the connection looks like the end"
+
+
+@pytest.mark.parametrize("prefetch", [False, True])
+@pytest.mark.parametrize("chunked", [False, True])
+def test_short_body_is_never_whole_at_the_backend_server(
+    prefetch: bool, chunked: bool
+) -> None:
+    """Guards against a cut-off order that runs as a whole one."""
+    received = threading.Event()
+    whole: list[bytes] = []
+
+    def handle(connection: BackendConnection, number: int) -> None:
+        try:
+            whole.append(connection.read_request()[1])
+        finally:
+            received.set()
+
+    if chunked:
+        body = b"Transfer-Encoding: chunked\r\n\r\n5\r\norder\r\n"
+    else:
+        body = b"Content-Length: 10\r\n\r\norder"
+    with (
+        raw_backend(handle) as backend,
+        edge(backend_port=backend.port, prefetch=prefetch) as server,
+    ):
+        answer = server.exchange(
+            b"POST /x HTTP/1.1\r\nHost: a\r\n" + body, half_close=True
+        )
+        if prefetch:
+            assert backend.accepted == 0
+        else:
+            assert received.wait(WAIT_S)
+        assert b"200 OK" not in answer
+        assert whole == []
+
+
+def test_upload_streams_and_early_answer_is_passed_on() -> None:
+    """Guards against a refusal of an upload that the caller never sees."""
+
+    def handle(connection: BackendConnection, number: int) -> None:
+        connection.read_head()
+        connection.send(
+            b"HTTP/1.1 413 Too Large\r\nContent-Length: 3\r\n\r\nbig"
+        )
+        connection.wait_for_close()
+
+    with (
+        raw_backend(handle) as backend,
+        edge(backend_port=backend.port) as server,
+        server.connect() as sock,
+    ):
+        sock.sendall(
+            b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 9000000\r\n\r\n"
+            + b"x" * 200_000
+        )
+        answer = b""
+        while not answer.endswith(b"big"):
+            # The answer may come only once the next piece is sent.
+            sock.settimeout(0.05)
+            try:
+                answer += sock.recv(65536)
+            except TimeoutError:
+                sock.sendall(b"x" * 70_000)
+    assert answer.startswith(b"HTTP/1.1 413 ")
+    assert b"Connection: close" in answer
+
+
+def test_trailers_and_chunks_to_the_backend_server() -> None:
+    """Guards against trailers, which may carry the key, passing through."""
+    bodies: list[bytes] = []
+
+    def handle(connection: BackendConnection, number: int) -> None:
+        bodies.append(connection.read_request()[1])
+        connection.send(b"HTTP/1.1 204 No Content\r\n\r\n")
+
+    with (
+        raw_backend(handle) as backend,
+        edge(backend_port=backend.port) as server,
+    ):
+        answer = server.exchange(
+            b"POST /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+            b"Transfer-Encoding: chunked\r\nTrailer: X-Verbena-Key\r\n\r\n"
+            b"3;ext=1\r\nabc\r\n0\r\nX-Verbena-Key: k-0123456789abcd\r\n\r\n"
+        )
+    assert answer.startswith(b"HTTP/1.1 204 ")
+    assert bodies == [b"3\r\nabc\r\n0\r\n\r\n"]
+
+
+def test_closed_caller_cancels_the_attempt() -> None:
+    """Guards against backend servers that work for callers who left."""
+    arrived, closed = threading.Event(), threading.Event()
+
+    def handle(connection: BackendConnection, number: int) -> None:
+        connection.read_request()
+        arrived.set()
+        connection.wait_for_close()
+        closed.set()
+
+    with (
+        raw_backend(handle) as backend,
+        edge(
+            backend_port=backend.port, limits={"caller_check_s": 0.02}
+        ) as server,
+    ):
+        with server.connect() as sock:
+            sock.sendall(_GET)
+            assert arrived.wait(WAIT_S)
+        assert closed.wait(WAIT_S)
+        _wait_for_count(server, "forwarder", "caller_gone")
+
+
+def test_closed_caller_stops_a_download() -> None:
+    """Guards against downloads that go on for callers who left."""
+    closed = threading.Event()
+
+    def handle(connection: BackendConnection, number: int) -> None:
+        connection.read_request()
+        connection.send(b"HTTP/1.1 200 OK\r\nContent-Length: 9999999999\r\n")
+        connection.send(b"\r\n")
+        try:
+            while True:
+                connection.send(b"x" * 65536)
+        finally:
+            closed.set()
+
+    with (
+        raw_backend(handle) as backend,
+        edge(backend_port=backend.port) as server,
+    ):
+        with server.connect() as sock:
+            sock.sendall(_GET)
+            sock.recv(65536)
+        assert closed.wait(WAIT_S)
+
+
+def test_graceful_close_finishes_running_requests() -> None:
+    """Guards against a shutdown that interrupts a request."""
+    with edge() as server, server.connect() as busy, server.connect() as idle:
+        idle.sendall(b"GET /echo HTTP/1.1\r\nHost: a\r\n\r\n")
+        assert idle.recv(65536).startswith(b"HTTP/1.1 200 ")
+        busy.sendall(b"GET /slow HTTP/1.1\r\nHost: a\r\n\r\n")
+        server.wait_for_text("running")
+        assert server.stop() == {"finished": True}
+        answer = read_to_end(busy)
+        assert answer.endswith(b"\r\n\r\nfinished")
+        assert b"Connection: close" in answer
+        assert idle.recv(1) == b""
+        with pytest.raises(OSError):
+            socket.create_connection(("127.0.0.1", server.port), 1.0)
+
+
+def test_close_limit_cuts_requests_off() -> None:
+    """Guards against a shutdown that a stuck request holds up for ever."""
+
+    def handle(connection: BackendConnection, number: int) -> None:
+        connection.read_request()
+        arrived.set()
+        connection.wait_for_close()
+
+    arrived = threading.Event()
+    with (
+        raw_backend(handle) as backend,
+        edge(backend_port=backend.port, close_limit_s=0.2) as server,
+        server.connect() as sock,
+    ):
+        sock.sendall(_GET)
+        assert arrived.wait(WAIT_S)
+        assert server.stop() == {"finished": False}
+        assert b"200 OK" not in read_to_end(sock)
+
+
+def test_connection_limit_evicts_idle_connections_first() -> None:
+    """Guards against idle connections that lock new callers out."""
+    with edge(limits={"connections": 2}) as server:
+        idle = [server.connect() for _ in range(2)]
+        for sock in idle:
+            sock.sendall(b"GET /echo HTTP/1.1\r\nHost: a\r\n\r\n")
+            assert sock.recv(65536).startswith(b"HTTP/1.1 200 ")
+        with server.connect() as sock:
+            sock.sendall(b"GET /echo HTTP/1.1\r\nHost: a\r\n\r\n")
+            assert sock.recv(65536).startswith(b"HTTP/1.1 200 ")
+        assert idle[0].recv(1) == b"", "the longest idle one is evicted"
+        for sock in idle:
+            sock.close()
+
+
+def test_connection_limit_refuses_when_all_are_busy() -> None:
+    """Guards against an unbounded number of connections."""
+    arrived = threading.Event()
+
+    def handle(connection: BackendConnection, number: int) -> None:
+        connection.read_request()
+        arrived.set()
+        connection.wait_for_close()
+
+    with (
+        raw_backend(handle) as backend,
+        edge(backend_port=backend.port, limits={"connections": 1}) as server,
+        server.connect() as busy,
+    ):
+        busy.sendall(_GET)
+        assert arrived.wait(WAIT_S)
+        answer = server.exchange(_GET)
+        assert answer.startswith(b"HTTP/1.1 503 ")
+        assert _content(answer)["code"] == "too-many-connections"
+        assert _content(answer)["run"] == "not run"
+        assert b"Retry-After: 1\r\n" in answer
+
+
+def test_no_eventlet_notice_in_the_output() -> None:
+    """Guards against a deprecation notice in front of operators."""
+    with edge() as server:
+        server.stop()
+        assert server.errors == ""
+
+
+def test_large_upload_in_bounded_memory() -> None:
+    """Guards against bodies that are held in memory."""
+    received: list[int] = []
+
+    def handle(connection: BackendConnection, number: int) -> None:
+        while True:
+            head = connection.read_head()
+            count = len(connection.buffer)
+            connection.buffer = b""
+            length = re.search(rb"Content-Length: (\d+)", head)
+            wanted = int(length.group(1)) if length else 0
+            while count < wanted:
+                count += len(connection.sock.recv(_MIB))
+            received.append(count)
+            connection.send(b"HTTP/1.1 204 No Content\r\n\r\n")
+
+    with (
+        raw_backend(handle) as backend,
+        edge(backend_port=backend.port) as server,
+    ):
+        server.exchange(_LAST)
+        before_kb = server.state()["resident_kb"]
+        with server.connect() as sock:
+            sock.sendall(
+                b"PUT /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+                b"Content-Length: %d\r\n\r\n" % _TRANSFER_BYTES
+            )
+            piece = b"x" * _MIB
+            for _ in range(200):
+                sock.sendall(piece)
+            assert read_to_end(sock).startswith(b"HTTP/1.1 204 ")
+        growth_kb = server.state()["peak_kb"] - before_kb
+    assert received[-1] == _TRANSFER_BYTES
+    assert growth_kb <= 16 * 1024
+
+
+@pytest.mark.parametrize("chunked", [False, True])
+def test_large_download_in_bounded_memory(chunked: bool) -> None:
+    """Guards against answers that are held in memory."""
+
+    def handle(connection: BackendConnection, number: int) -> None:
+        connection.read_request()
+        piece = b"x" * _MIB
+        if chunked:
+            connection.send(b"HTTP/1.1 200 OK\r\n")
+            connection.send(b"Transfer-Encoding: chunked\r\n\r\n")
+            piece = b"100000\r\n" + piece + b"\r\n"
+        else:
+            connection.send(
+                b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n"
+                % _TRANSFER_BYTES
+            )
+        for _ in range(200):
+            connection.send(piece)
+        if chunked:
+            connection.send(b"0\r\n\r\n")
+
+    with (
+        raw_backend(handle) as backend,
+        edge(backend_port=backend.port) as server,
+    ):
+        server.exchange(
+            b"GET /echo HTTP/1.1\r\nHost: a\r\n\r\n", half_close=True
+        )
+        before_kb = server.state()["resident_kb"]
+        count = 0
+        with server.connect() as sock:
+            sock.sendall(_LAST)
+            while data := sock.recv(_MIB):
+                count += data.count(b"x")
+        growth_kb = server.state()["peak_kb"] - before_kb
+    assert count >= _TRANSFER_BYTES
+    assert growth_kb <= 16 * 1024
--- /dev/null
+++ b/tests/test_upstream_pool.py
@@ -0,0 +1,169 @@
+"""Connections to backend servers."""
+
+import time
+
+from result import Err
+
+from edge_process import BackendConnection, RawBackend, raw_backend
+from verbenad.upstream_connection import UpstreamConnection
+from verbenad.upstream_pool import ConnectFailure, PoolSettings, UpstreamPool
+
+
+class _Clock:
+    """A clock that the test sets."""
+
+    def __init__(self) -> None:
+        self.time_s = 100.0
+
+    def __call__(self) -> float:
+        return self.time_s
+
+
+def _hold(connection: BackendConnection, number: int) -> None:
+    connection.wait_for_close()
+
+
+def _take(
+    pool: UpstreamPool,
+    backend: RawBackend,
+    *,
+    limit: int = 10,
+    idempotent: bool = True,
+    fresh: bool = False,
+) -> UpstreamConnection:
+    return pool.acquire(
+        backend.address, limit=limit, idempotent=idempotent, fresh=fresh
+    ).unwrap()
+
+
+def test_released_connection_is_reused() -> None:
+    """Guards against paying for a new connection each time."""
+    pool = UpstreamPool()
+    with raw_backend(_hold) as backend:
+        first = _take(pool, backend)
+        assert not first.reused
+        pool.release(first)
+        second = _take(pool, backend)
+        assert second is first
+        assert second.reused
+
+
+def test_connection_in_use_is_not_handed_out() -> None:
+    """Guards against two requests on one connection."""
+    pool = UpstreamPool()
+    with raw_backend(_hold) as backend:
+        assert _take(pool, backend) is not _take(pool, backend)
+
+
+def test_discarded_connection_is_not_reused() -> None:
+    """Guards against reading the rest of an earlier answer."""
+    pool = UpstreamPool()
+    with raw_backend(_hold) as backend:
+        first = _take(pool, backend)
+        pool.discard(first)
+        assert _take(pool, backend) is not first
+        assert pool.total(backend.address) == 1
+
+
+def test_connection_that_the_server_closed_is_not_reused() -> None:
+    """Guards against sending a request into a closed connection."""
+
+    def close_on_byte(connection: BackendConnection, number: int) -> None:
+        connection.read_exactly(1)
+
+    pool = UpstreamPool()
+    with raw_backend(close_on_byte) as backend:
+        first = _take(pool, backend)
+        first.stream.send_all(b"x", 1.0)
+        pool.release(first)
+        # The close is on its way once the handler has read the byte.
+        while not first.stream.has_input():
+            time.sleep(0.001)
+        assert _take(pool, backend) is not first
+        assert pool.counters["closed_by_target"] == 1
+
+
+def test_connection_with_unexpected_bytes_is_not_reused() -> None:
+    """Guards against bytes without a request that become an answer."""
+
+    def talk(connection: BackendConnection, number: int) -> None:
+        connection.send(b"HTTP/1.1 408 Timeout\r\n\r\n")
+        connection.wait_for_close()
+
+    pool = UpstreamPool()
+    with raw_backend(talk) as backend:
+        first = _take(pool, backend)
+        pool.release(first)
+        while not first.stream.has_input():
+            time.sleep(0.001)
+        assert _take(pool, backend) is not first
+
+
+def test_old_connection_is_not_used_for_non_idempotent_requests() -> None:
+    """Guards against an order sent into a connection that is closing."""
+    clock = _Clock()
+    pool = UpstreamPool(now_s=clock)
+    with raw_backend(_hold) as backend:
+        first = _take(pool, backend)
+        pool.release(first)
+        clock.time_s += 0.9
+        assert _take(pool, backend, idempotent=False) is first
+        pool.release(first)
+        clock.time_s += 1.0
+        assert _take(pool, backend, idempotent=False) is not first
+        assert _take(pool, backend, idempotent=True) is first
+
+
+def test_idle_connections_are_closed_by_age() -> None:
+    """Guards against connections that are held for ever."""
+    clock = _Clock()
+    pool = UpstreamPool(PoolSettings(idle_s=5.0), now_s=clock)
+    with raw_backend(_hold) as backend:
+        first = _take(pool, backend)
+        pool.release(first)
+        clock.time_s += 4.9
+        pool.close_expired()
+        assert pool.total(backend.address) == 1
+        clock.time_s += 0.2
+        pool.close_expired()
+        assert pool.total(backend.address) == 0
+
+
+def test_limit_counts_idle_connections() -> None:
+    """Guards against more connections than the target's share."""
+    clock = _Clock()
+    pool = UpstreamPool(now_s=clock)
+    with raw_backend(_hold) as backend:
+        first, second = _take(pool, backend), _take(pool, backend)
+        outcome = pool.acquire(backend.address, limit=2, idempotent=True)
+        assert outcome == Err(ConnectFailure.LIMIT)
+        pool.release(first)
+        third = _take(pool, backend, limit=2, fresh=True)
+        assert third is not first
+        assert pool.total(backend.address) == 2
+        pool.release(second)
+        pool.release(third)
+        assert pool.total(backend.address) == 2
+
+
+def test_failed_connect_leaves_no_count() -> None:
+    """Guards against a limit that failed connects use up."""
+    pool = UpstreamPool()
+    with raw_backend(_hold) as backend:
+        pass
+    for _ in range(3):
+        outcome = pool.acquire(backend.address, limit=1, idempotent=True)
+        assert outcome == Err(ConnectFailure.REFUSED)
+    assert pool.total(backend.address) == 0
+
+
+def test_close_target_closes_idle_connections() -> None:
+    """Guards against idle connections to a server that has left."""
+    pool = UpstreamPool()
+    with raw_backend(_hold) as backend:
+        used, idle = _take(pool, backend), _take(pool, backend)
+        pool.release(idle)
+        pool.close_target(backend.address)
+        assert pool.total(backend.address) == 1
+        assert pool.in_use(backend.address) == 1
+        pool.release(used)
