--- a/packages/verbenad/src/verbenad/daemon_settings.py
+++ b/packages/verbenad/src/verbenad/daemon_settings.py
@@ -78,6 +78,8 @@
     bus_address: str
     store_url: str
     instances_url: str
+    domain_delay_s: float
+    region_delay_s: float
     bootstrap_token: str | None
     log_level: str
     max_connections: int
@@ -133,6 +135,20 @@
         kind=_URL,
         description="The platform's list of instances.",
     ),
+    ProcessSetting(
+        name="domain_delay_s",
+        kind=Number(minimum=0.0, maximum=1.0),
+        default=0.001,
+        description=(
+            "Usual one-way delay between failure domains of a region."
+        ),
+    ),
+    ProcessSetting(
+        name="region_delay_s",
+        kind=Number(minimum=0.0, maximum=1.0),
+        default=0.015,
+        description="Usual one-way delay between regions.",
+    ),
     ProcessSetting(
         name="bootstrap_token",
         kind=Text(
--- a/packages/verbenaworks/src/verbenaworks/budget_taker.py
+++ b/packages/verbenaworks/src/verbenaworks/budget_taker.py
@@ -1,6 +1,6 @@
 """State machine of an instance that takes from one shard's budgets."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from verbenaworks.budget_spec import (
     GRANT_TTL_S,
@@ -115,6 +115,38 @@
             case _:
                 return False
 
+    def available(self, now_s: float, budget: str) -> int:
+        """Return the granted units of a level budget that are not in use."""
+        match self._holding(budget):
+            case LevelHolding() as holding:
+                return holding.available(now_s)
+            case _:
+                return 0
+
+    def granted(self, now_s: float, budget: str) -> int:
+        """Return the granted units of a level budget."""
+        match self._holdings.get(budget):
+            case LevelHolding() as holding:
+                return holding.granted(now_s)
+            case _:
+                return 0
+
+    def state_wants(
+        self, now_s: float, budget: str, wants: Mapping[str, int]
+    ) -> None:
+        """Set the demand for units by workspace.
+
+        Without it, the demand is observed from the calls of
+        :meth:`try_take`.
+        """
+        if budget not in self._holdings and not any(wants.values()):
+            return
+        match self._holding(budget):
+            case LevelHolding() as holding:
+                holding.state_wants(now_s, wants)
+            case _:
+                return
+
     def must_end_at_s(self, hold: Hold) -> float:
         """Return when a use of units must end unless the grant is renewed.
 
--- a/packages/verbenaworks/src/verbenaworks/client_blocks.py
+++ b/packages/verbenaworks/src/verbenaworks/client_blocks.py
@@ -8,7 +8,7 @@
 import ipaddress
 from array import array
 from bisect import bisect_right
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
 from verbenaworks.errors import VerbenaError
@@ -99,6 +99,13 @@
             range_start=self._starts[version][index],
         )
 
+    def ranges(self) -> Iterator[tuple[int, str]]:
+        """Return start and site of each range that has a site."""
+        for version, starts in self._starts.items():
+            for start, site_id in zip(starts, self._ids[version], strict=True):
+                if site_id != _NO_SITE:
+                    yield start, self._sites[site_id]
+
     def _flatten(
         self, version: int, ranges: list[tuple[int, int, int]]
     ) -> None:
--- a/packages/verbenaworks/src/verbenaworks/level_holding.py
+++ b/packages/verbenaworks/src/verbenaworks/level_holding.py
@@ -1,5 +1,7 @@
 """The taker's part of one level budget."""
 
+from collections.abc import Mapping
+
 from verbenaworks.fair_share import fair_share
 from verbenaworks.grant import Grant, GrantWant, WorkspaceWant
 from verbenaworks.hold import Hold
@@ -25,11 +27,13 @@
         self._peaks_since_s = 0.0
         self._missing: dict[str, int] = {}
         self._asked_at_s = float("-inf")
+        self._stated: dict[str, int] | None = None
+        self._is_restated = False
 
     @property
     def is_short(self) -> bool:
-        """Whether a caller waits for units."""
-        return bool(self._missing)
+        """Whether a caller waits for units or more units are wanted."""
+        return bool(self._missing) or self._is_restated
 
     @property
     def asked_at_s(self) -> float:
@@ -45,6 +49,25 @@
         """Return when uses must end unless the grant is renewed."""
         return self._expires_at_s + self._linger_s
 
+    def available(self, now_s: float) -> int:
+        """Return the granted units that are not in use."""
+        self.expire(now_s)
+        return max(0, self._amount - self._in_use)
+
+    def granted(self, now_s: float) -> int:
+        """Return the granted units."""
+        self.expire(now_s)
+        return self._amount
+
+    def state_wants(self, now_s: float, wants: Mapping[str, int]) -> None:
+        """Set the demand by workspace in place of the observed one."""
+        stated = {name: amount for name, amount in wants.items() if amount}
+        if stated:
+            self._asked_at_s = now_s
+        if stated != self._stated and sum(stated.values()) > self._amount:
+            self._is_restated = True
+        self._stated = stated
+
     def limit_linger(self, linger_s: float) -> None:
         """Apply changed settings; an increase waits for a new process."""
         self._linger_s = min(self._linger_s, linger_s)
@@ -98,18 +121,10 @@
         self.expire(now_s)
         if is_idle:
             self._amount = 0
-        wants = []
-        for workspace in self._peaks | self._earlier_peaks | self._missing:
-            peak = max(
-                self._peaks.get(workspace, 0),
-                self._earlier_peaks.get(workspace, 0),
-            )
-            # Callers that wait may be counted more than once.
-            missing = min(self._missing.get(workspace, 0), max(1, peak))
-            if peak + missing > 0:
-                wants.append(
-                    WorkspaceWant(workspace=workspace, amount=peak + missing)
-                )
+        wants = self._observed_wants()
+        if self._stated is not None:
+            wants = self._stated
+        self._is_restated = False
         self._missing = {}
         if now_s - self._peaks_since_s >= _PEAK_S:
             self._earlier_peaks = self._peaks
@@ -119,9 +134,25 @@
             budget=self._name,
             kept=max(self._amount, self._in_use),
             in_use=self._in_use,
-            wants=tuple(wants),
+            wants=tuple(
+                WorkspaceWant(workspace=workspace, amount=amount)
+                for workspace, amount in wants.items()
+            ),
         )
 
+    def _observed_wants(self) -> dict[str, int]:
+        wants = {}
+        for workspace in self._peaks | self._earlier_peaks | self._missing:
+            peak = max(
+                self._peaks.get(workspace, 0),
+                self._earlier_peaks.get(workspace, 0),
+            )
+            # Callers that wait may be counted more than once.
+            missing = min(self._missing.get(workspace, 0), max(1, peak))
+            if peak + missing > 0:
+                wants[workspace] = peak + missing
+        return wants
+
     def accept(self, now_s: float, grant: Grant, expires_at_s: float) -> bool:
         """Put a grant in force; return whether it freed units to return."""
         is_smaller = grant.amount < self._amount
