--- a/packages/standins/src/standins/backend_app.py
+++ b/packages/standins/src/standins/backend_app.py
@@ -60,7 +60,7 @@
         self._silenced: set[object] = set()
         self._connections: dict[object, object] = {}
         self._history: deque[BackendRun] = deque(maxlen=HISTORY_LENGTH)
-        self._reports: deque[tuple[float, float]] = deque(maxlen=1000)
+        self._reports: deque[tuple[float, int]] = deque(maxlen=1000)
 
     def __call__(
         self, environ: Environ, start_response: StartResponse
@@ -191,17 +191,18 @@
         if self._faults.reported_healthy is not None:
             healthy = self._faults.reported_healthy
         status = "200 OK" if healthy else "503 Service Unavailable"
-        body = {"healthy": healthy, "draining": self._faults.draining}
+        word = "draining" if self._faults.draining else "failing"
+        body = {"status": "ok" if healthy else word}
         return json_answer(start_response, status, body)
 
     def _load(self, start_response: StartResponse) -> Iterable[bytes]:
-        load = self._faults.reported_load
-        if load is None:
+        in_flight = self._faults.reported_in_flight
+        if in_flight is None:
             limit_s = time.monotonic() - self._faults.report_lag_s
             past = [n for at_s, n in self._reports if at_s <= limit_s]
-            load = (past[-1] if past else 0) / self._slots
+            in_flight = past[-1] if past else 0
         return json_answer(
-            start_response, "200 OK", {"load": load, "slots": self._slots}
+            start_response, "200 OK", {"in_flight": in_flight, "queued": 0}
         )
 
     def _admin(
--- a/packages/standins/src/standins/backend_faults.py
+++ b/packages/standins/src/standins/backend_faults.py
@@ -9,7 +9,7 @@
 
     :ivar draining: refuses new requests as not run and reports it.
     :ivar report_lag_s: age of the state that load and health show.
-    :ivar reported_load: load to claim in place of the true one.
+    :ivar reported_in_flight: load to claim in place of the true one.
     :ivar reported_healthy: health to claim in place of the true one.
     :ivar silent: connections open now get no answer any more.
     :ivar slow_factor: multiplies the service time.
@@ -18,7 +18,7 @@
 
     draining: bool = False
     report_lag_s: float = 0.0
-    reported_load: float | None = None
+    reported_in_flight: int | None = None
     reported_healthy: bool | None = None
     silent: bool = False
     slow_factor: float = 1.0
--- /dev/null
+++ b/packages/standins/src/standins/local_deployment.py
@@ -0,0 +1,273 @@
+"""A small deployment of real processes on this machine."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from dataclasses import dataclass
+from functools import partial
+from pathlib import Path
+
+import urllib3
+
+from standins.deployment_settings import (
+    DeploymentSettings,
+    deployment_settings,
+    target_names,
+)
+from standins.deployments import Deployment
+
+BOOTSTRAP_TOKEN = "bootstrap-token-of-the-demo"
+START_LIMIT_S = 30.0
+STOP_LIMIT_S = 10.0
+_STORE_OFFSET = 0
+_LIST_OFFSET = 1
+_INSTANCE_OFFSET = 10
+_TARGET_OFFSET = 100
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class InstanceAddresses:
+    """Addresses of an entry instance."""
+
+    name: str
+    region: str
+    failure_domain: str
+    caller: str
+    admin: str
+    bus: str
+
+
+class LocalDeployment:
+    """Starts, breaks and stops the processes of one deployment.
+
+    :param base_port: first of about 200 ports on 127.0.0.1.
+    :param log_directory: receives a log file for each process.
+    """
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        *,
+        base_port: int,
+        instances: int,
+        log_directory: Path,
+        cold_s: float = 0.0,
+    ) -> None:
+        self.deployment = deployment
+        self._base_port = base_port
+        self._logs = log_directory
+        self._cold_s = cold_s
+        self._processes: dict[str, subprocess.Popen[bytes]] = {}
+        self._http = urllib3.PoolManager(retries=False)
+        self.store_url = f"http://127.0.0.1:{base_port + _STORE_OFFSET}"
+        self.list_url = f"http://127.0.0.1:{base_port + _LIST_OFFSET}"
+        self.target_ports = {
+            name: base_port + _TARGET_OFFSET + index
+            for index, (name, _, _) in enumerate(target_names(deployment))
+        }
+        self.instances = {
+            f"e{number}": self._addresses(number)
+            for number in range(1, instances + 1)
+        }
+        self.settings: DeploymentSettings = deployment_settings(
+            deployment, self.target_ports
+        )
+
+    def start(self) -> None:
+        """Start everything and put the settings in force."""
+        self._logs.mkdir(parents=True, exist_ok=True)
+        self.start_platform()
+        for name in self.instances:
+            self.start_instance(name)
+        self.wait_until_fresh()
+        self.import_settings()
+
+    def start_platform(self) -> None:
+        """Start store, instance list and backend servers."""
+        self._spawn("store", ["store", "--port", _port(self.store_url)])
+        self._spawn(
+            "instance-list",
+            ["instance-list", "--port", _port(self.list_url)],
+        )
+        arguments = ["backends", "--cold-s", str(self._cold_s)]
+        for name, slots, service_s in target_names(self.deployment):
+            port = self.target_ports[name]
+            arguments += [
+                "--target",
+                f"{name}:{port}:{slots}:{service_s * 1000}",
+            ]
+        self._spawn("backends", arguments)
+        self._wait(lambda: self._get(f"{self.store_url}/v1/version/x"))
+        self._wait(lambda: self._get(f"{self.list_url}/v1/instances"))
+
+    def start_instance(self, name: str) -> None:
+        """Start an entry instance and enter it in the platform's list."""
+        address = self.instances[name]
+        self.put(
+            f"{self.list_url}/admin/instances/{name}",
+            {"kind": "entry", "state": "live", "bus_address": address.bus},
+        )
+        environment = os.environ | {
+            "VERBENAD_NAME": name,
+            "VERBENAD_DEPLOYMENT": self.deployment.name,
+            "VERBENAD_REGION": address.region,
+            "VERBENAD_FAILURE_DOMAIN": address.failure_domain,
+            "VERBENAD_CALLER_ADDRESS": address.caller,
+            "VERBENAD_ADMIN_ADDRESS": address.admin,
+            "VERBENAD_BUS_ADDRESS": address.bus,
+            "VERBENAD_STORE_URL": self.store_url,
+            "VERBENAD_INSTANCES_URL": self.list_url,
+            "VERBENAD_BOOTSTRAP_TOKEN": BOOTSTRAP_TOKEN,
+        }
+        self._popen(name, ["-m", "verbenad"], environment)
+
+    def wait_until_fresh(self, names: list[str] | None = None) -> float:
+        """Wait until instances are ready; return the time in seconds."""
+        began_s = time.monotonic()
+        for name in names or list(self.instances):
+            url = f"http://{self.instances[name].caller}/readyz"
+            self._wait(partial(self._get, url))
+        return time.monotonic() - began_s
+
+    def import_settings(self) -> None:
+        """Put the deployment's settings in force with ``verbena``."""
+        path = self._logs / "settings.json"
+        path.write_text(json.dumps(self.settings.to_import()))
+        self.verbena("import", str(path), "--wait")
+
+    def verbena(self, *arguments: str) -> str:
+        """Run the operators' command line and return its output.
+
+        :raises RuntimeError: if it fails.
+        """
+        result = subprocess.run(
+            [sys.executable, "-m", "verbena", *arguments],
+            env=os.environ
+            | {
+                "VERBENA_INSTANCES": ",".join(
+                    a.admin
+                    for n, a in self.instances.items()
+                    if self.is_running(n)
+                ),
+                "VERBENA_TOKEN": BOOTSTRAP_TOKEN,
+            },
+            capture_output=True,
+            text=True,
+            timeout=60,
+            check=False,
+        )
+        if result.returncode:
+            raise RuntimeError(
+                f"verbena {' '.join(arguments)} exited with "
+                f"{result.returncode}: {result.stdout}{result.stderr}"
+            )
+        return result.stdout
+
+    def is_running(self, name: str) -> bool:
+        """Return whether a process runs."""
+        process = self._processes.get(name)
+        return process is not None and process.poll() is None
+
+    def kill(self, name: str) -> None:
+        """End a process at once, as a crash does."""
+        process = self._processes.pop(name)
+        process.kill()
+        process.wait()
+
+    def freeze(self, name: str) -> None:
+        """Pause a process."""
+        self._processes[name].send_signal(signal.SIGSTOP)
+
+    def thaw(self, name: str) -> None:
+        """Let a paused process go on."""
+        self._processes[name].send_signal(signal.SIGCONT)
+
+    def terminate(self, name: str) -> subprocess.Popen[bytes]:
+        """Ask a process to shut down gracefully; does not wait."""
+        process = self._processes[name]
+        process.terminate()
+        return process
+
+    def stop(self) -> None:
+        """End everything that this object started."""
+        for process in self._processes.values():
+            process.send_signal(signal.SIGCONT)
+            process.kill()
+        for process in self._processes.values():
+            process.wait(STOP_LIMIT_S)
+        self._processes.clear()
+
+    def put(self, url: str, body: object) -> object:
+        """Send JSON to a stand-in's administration page."""
+        answer = self._http.request("PUT", url, json=body, timeout=5.0)
+        return answer.json()
+
+    def get_json(self, url: str) -> object:
+        """Return the JSON of a stand-in's page."""
+        return self._http.request("GET", url, timeout=5.0).json()
+
+    def target_url(self, name: str) -> str:
+        """Return the base URL of a target by ``service/target``."""
+        return f"http://127.0.0.1:{self.target_ports[name]}"
+
+    def set_store_faults(self, **faults: object) -> None:
+        """Set the store's failures; without arguments it works again."""
+        self.put(f"{self.store_url}/admin/faults", faults)
+
+    def set_target_faults(self, name: str, **faults: object) -> None:
+        """Set a target's failures; without arguments it works again."""
+        self.put(f"{self.target_url(name)}/admin/faults", faults)
+
+    def _addresses(self, number: int) -> InstanceAddresses:
+        domains = self.deployment.failure_domains
+        # Spreads instances over regions first, then over failure domains.
+        index = 2 * (number - 1) + (number - 1) // 3
+        domain, region = domains[index % len(domains)]
+        port = self._base_port + _INSTANCE_OFFSET + 4 * number
+        return InstanceAddresses(
+            name=f"e{number}",
+            region=region,
+            failure_domain=domain,
+            caller=f"127.0.0.1:{port}",
+            admin=f"127.0.0.1:{port + 1}",
+            bus=f"127.0.0.1:{port + 2}",
+        )
+
+    def _spawn(self, name: str, arguments: list[str]) -> None:
+        self._popen(name, ["-m", "standins", *arguments], dict(os.environ))
+
+    def _popen(
+        self, name: str, arguments: list[str], environment: dict[str, str]
+    ) -> None:
+        with (self._logs / f"{name}.log").open("ab") as log:
+            self._processes[name] = subprocess.Popen(
+                [sys.executable, *arguments],
+                env=environment,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+            )
+
+    def _get(self, url: str) -> bool:
+        try:
+            answer = self._http.request("GET", url, timeout=1.0)
+        except urllib3.exceptions.HTTPError:
+            return False
+        return answer.status == 200
+
+    def _wait(self, is_done: object) -> None:
+        end_s = time.monotonic() + START_LIMIT_S
+        while time.monotonic() < end_s:
+            if callable(is_done) and is_done():
+                return
+            time.sleep(0.02)
+        raise TimeoutError(
+            f"not ready after {START_LIMIT_S} s; see the logs in {self._logs}"
+        )
+
+
+def _port(url: str) -> str:
+    return url.rpartition(":")[2]
--- /dev/null
+++ b/packages/verbenad/src/verbenad/budget_plan.py
@@ -0,0 +1,95 @@
+"""The budgets that a configuration sets."""
+
+from collections.abc import Iterator
+from math import floor
+
+from verbenaworks.budget_spec import Budget, LevelBudget, RateBudget
+from verbenaworks.compiled_config import CompiledConfig
+
+STORE_CLAIMS_BUDGET = "runs/store-claims"
+STORE_CLAIMS_PER_S = 100
+# The parts of a region's load belong to different shards.
+REGION_PARTS = 8
+
+
+def rate_budget_name(workspace: str) -> str:
+    """Return the name of a workspace's rate budget."""
+    return f"rate/{workspace}"
+
+
+def slots_budget_name(target: str) -> str:
+    """Return the name of a target's slots; ``target`` is service/name."""
+    return f"slots/{target}"
+
+
+def region_budget_name(part: str) -> str:
+    """Return the name of a part of a region's load."""
+    return f"region/{part}"
+
+
+def region_parts(config: CompiledConfig, region: str) -> dict[str, int]:
+    """Return the capacity of each part of a region's load, by part name.
+
+    The parts add up to the slots of the region without its headroom.
+    """
+    slots = sum(
+        target.slots
+        for service in config.services.values()
+        for target in service.targets.values()
+        if target.region == region
+    )
+    settings = config.regions[region]
+    # Headroom is rounded down: a region with few slots keeps at least one.
+    free = floor(slots * settings.headroom_share)
+    whole, rest = divmod(min(slots - free, settings.slot_limit), REGION_PARTS)
+    return {
+        f"{region}/{part}": whole + (part < rest)
+        for part in range(REGION_PARTS)
+    }
+
+
+def plan_budgets(config: CompiledConfig) -> list[Budget]:
+    """Return all budgets of a configuration."""
+    return [
+        *_rates(config),
+        *_slots(config),
+        *_regions(config),
+        RateBudget(
+            name=STORE_CLAIMS_BUDGET,
+            rate_per_s=STORE_CLAIMS_PER_S,
+            burst=STORE_CLAIMS_PER_S,
+        ),
+    ]
+
+
+def _rates(config: CompiledConfig) -> Iterator[Budget]:
+    for workspace in config.workspaces.values():
+        yield RateBudget(
+            name=rate_budget_name(workspace.name),
+            rate_per_s=workspace.rate_per_s,
+            burst=floor(workspace.burst),
+        )
+
+
+def _slots(config: CompiledConfig) -> Iterator[Budget]:
+    for service in config.services.values():
+        for target in service.targets.values():
+            yield LevelBudget(
+                name=slots_budget_name(f"{service.name}/{target.name}"),
+                capacity=target.slots,
+                linger_s=service.policy.deadline_s,
+            )
+
+
+def _regions(config: CompiledConfig) -> Iterator[Budget]:
+    linger_s = max(
+        (service.policy.deadline_s for service in config.services.values()),
+        default=0.0,
+    )
+    for region in config.regions:
+        for part, capacity in region_parts(config, region).items():
+            yield LevelBudget(
+                name=region_budget_name(part),
+                capacity=capacity,
+                linger_s=linger_s,
+            )
--- a/packages/verbenad/src/verbenad/bus.py
+++ b/packages/verbenad/src/verbenad/bus.py
@@ -21,15 +21,27 @@
 # open connection can go silent while new ones work.
 REDIAL_AFTER_S = 2.0
 
-Handler = Callable[[str, Any], None]
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Sender:
+    """Who sent a message.
+
+    :ivar address: bus address for answers, ``host:port``.
+    """
+
+    name: str
+    address: str
+
+
+Handler = Callable[[Sender, Any], None]
 
 
 @wire_message
 @dataclass(frozen=True, kw_only=True, slots=True)
 class BusEnvelope:
-    """A message with the bus address of its sender."""
+    """A message with its sender."""
 
-    sender: str
+    sender: Sender
     body: bytes
 
 
@@ -42,12 +54,17 @@
 class Bus:
     """Sends and receives messages.
 
+    :param name: name of this instance.
     :param address: own bus address, ``host:port``.
     :param now_s: monotonic clock.
     """
 
-    def __init__(self, address: str, now_s: Callable[[], float]) -> None:
+    def __init__(
+        self, name: str, address: str, now_s: Callable[[], float]
+    ) -> None:
+        self.name = name
         self.address = address
+        self._sender = Sender(name=name, address=address)
         self._now_s = now_s
         self._handlers: dict[type, Handler] = {}
         self._peers: dict[str, _Peer] = {}
@@ -61,7 +78,7 @@
         self.received_bytes = 0
 
     def subscribe(self, message_type: type, handler: Handler) -> None:
-        """Call ``handler(sender_address, message)`` for each message."""
+        """Call ``handler(sender, message)`` for each message."""
         self._handlers[message_type] = handler
 
     def send(self, address: str, message: Any) -> None:
@@ -73,9 +90,9 @@
     ) -> None:
         """Queue an encoded message; used to encode once for many peers."""
         if address == self.address:
-            eventlet.spawn_n(self._deliver, address, body)
+            eventlet.spawn_n(self._deliver, self._sender, body)
             return
-        data = encode(BusEnvelope(sender=self.address, body=body))
+        data = encode(BusEnvelope(sender=self._sender, body=body))
         try:
             self._peer(address).socket.send(data, block=False)
             self.sent_bytes += len(data)
@@ -111,10 +128,10 @@
         if not isinstance(envelope, BusEnvelope):
             self.malformed += 1
             return
-        self._heard_at_s[envelope.sender] = self._now_s()
+        self._heard_at_s[envelope.sender.address] = self._now_s()
         self._deliver(envelope.sender, envelope.body)
 
-    def _deliver(self, sender: str, body: bytes) -> None:
+    def _deliver(self, sender: Sender, body: bytes) -> None:
         try:
             message = decode(body)
         except WireError:
--- /dev/null
+++ b/packages/verbenad/src/verbenad/call_runner.py
@@ -0,0 +1,312 @@
+"""Runs an admitted request: target, attempts, retries, answer."""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+
+from result import Err, Ok
+
+from verbenad.answer_stream import AnswerStream
+from verbenad.attempt_failed import AttemptFailed, FailureKind
+from verbenad.call import Call
+from verbenad.crash_reports import CrashReports
+from verbenad.crash_watch import CrashWatch
+from verbenad.decision_log import (
+    CandidateDecision,
+    DecisionLog,
+    RoutingDecision,
+)
+from verbenad.dispatcher import Dispatcher
+from verbenad.forward_request import ForwardRequest
+from verbenad.forwarder import Forwarder
+from verbenad.refusal import NOT_RUN, OUTCOME_UNKNOWN
+from verbenad.refused import Refused, refused
+from verbenad.suspect_lane import SuspectLane
+from verbenad.upstream_answer import UpstreamAnswer
+from verbenaworks.attempt_outcome import (
+    Cancelled,
+    Failed,
+    Outcome,
+    RefusedLeaving,
+    RefusedOverload,
+)
+from verbenaworks.choice_result import Candidate, Choice, ChoiceRequest
+from verbenaworks.crash_ledger import Clean, Suspect
+from verbenaworks.crash_ledger import Refused as CrashRefused
+from verbenaworks.queue_result import Shed, ShedReason, Started
+from verbenaworks.retry_budget import RetryBudget
+from verbenaworks.target import TargetInfo
+
+MAX_ATTEMPTS = 3
+# A request that crashed one server is tried by us on at most one other.
+MAX_CRASHES_OF_CALL = 2
+# Waits for a first byte on a pooled connection, in usual service times.
+SILENT_FACTOR = 3.0
+SILENT_MIN_S = 0.2
+SILENT_MAX_S = 2.0
+
+_SHED_CODES = {
+    ShedReason.DEADLINE: "overloaded",
+    ShedReason.QUEUE_FULL: "overloaded",
+    ShedReason.NO_TARGET: "no-backend-server",
+}
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RunningAnswer:
+    """An answer that is being passed on.
+
+    :ivar target: the backend server that gave it.
+    """
+
+    answer: UpstreamAnswer
+    stream: AnswerStream
+    target: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Attempt:
+    choice: Choice
+    digest: str
+    serial: int
+
+
+class CallRunner:
+    """Runs requests on backend servers.
+
+    :param dispatchers: by service name.
+    :param usual_s: usual service time of a service.
+    """
+
+    def __init__(
+        self,
+        *,
+        dispatchers: Mapping[str, Dispatcher],
+        forwarder: Forwarder,
+        retries: Callable[[str], RetryBudget],
+        crashes: CrashReports,
+        log: DecisionLog,
+        usual_s: Callable[[str], float],
+        connection_limit: Callable[[TargetInfo], int],
+        now_s: Callable[[], float],
+    ) -> None:
+        self._dispatchers = dispatchers
+        self._forwarder = forwarder
+        self._retries = retries
+        self._crashes = crashes
+        self._watch = CrashWatch(crashes)
+        self._suspects = SuspectLane()
+        self._log = log
+        self._usual_s = usual_s
+        self._connection_limit = connection_limit
+        self._now_s = now_s
+
+    def run(self, call: Call, digest: str) -> RunningAnswer:
+        """Return the answer of a backend server.
+
+        :raises Refused: if there is none.
+        """
+        match self._crashes.verdict(digest):
+            case Clean():
+                return self._run(call, digest)
+            case Suspect():
+                wait_s = (call.deadline_s - self._now_s()) / 2
+                with self._suspects.enter(call.request_id, wait_s):
+                    running = self._run(call, digest)
+                self._crashes.completed(digest)
+                return running
+            case CrashRefused(retry_after_s=retry_after_s):
+                raise refused(
+                    "crash-suspect",
+                    call.request_id,
+                    retry_after_s=retry_after_s,
+                )
+
+    def _run(self, call: Call, digest: str) -> RunningAnswer:
+        retries = self._retries(call.service.name)
+        retries.request(self._now_s())
+        tried: frozenset[str] = frozenset()
+        may_have_run = False
+        crashes = 0
+        for number in range(1, MAX_ATTEMPTS + 1):
+            try:
+                choice = self._choose(call, tried, number)
+            except Refused as refusal:
+                if may_have_run:
+                    raise _unknown(refusal, call) from refusal
+                raise
+            result = self._attempt(call, digest, choice, number > 1)
+            if isinstance(result, RunningAnswer):
+                return result
+            failed, outcome = result
+            may_have_run = may_have_run or failed.may_have_run
+            crashes += failed.looks_like_crash
+            if not failed.silent:
+                tried |= {choice.target.name}
+            if (
+                number == MAX_ATTEMPTS
+                or crashes == MAX_CRASHES_OF_CALL
+                or not self._may_retry(call, failed, outcome, retries)
+            ):
+                break
+        raise refused(
+            failed.code,
+            call.request_id,
+            run=OUTCOME_UNKNOWN if may_have_run else NOT_RUN,
+            retry_after_s=failed.retry_after_s,
+        )
+
+    def _choose(
+        self, call: Call, tried: frozenset[str], number: int
+    ) -> Choice:
+        dispatcher = self._dispatchers.get(call.service.name)
+        if dispatcher is None:
+            raise refused("no-backend-server", call.request_id)
+        request = ChoiceRequest(
+            request_id=f"{call.request_id}/{number}",
+            service=call.service.name,
+            workspace=call.workspace,
+            deadline_s=call.deadline_s,
+            idempotent=call.idempotent,
+            tried=tried,
+        )
+        answer = dispatcher.acquire(request)
+        self._log.record(_decision(call, answer, number))
+        if isinstance(answer, Started):
+            return answer.choice
+        raise refused(
+            _SHED_CODES[answer.reason],
+            call.request_id,
+            retry_after_s=answer.retry_after_s,
+        )
+
+    def _attempt(
+        self, call: Call, digest: str, choice: Choice, is_retry: bool
+    ) -> RunningAnswer | tuple[AttemptFailed, Outcome]:
+        target = choice.target
+        attempt = _Attempt(
+            choice=choice,
+            digest=digest,
+            serial=self._watch.started(target.name, digest),
+        )
+        host, _, port = target.address.rpartition(":")
+        try:
+            result = self._forwarder.attempt(
+                self._request(call),
+                (host, int(port)),
+                call.deadline_s,
+                connection_limit=self._connection_limit(target),
+                silent_after_s=self._silent_after_s(call),
+                fresh=is_retry,
+            )
+        except BaseException:
+            self._end(call, attempt, Cancelled())
+            raise
+        match result:
+            case Ok(answer):
+                return RunningAnswer(
+                    answer=answer,
+                    stream=AnswerStream(
+                        answer,
+                        lambda outcome: self._end(call, attempt, outcome),
+                    ),
+                    target=target.name,
+                )
+            case Err(failed):
+                outcome = _outcome(failed)
+                if failed.looks_like_crash:
+                    self._watch.crashed(target.name, attempt.serial)
+                self._end(call, attempt, outcome)
+                return failed, outcome
+
+    def _request(self, call: Call) -> ForwardRequest:
+        return ForwardRequest(
+            request_id=call.request_id,
+            method=call.head.method,
+            target=call.target,
+            host=call.service.host or call.head.host,
+            headers=call.head.headers,
+            body=call.body,
+            idempotent=call.idempotent,
+            cancellation=call.caller.cancellation,
+        )
+
+    def _silent_after_s(self, call: Call) -> float:
+        usual_s = self._usual_s(call.service.name)
+        return min(max(SILENT_FACTOR * usual_s, SILENT_MIN_S), SILENT_MAX_S)
+
+    def _may_retry(
+        self,
+        call: Call,
+        failed: AttemptFailed,
+        outcome: Outcome,
+        retries: RetryBudget,
+    ) -> bool:
+        if failed.kind in (
+            FailureKind.CALLER_GONE,
+            FailureKind.BODY,
+            FailureKind.KEY_IN_PATH,
+            FailureKind.DEADLINE,
+        ):
+            return False
+        if not call.body.replayable and failed.may_have_run:
+            return False
+        now_s = self._now_s()
+        return now_s < call.deadline_s and retries.try_retry(
+            now_s, outcome, idempotent=call.idempotent
+        )
+
+    def _end(self, call: Call, attempt: _Attempt, outcome: Outcome) -> None:
+        self._watch.ended(attempt.choice.target.name, attempt.serial)
+        self._dispatchers[call.service.name].finish(attempt.choice, outcome)
+
+
+def _outcome(failed: AttemptFailed) -> Outcome:
+    match failed.kind:
+        case FailureKind.CONNECT_FAILED:
+            return RefusedLeaving()
+        case FailureKind.REFUSED_NOT_RUN | FailureKind.CONNECTION_LIMIT:
+            return RefusedOverload(retry_after_s=failed.retry_after_s or 0.0)
+        case (
+            FailureKind.CALLER_GONE
+            | FailureKind.BODY
+            | FailureKind.KEY_IN_PATH
+        ):
+            return Cancelled()
+        case _:
+            return Failed(bytes_sent=failed.may_have_run)
+
+
+def _unknown(refusal: Refused, call: Call) -> Refused:
+    """Return a refusal that does not deny that an attempt may have run."""
+    kind = refusal.refusal
+    return refused(
+        kind.code,
+        call.request_id,
+        run=OUTCOME_UNKNOWN,
+        retry_after_s=kind.retry_after_s,
+    )
+
+
+def _decision(
+    call: Call, answer: Started | Shed, number: int
+) -> RoutingDecision:
+    choice = refusal = None
+    left_out: tuple[Candidate, ...] = ()
+    if isinstance(answer, Started):
+        choice = answer.choice.target.name
+        left_out = answer.choice.left_out
+    else:
+        refusal = _SHED_CODES[answer.reason]
+    return RoutingDecision(
+        request_id=call.request_id,
+        workspace=call.workspace or None,
+        service=call.service.name,
+        candidates=tuple(
+            CandidateDecision(target=name, excluded=why)
+            for name, why in left_out
+        ),
+        choice=choice,
+        refusal=refusal,
+        attempt=number,
+        config_revision=call.config_revision,
+    )
--- /dev/null
+++ b/packages/verbenad/src/verbenad/daemon.py
@@ -0,0 +1,344 @@
+"""One entry instance: its parts and how they are connected."""
+
+import secrets
+import sys
+import time
+from random import Random
+
+import eventlet
+
+from verbenad.admin_api import AdminApi
+from verbenad.admin_server import AdminServer
+from verbenad.agreement_loop import AgreementLoop
+from verbenad.budget_loop import TICK_S as BUDGET_TICK_S
+from verbenad.budget_loop import BudgetLoop
+from verbenad.bus import Bus
+from verbenad.call_runner import CallRunner
+from verbenad.crash_reports import CrashReports
+from verbenad.daemon_settings import DaemonSettings
+from verbenad.decision_log import DecisionLog
+from verbenad.edit_port import EditPort, config_bytes
+from verbenad.fleet import Fleet
+from verbenad.forwarder import Forwarder, ForwarderSettings
+from verbenad.front import Front
+from verbenad.front_limits import FrontLimits
+from verbenad.gateway import Gateway
+from verbenad.lookup_page import LookupPage
+from verbenad.lookup_table import LookupTable
+from verbenad.line_writer import LineWriter
+from verbenad.loop_timers import LoopTimers
+from verbenad.metrics import Metrics
+from verbenad.platform_list import PlatformList
+from verbenad.rate_gate import RateGate
+from verbenad.request_body import BodyLimits
+from verbenad.request_head import HeadLimits
+from verbenad.run_claims import RunClaims
+from verbenad.run_guard import RunGuard
+from verbenad.service_desk import WANTS_PERIOD_S, ServiceDesk
+from verbenad.service_pages import ServicePages
+from verbenad.store_claims import StoreClaims
+from verbenad.store_client import StoreClient
+from verbenad.target_prober import TargetProber
+from verbenad.upstream_pool import UpstreamPool
+from verbenaworks.agreed_state import AgreedState
+from verbenaworks.agreement import TICK_S, Agreement, AgreementSettings
+from verbenaworks.compiled_config import CompiledConfig, compile_config
+from verbenaworks.config_document import ConfigDocument
+from verbenaworks.control_record import SHARDS, InstanceId
+from verbenaworks.near_table import Place
+
+LIST_PERIOD_S = 1.0
+POOL_PERIOD_S = 1.0
+GENERATION_PERIOD_S = 5.0
+REPORT_PERIOD_S = 0.5
+FLUSH_PERIOD_S = 0.5
+# Longest wait for messages that only save others from waiting.
+FAREWELL_S = 2.0
+
+
+class Daemon:
+    """An entry instance.
+
+    :param settings: checked process settings.
+    """
+
+    def __init__(self, settings: DaemonSettings) -> None:
+        self._settings = settings
+        self._timers = LoopTimers()
+        self._random = Random(secrets.randbits(64))
+        # A restart has a higher incarnation because time has gone on; the
+        # value is compared only between runs of one name.
+        self._instance = InstanceId(
+            name=settings.name, incarnation=time.time_ns() // 1_000_000
+        )
+        self._document = ConfigDocument()
+        self._config: CompiledConfig | None = None
+        self._is_leaving = False
+        self.metrics = Metrics()
+        self._refusals = self.metrics.counter(
+            "verbenad_refusals_total", "Refusals by code.", ("code",)
+        )
+        self._lines = LineWriter(sys.stdout.fileno())
+        self._log = DecisionLog(self._lines)
+        self._build_control()
+        self._build_serving()
+
+    def start(self) -> None:
+        """Start all parts; returns at once."""
+        eventlet.spawn_n(self._bus.serve)
+        every = self._timers.every
+        every(TICK_S, self._agreement_loop.tick)
+        every(BUDGET_TICK_S, self._budgets.tick)
+        every(WANTS_PERIOD_S, self._desk.state_wants)
+        every(POOL_PERIOD_S, self._pool.close_expired)
+        every(GENERATION_PERIOD_S, self._claims.query_generations)
+        every(LIST_PERIOD_S, self._read_list)
+        every(REPORT_PERIOD_S, self._report_self)
+        every(FLUSH_PERIOD_S, self._lines.flush)
+        self._fleet.start(self._timers)
+        eventlet.spawn_n(self._prober.run)
+        self._admin.start()
+        self._front.start()
+
+    def shut_down(self, limit_s: float | None = None) -> bool:
+        """Leave the fleet and finish all requests; return whether it did.
+
+        :param limit_s: overrides the configured limit.
+        """
+        self._is_leaving = True
+        self._fleet.leave()
+        config = self._config
+        if limit_s is None:
+            limit_s = config.shutdown_limit_s if config else 0.0
+        end_s = self._now_s() + limit_s
+        # Callers keep lookup answers that name this instance for so long.
+        eventlet.sleep(min(config.lookup_ttl_s if config else 0.0, limit_s))
+        finished = self._front.close(max(0.0, end_s - self._now_s()))
+        self._say_farewell()
+        return finished
+
+    def abort(self) -> None:
+        """Cut off all requests."""
+        self._front.abort()
+
+    def _build_control(self) -> None:
+        settings = self._settings
+        self._now_s = self._timers.now_s
+        self._bus = Bus(settings.name, settings.bus_address, self._now_s)
+        self._store = StoreClient(settings.store_url)
+        self._list = PlatformList(settings.instances_url)
+        self._agreement = Agreement(
+            AgreementSettings(
+                instance=self._instance,
+                region=settings.region,
+                failure_domain=settings.failure_domain,
+                initial_config=config_bytes(ConfigDocument()),
+            ),
+            self._now_s(),
+            self._random,
+        )
+        self._fleet = Fleet(
+            settings=settings,
+            instance=self._instance,
+            agreement=self._agreement,
+            bus=self._bus,
+            now_s=self._now_s,
+            random=self._random,
+            on_change=self._on_members,
+        )
+        self._edits = EditPort(
+            agreement=self._agreement,
+            bus=self._bus,
+            now_s=self._now_s,
+            address_of=self._fleet.address_of,
+            document=lambda: self._document,
+            status=self._fleet.status,
+        )
+        self._agreement_loop = AgreementLoop(
+            agreement=self._agreement,
+            bus=self._bus,
+            store=self._store,
+            now_s=self._now_s,
+            address_of=self._fleet.address_of,
+            on_state=self._on_state,
+            on_edit=self._edits.on_outcome,
+        )
+        self._edits.attach(self._agreement_loop)
+        self._budgets = BudgetLoop(
+            instance=self._instance,
+            agreement=self._agreement,
+            bus=self._bus,
+            directory=self._fleet,
+            now_s=self._now_s,
+            on_granted=self._on_granted,
+        )
+        self._claims = RunClaims(
+            bus=self._bus,
+            directory=self._fleet,
+            now_s=self._now_s,
+            shards=SHARDS,
+        )
+        self._crashes = CrashReports(
+            bus=self._bus, directory=self._fleet, now_s=self._now_s
+        )
+        self._admin = AdminServer(
+            AdminApi(self._edits, time.time, settings.bootstrap_token),
+            settings.admin_address,
+        )
+
+    def _build_serving(self) -> None:
+        settings = self._settings
+        self._gate = RateGate(loop=self._budgets, now_s=self._now_s)
+        self._desk = ServiceDesk(
+            place=Place(
+                instance=settings.name,
+                region=settings.region,
+                failure_domain=settings.failure_domain,
+                domain_delay_s=settings.domain_delay_s,
+                region_delay_s=settings.region_delay_s,
+            ),
+            loop=self._budgets,
+            now_s=self._now_s,
+            random=self._random,
+        )
+        self._prober = TargetProber(
+            choice=self._desk.choice,
+            now_s=self._now_s,
+            instances=self._fleet.live_count,
+            on_change=self._desk.serve_one,
+        )
+        self._pool = UpstreamPool(now_s=self._now_s)
+        forwarder = Forwarder(
+            self._pool,
+            ForwarderSettings(via_name=settings.name),
+            now_s=self._now_s,
+        )
+        runner = CallRunner(
+            dispatchers=self._desk.dispatchers,
+            forwarder=forwarder,
+            retries=self._desk.retries,
+            crashes=self._crashes,
+            log=self._log,
+            usual_s=self._desk.usual_s,
+            connection_limit=self._desk.connection_limit,
+            now_s=self._now_s,
+        )
+        self._table = LookupTable()
+        self._gateway = Gateway(
+            config=lambda: self._config,
+            may_use_keys=self._may_use_keys,
+            gate=self._gate,
+            guard=RunGuard(
+                claims=self._claims,
+                store_claims=StoreClaims(self._store, self._now_s),
+                gate=self._gate,
+            ),
+            runner=runner,
+            lookup=LookupPage(
+                table=self._table,
+                claims=self._claims,
+                is_usable=self._fleet.is_usable,
+            ),
+            pages=ServicePages(
+                why_not_ready=self._why_not_ready,
+                metrics=self.metrics.render,
+            ),
+            now_s=self._now_s,
+            on_refusal=lambda code: self._refusals.add((code,)),
+        )
+        host, _, port = settings.caller_address.rpartition(":")
+        self._front = Front(
+            self._gateway, host=host, port=int(port), limits=_limits(settings)
+        )
+
+    def _on_state(self, state: AgreedState) -> None:
+        if (
+            self._config is None
+            or state.config_revision != self._config.config_revision
+        ):
+            self._apply_config(state)
+        epochs = {}
+        for shard, owner in enumerate(state.control.shards):
+            if owner is not None and owner.instance == self._instance:
+                epochs[shard] = owner.epoch
+        self._claims.own(epochs)
+        self._claims.query_generations()
+        self._report_self()
+
+    def _apply_config(self, state: AgreedState) -> None:
+        self._document = ConfigDocument.from_bytes(bytes(state.config))
+        config = compile_config(self._document)
+        self._config = config
+        self._budgets.set_config(config)
+        self._desk.set_config(config)
+        self._prober.set_targets(self._desk.targets)
+        self._table.set_config(config)
+
+    def _on_members(self) -> None:
+        self._table.set_instances(self._fleet.entry_instances())
+        self._desk.set_instances(self._fleet.regions())
+        self._prober.set_targets(self._desk.targets)
+
+    def _on_granted(self) -> None:
+        self._gate.granted()
+        self._desk.serve()
+
+    def _read_list(self) -> None:
+        entries = self._list.read()
+        if entries is None:
+            return
+        self._fleet.set_listed(entries)
+        for name, entry in entries.items():
+            if entry.kind == "backend":
+                self._desk.set_leaving(name, entry.state == "leaving")
+
+    def _report_self(self) -> None:
+        self._fleet.report(
+            config_revision=self._document.config_revision,
+            fresh=self._agreement.is_fresh(self._now_s()),
+            load=float(len(self._front.running)),
+        )
+
+    def _may_use_keys(self) -> bool:
+        now_s = self._now_s()
+        if self._agreement.is_fresh(now_s):
+            return True
+        config = self._config
+        if config is None or config.stale_policy != "serve":
+            return False
+        age_s = self._agreement.freshness.age_s(now_s)
+        return age_s is not None and age_s < config.stale_serve_s
+
+    def _why_not_ready(self) -> str | None:
+        if self._is_leaving:
+            return "the instance is shutting down"
+        if self._config is None:
+            return "no configuration has been read yet"
+        if not self._may_use_keys():
+            return "the configuration is not confirmed"
+        return None
+
+    def _say_farewell(self) -> None:
+        """Hand over what others would otherwise wait for."""
+        loop, agreement = self._agreement_loop, self._agreement
+        end_s = self._now_s() + FAREWELL_S
+        loop.carry_out(agreement.release_shards(self._now_s()))
+        loop.carry_out(agreement.resign(self._now_s()))
+        while self._now_s() < end_s:
+            if agreement.has_resigned and self._claims.is_settled:
+                break
+            eventlet.sleep(TICK_S)
+        self._fleet.stop()
+        eventlet.sleep(TICK_S)
+        self._bus.close()
+        self._lines.flush()
+
+
+def _limits(settings: DaemonSettings) -> FrontLimits:
+    return FrontLimits(
+        connections=settings.max_connections,
+        idle_s=settings.idle_limit_s,
+        head_s=settings.header_limit_s,
+        head=HeadLimits(block_bytes=settings.max_header_bytes),
+        body=BodyLimits(stall_s=settings.body_idle_limit_s),
+    )
--- /dev/null
+++ b/packages/verbenad/src/verbenad/dispatcher.py
@@ -0,0 +1,102 @@
+"""Gives requests of one service a target, or makes them wait for one."""
+
+from collections.abc import Callable
+
+import eventlet
+from eventlet.event import Event
+
+from verbenaworks.admission_queue import AdmissionQueue
+from verbenaworks.attempt_outcome import Cancelled, Outcome
+from verbenaworks.choice_result import Choice, ChoiceRequest
+from verbenaworks.queue_result import Shed, Started, Waiting
+from verbenaworks.target_choice import TargetChoice
+
+_CHECK_SLACK_S = 0.001
+
+
+class Dispatcher:
+    """Blocks callers' handlers until their request may start.
+
+    :param queue: admission queue of the service.
+    :param choice: choice of targets, shared by all services.
+    """
+
+    def __init__(
+        self,
+        *,
+        queue: AdmissionQueue,
+        choice: TargetChoice,
+        now_s: Callable[[], float],
+    ) -> None:
+        self._queue = queue
+        self._choice = choice
+        self._now_s = now_s
+        self._events: dict[str, Event] = {}
+        self._check: eventlet.greenthread.GreenThread | None = None
+
+    @property
+    def waiting(self) -> int:
+        """Return how many requests wait."""
+        return len(self._queue)
+
+    def acquire(self, request: ChoiceRequest) -> Started | Shed:
+        """Return a target with its units, or a refusal.
+
+        The caller must pass the choice of a started request to
+        :meth:`finish`.
+        """
+        answer = self._queue.offer(self._now_s(), request)
+        if not isinstance(answer, Waiting):
+            return answer
+        event = Event()
+        self._events[request.request_id] = event
+        self._schedule()
+        try:
+            result: Started | Shed = event.wait()
+            return result
+        except BaseException:
+            self._abandon(request.request_id, event)
+            raise
+        finally:
+            self._events.pop(request.request_id, None)
+
+    def finish(self, choice: Choice, outcome: Outcome) -> None:
+        """Return the units of an attempt."""
+        now_s = self._now_s()
+        self._choice.finish(now_s, choice, outcome)
+        self._queue.ended(now_s, choice.workspace)
+        self.serve()
+
+    def serve(self) -> None:
+        """Start waiting requests; call it when units may be free."""
+        if not len(self._queue):
+            return
+        for answer in self._queue.serve(self._now_s()):
+            event = self._events.get(answer.request.request_id)
+            if event is not None and not event.ready():
+                event.send(answer)
+        self._schedule()
+
+    def state_wants(self) -> None:
+        """State the wanted units; call it every second."""
+        self._queue.state_wants(self._now_s())
+
+    def _abandon(self, request_id: str, event: Event) -> None:
+        """Give back what a handler that was ended can no longer use."""
+        if not event.ready():
+            self._queue.cancel(self._now_s(), request_id)
+            return
+        answer = event.wait()
+        if isinstance(answer, Started):
+            self.finish(answer.choice, Cancelled())
+
+    def _schedule(self) -> None:
+        due_s = self._queue.next_check_s()
+        if self._check is not None or due_s is None:
+            return
+        delay_s = max(0.0, due_s - self._now_s()) + _CHECK_SLACK_S
+        self._check = eventlet.spawn_after(delay_s, self._run_check)
+
+    def _run_check(self) -> None:
+        self._check = None
+        self.serve()
--- /dev/null
+++ b/packages/verbenad/src/verbenad/divided_units.py
@@ -0,0 +1,130 @@
+"""Units of groups of level budgets, held by one instance.
+
+A group is the targets of a service, or the parts of a region's load. Wants
+are stated for a group and divided over its members.
+"""
+
+from collections.abc import Callable, Mapping, Sequence
+
+from verbenad.budget_loop import BudgetLoop
+from verbenaworks.budget_spec import shard_of
+from verbenaworks.budget_taker import BudgetTaker
+from verbenaworks.hold import Hold
+from verbenaworks.near_table import Place
+from verbenaworks.target import TargetInfo
+from verbenaworks.unit_split import UnitSplit
+
+
+class DividedUnits:
+    """Units of all groups of one kind.
+
+    :param budget_name: budget of a member by the member's name.
+    :param may_ask: whether units of a member are of use now.
+    """
+
+    def __init__(
+        self,
+        *,
+        loop: BudgetLoop,
+        place: Place,
+        now_s: Callable[[], float],
+        budget_name: Callable[[str], str],
+        may_ask: Callable[[TargetInfo], bool] | None = None,
+    ) -> None:
+        self._loop = loop
+        self._place = place
+        self._now_s = now_s
+        self._budget_name = budget_name
+        self._may_ask = may_ask
+        self._takers: dict[str, tuple[str, BudgetTaker]] = {}
+        self._holds: dict[tuple[str, str], list[Hold]] = {}
+        self._groups: dict[str, Sequence[TargetInfo]] = {}
+        self._splits: dict[str, UnitSplit] = {}
+        self._wants: dict[str, dict[str, int]] = {}
+
+    def set_targets(self, service: str, targets: Sequence[TargetInfo]) -> None:
+        """Set the members of a group."""
+        self._groups[service] = [t for t in targets if not t.draining]
+        self._splits.setdefault(service, UnitSplit(self._place))
+        self._restate(service)
+
+    def members(self, service: str) -> Sequence[TargetInfo]:
+        """Return the members of a group that may get new work."""
+        return self._groups.get(service, ())
+
+    def available(self, target: str) -> int:
+        """Return the granted units that are not in use."""
+        budget, taker = self._taker(target)
+        return taker.available(self._now_s(), budget)
+
+    def take(self, target: str, workspace: str) -> bool:
+        """Put one unit in use; false if none is available."""
+        budget, taker = self._taker(target)
+        hold = taker.try_take(self._now_s(), budget, workspace)
+        if hold is None:
+            return False
+        self._holds.setdefault((target, workspace), []).append(hold)
+        return True
+
+    def release(self, target: str, workspace: str) -> None:
+        """Return one unit that :meth:`take` put in use."""
+        _, taker = self._taker(target)
+        hold = self._holds[target, workspace].pop()
+        taker.release(self._now_s(), hold)
+
+    def want(self, service: str, workspace: str, amount: int) -> None:
+        """State how many units of a group a workspace can use."""
+        wants = self._wants.setdefault(service, {})
+        if wants.get(workspace, 0) == amount:
+            return
+        if amount > 0:
+            wants[workspace] = amount
+        else:
+            del wants[workspace]
+        self._restate(service)
+
+    def restate(self) -> None:
+        """Divide the wants anew after grants have changed."""
+        for service in self._wants:
+            self._restate(service)
+
+    def _taker(self, name: str) -> tuple[str, BudgetTaker]:
+        known = self._takers.get(name)
+        if known is None:
+            budget = self._budget_name(name)
+            taker = self._loop.taker_of(shard_of(budget))
+            known = self._takers[name] = (budget, taker)
+        return known
+
+    def _restate(self, service: str) -> None:
+        targets = self._groups.get(service)
+        if targets is None:
+            return
+        now_s = self._now_s()
+        split = self._splits[service]
+        granted = {}
+        for target in targets:
+            budget, taker = self._taker(target.name)
+            granted[target.name] = taker.granted(now_s, budget)
+            split.granted(now_s, target.name, granted[target.name])
+        parts = split.split(
+            now_s,
+            self._wants.get(service, {}),
+            self._useful(targets),
+            granted,
+        )
+        for target in targets:
+            self._state(now_s, target.name, parts.get(target.name, {}))
+
+    def _useful(self, targets: Sequence[TargetInfo]) -> Sequence[TargetInfo]:
+        may_ask = self._may_ask
+        if may_ask is None:
+            return targets
+        return [target for target in targets if may_ask(target)] or targets
+
+    def _state(
+        self, now_s: float, name: str, wants: Mapping[str, int]
+    ) -> None:
+        budget, taker = self._taker(name)
+        taker.state_wants(now_s, budget, wants)
+        self._loop.kick(shard_of(budget))
--- /dev/null
+++ b/packages/verbenad/src/verbenad/edit_port.py
@@ -0,0 +1,223 @@
+"""Operators' edits: applied here by a writer or forwarded to one."""
+
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import eventlet
+import msgspec
+from eventlet.event import Event
+from result import Err, Ok, Result
+
+from verbenad.agreement_loop import AgreementLoop
+from verbenad.bus import Bus, Sender
+from verbenaworks.admin_messages import (
+    InstanceStatus,
+    edit_from_json,
+    to_json,
+)
+from verbenaworks.agreed_state import AgreedState, ConfigBytes
+from verbenaworks.agreement import Agreement
+from verbenaworks.config_document import ConfigDocument
+from verbenaworks.edit import Edit
+from verbenaworks.errors import EditRefused, OutcomeUnknown
+from verbenaworks.state_edit import (
+    AlreadyInForce,
+    EditAccepted,
+    EditOutcome,
+    EditRejected,
+    EditResult,
+    EditUnknown,
+    StateEdit,
+)
+from verbenaworks.wire import wire_message
+
+EDIT_LIMIT_S = 8.0
+RESEND_S = 1.0
+
+
+@wire_message
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ForwardEdit:
+    """An edit on its way to a writer, as JSON."""
+
+    edit: bytes
+
+
+@wire_message
+@dataclass(frozen=True, kw_only=True, slots=True)
+class EditWasAccepted:
+    """A forwarded edit took effect."""
+
+    edit_id: str
+    config_revision: int
+
+
+@wire_message
+@dataclass(frozen=True, kw_only=True, slots=True)
+class EditWasRefused:
+    """A forwarded edit has not taken effect and will not."""
+
+    edit_id: str
+    code: str
+    message: str
+    remedy: str
+
+
+_Answer = EditWasAccepted | EditWasRefused
+
+
+class EditPort:
+    """Implements the port that the operators' interface uses.
+
+    :param status: returns the instances that the membership knows.
+    """
+
+    def __init__(
+        self,
+        *,
+        agreement: Agreement,
+        bus: Bus,
+        now_s: Callable[[], float],
+        address_of: Callable[[str], str | None],
+        document: Callable[[], ConfigDocument],
+        status: Callable[[], list[InstanceStatus]],
+    ) -> None:
+        self._agreement = agreement
+        self._bus = bus
+        self._now_s = now_s
+        self._address_of = address_of
+        self._document = document
+        self._status = status
+        self._loop: AgreementLoop | None = None
+        self._waiting: dict[str, Event] = {}
+        self._forwarders: dict[str, set[str]] = {}
+        bus.subscribe(ForwardEdit, self._on_forwarded)
+        bus.subscribe(EditWasAccepted, self._on_answer)
+        bus.subscribe(EditWasRefused, self._on_answer)
+
+    def attach(self, loop: AgreementLoop) -> None:
+        """Set the loop that carries out submitted edits."""
+        self._loop = loop
+
+    def document(self) -> ConfigDocument:
+        """Return the newest document that the instance has applied."""
+        return self._document()
+
+    def status(self) -> list[InstanceStatus]:
+        """Return all instances that the membership knows."""
+        return self._status()
+
+    def submit(self, edit: Edit) -> Result[int, EditRefused | OutcomeUnknown]:
+        """Have a writer apply an edit; return the revision it created."""
+        event = self._waiting.setdefault(edit.edit_id, Event())
+        end_s = self._now_s() + EDIT_LIMIT_S
+        try:
+            for number in itertools.count():
+                if self._now_s() >= end_s:
+                    break
+                self._send(edit, number)
+                with eventlet.Timeout(RESEND_S, False):
+                    return _result(event.wait())
+        finally:
+            self._waiting.pop(edit.edit_id, None)
+        return Err(OutcomeUnknown(edit.edit_id))
+
+    def replace_writers(
+        self, operator: str
+    ) -> Result[tuple[str, ...], EditRefused | OutcomeUnknown]:
+        """Replace the writers, which the operator knows to be dead."""
+        if self._loop is None:
+            return Err(OutcomeUnknown("replace-writers"))
+        self._loop.carry_out(
+            self._agreement.replace_lost_writers(self._now_s())
+        )
+        end_s = self._now_s() + EDIT_LIMIT_S
+        while self._now_s() < end_s:
+            if self._agreement.is_writer and self._agreement.state:
+                writers = self._agreement.state.control.writers
+                return Ok(tuple(writer.instance.name for writer in writers))
+            eventlet.sleep(0.1)
+        return Err(OutcomeUnknown("replace-writers"))
+
+    def on_outcome(self, outcome: EditOutcome) -> None:
+        """Take the outcome of an edit that this writer has submitted."""
+        match outcome:
+            case EditAccepted(edit_id=edit_id, config_revision=revision):
+                answer: _Answer = EditWasAccepted(
+                    edit_id=edit_id, config_revision=revision
+                )
+            case EditRejected(edit_id=edit_id, error=error):
+                answer = EditWasRefused(
+                    edit_id=edit_id,
+                    code=error.code,
+                    message=error.message,
+                    remedy=error.remedy,
+                )
+            case EditUnknown():
+                return
+        self._wake(answer)
+        for address in self._forwarders.pop(edit_id, set()):
+            self._bus.send(address, answer)
+
+    def _send(self, edit: Edit, number: int) -> None:
+        """Give the edit to a writer; each further try takes the next one."""
+        writers = self._agreement.writers_for_edit()
+        if not writers:
+            return
+        writer = writers[number % len(writers)]
+        if writer == self._bus.name:
+            self._apply(edit)
+            return
+        address = self._address_of(writer)
+        if address is not None:
+            self._bus.send(address, ForwardEdit(edit=to_json(edit)))
+
+    def _apply(self, edit: Edit) -> None:
+        if self._loop is not None:
+            self._loop.submit(_state_edit(edit))
+
+    def _on_forwarded(self, sender: Sender, message: ForwardEdit) -> None:
+        edit = edit_from_json(message.edit)
+        self._forwarders.setdefault(edit.edit_id, set()).add(sender.address)
+        if self._agreement.is_writer:
+            self._apply(edit)
+
+    def _on_answer(self, _sender: Sender, answer: _Answer) -> None:
+        self._wake(answer)
+
+    def _wake(self, answer: _Answer) -> None:
+        event = self._waiting.get(answer.edit_id)
+        if event is not None and not event.ready():
+            event.send(answer)
+
+
+def _result(answer: _Answer) -> Result[int, EditRefused | OutcomeUnknown]:
+    match answer:
+        case EditWasAccepted(config_revision=revision):
+            return Ok(revision)
+        case EditWasRefused():
+            return Err(EditRefused(answer.code, answer.message, answer.remedy))
+
+
+def _state_edit(edit: Edit) -> StateEdit:
+    def change(state: AgreedState) -> EditResult:
+        document = ConfigDocument.from_bytes(bytes(state.config))
+        earlier = document.find_edit(edit.edit_id)
+        if earlier is not None and earlier.edit.same_request(edit):
+            return AlreadyInForce(config_revision=earlier.config_revision)
+        match document.apply_edit(edit):
+            case Ok(changed):
+                return config_bytes(changed)
+            case Err(refusal):
+                return refusal
+
+    return StateEdit(edit_id=edit.edit_id, change=change)
+
+
+def config_bytes(document: ConfigDocument) -> ConfigBytes:
+    """Return a document in the form that the agreed state holds."""
+    return ConfigBytes(
+        document=msgspec.Raw(document.to_bytes()),
+        config_revision=document.config_revision,
+    )
--- /dev/null
+++ b/packages/verbenad/src/verbenad/gateway.py
@@ -0,0 +1,194 @@
+"""The application that callers meet."""
+
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from verbenad.authentication import authenticate, request_id_of, route
+from verbenad.call import Call
+from verbenad.call_digest import PREFIX_BYTES, call_digest
+from verbenad.call_runner import CallRunner, RunningAnswer
+from verbenad.lookup_page import LookupPage
+from verbenad.protocol_errors import BodyError
+from verbenad.rate_gate import RateGate
+from verbenad.refusal import NOT_RUN, Refusal, refuse
+from verbenad.refused import Refused, refused
+from verbenad.request_head import RequestHead
+from verbenad.run_guard import RunClaim, RunGuard
+from verbenad.service_pages import ServicePages
+from verbenaworks.compiled_config import CompiledConfig
+from verbenaworks.run_ledger import MAX_ANSWER_BYTES
+from verbenaworks.run_messages import StoredAnswer
+
+StartResponse = Callable[..., Any]
+LOOKUP_PATH = "/v1/lookup"
+
+
+class Gateway:
+    """Serves lookups, the instance's own pages and requests to services.
+
+    :param config: the configuration in force, None before the first.
+    :param may_use_keys: whether keys may be trusted now.
+    :param on_refusal: called with the code of each refusal.
+    """
+
+    def __init__(
+        self,
+        *,
+        config: Callable[[], CompiledConfig | None],
+        may_use_keys: Callable[[], bool],
+        gate: RateGate,
+        guard: RunGuard,
+        runner: CallRunner,
+        lookup: LookupPage,
+        pages: ServicePages,
+        now_s: Callable[[], float],
+        on_refusal: Callable[[str], None],
+    ) -> None:
+        self._config = config
+        self._may_use_keys = may_use_keys
+        self._gate = gate
+        self._guard = guard
+        self._runner = runner
+        self._lookup = lookup
+        self._pages = pages
+        self._now_s = now_s
+        self._on_refusal = on_refusal
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Serve one request."""
+        head: RequestHead = environ["verbena.head"]
+        request_id = request_id_of(head)
+        try:
+            return self._serve(head, request_id, environ, start_response)
+        except Refused as end:
+            return self._refuse(end.refusal, start_response)
+        except BodyError as error:
+            refusal = refuse(
+                error.code,
+                run=NOT_RUN,
+                request_id=request_id,
+                message=error.message,
+            )
+            return self._refuse(refusal, start_response)
+
+    def _serve(
+        self,
+        head: RequestHead,
+        request_id: str,
+        environ: dict[str, Any],
+        start_response: StartResponse,
+    ) -> Iterable[bytes]:
+        config = self._config()
+        path, _, query = head.target.partition("?")
+        if config is None or route(config, head)[0] is None:
+            if path == LOOKUP_PATH:
+                return self._lookup.answer(
+                    config, query, request_id, start_response
+                )
+            page = self._pages.answer(path, start_response)
+            if page is not None:
+                return page
+        if config is None:
+            raise refused("not-fresh", request_id, retry_after_s=1.0)
+        call = authenticate(
+            config, environ, request_id, self._may_use_keys, self._now_s()
+        )
+        return self._run(call, config, start_response)
+
+    def _run(
+        self,
+        call: Call,
+        config: CompiledConfig,
+        start_response: StartResponse,
+    ) -> Iterable[bytes]:
+        if call.workspace and not self._gate.take(
+            call.workspace, call.deadline_s
+        ):
+            raise refused(
+                "rate-exceeded",
+                call.request_id,
+                retry_after_s=self._gate.retry_after_s(call.workspace),
+            )
+        if call.body.exists:
+            call.body.prefetch(PREFIX_BYTES)
+        claim = self._guard.claim(call, self._now_s(), config.run_window_s)
+        if isinstance(claim, StoredAnswer):
+            return _replay(claim, call, start_response)
+        try:
+            running = self._runner.run(call, call_digest(call))
+        except Refused as end:
+            if claim is not None:
+                self._end_claim(claim, end.refusal)
+            raise
+        except BaseException:
+            if claim is not None:
+                self._guard.unknown(claim)
+            raise
+        return self._answer(call, claim, running, start_response)
+
+    def _end_claim(self, claim: RunClaim, refusal: Refusal) -> None:
+        if refusal.run is NOT_RUN:
+            self._guard.not_run(claim)
+        else:
+            self._guard.unknown(claim)
+
+    def _answer(
+        self,
+        call: Call,
+        claim: RunClaim | None,
+        running: RunningAnswer,
+        start_response: StartResponse,
+    ) -> Iterable[bytes]:
+        answer = running.answer
+        headers = [*answer.headers, ("X-Request-Id", call.request_id)]
+        if claim is None:
+            start_response(answer.status_line, headers)
+            return running.stream
+        body = _small_body(running)
+        if body is None:
+            self._guard.answered(claim, None)
+            start_response(answer.status_line, headers)
+            return running.stream
+        stored = StoredAnswer(
+            status=answer.status, headers=tuple(answer.headers), body=body
+        )
+        self._guard.answered(claim, stored)
+        start_response(answer.status_line, headers)
+        return [body]
+
+    def _refuse(
+        self, refusal: Refusal, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        self._on_refusal(refusal.code)
+        body = refusal.body()
+        start_response(refusal.status_line, refusal.headers(body))
+        return [body]
+
+
+def _small_body(running: RunningAnswer) -> bytes | None:
+    """Return the whole body if its stated length is small, else None."""
+    lengths = [
+        value
+        for name, value in running.answer.headers
+        if name.lower() == "content-length"
+    ]
+    if not lengths or int(lengths[0]) > MAX_ANSWER_BYTES:
+        return None
+    try:
+        return b"".join(running.stream)
+    finally:
+        running.stream.close()
+
+
+def _replay(
+    answer: StoredAnswer, call: Call, start_response: StartResponse
+) -> Iterable[bytes]:
+    headers = [
+        *answer.headers,
+        ("X-Request-Id", call.request_id),
+        ("X-Verbena-Replayed", "1"),
+    ]
+    start_response(f"{answer.status} Replayed", headers)
+    return [answer.body]
--- /dev/null
+++ b/packages/verbenad/src/verbenad/lookup_table.py
@@ -0,0 +1,136 @@
+"""Answers which entry instances a caller should use."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from verbenaworks.block_table import BlockTable
+from verbenaworks.client_blocks import BlockMatch, ClientBlocks
+from verbenaworks.compiled_config import CompiledConfig, ShiftConfig
+from verbenaworks.entry_lookup import (
+    EntryInstance,
+    EntryLookup,
+    hash_block,
+)
+from verbenaworks.shift_plan import ShiftPlan, ShiftSpec
+
+# States in which a shift's blocks are at the target region.
+_MOVED_STATES = frozenset({"running", "paused", "done"})
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LookupAnswer:
+    """The entry instances for a caller, the best first.
+
+    :ivar block_hash: position of the caller's block on the rings.
+    """
+
+    instances: tuple[EntryInstance, ...]
+    block_hash: int
+    region: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _ActiveShift:
+    plan: ShiftPlan
+    step: int
+
+
+class LookupTable:
+    """Blocks, shifts and rings at one configuration revision.
+
+    Parts that an edit did not change are kept from the earlier revision.
+    """
+
+    def __init__(self) -> None:
+        self._config: CompiledConfig | None = None
+        self._source: BlockTable | None = None
+        self._blocks = ClientBlocks([])
+        self._shifts: dict[str, list[_ActiveShift]] = {}
+        self._rings = EntryLookup([])
+        self._members: frozenset[EntryInstance] = frozenset()
+
+    def set_config(self, config: CompiledConfig) -> None:
+        """Take over a configuration."""
+        if self._source is not config.blocks:
+            self._source = config.blocks
+            self._blocks = ClientBlocks(
+                (block.cidr, block.site) for block in config.blocks
+            )
+        self._config = config
+        self._shifts = {}
+        for shift in config.shifts.values():
+            if shift.state in _MOVED_STATES and shift.step > 0:
+                active = _ActiveShift(
+                    plan=self._plan(config, shift), step=shift.step
+                )
+                self._shifts.setdefault(shift.from_region, []).append(active)
+
+    def set_instances(self, instances: Iterable[EntryInstance]) -> None:
+        """Take over the entry instances that exist."""
+        members = frozenset(instances)
+        if members != self._members:
+            self._members = members
+            self._rings = EntryLookup(members)
+
+    def find(
+        self, address: str, is_usable: Callable[[str], bool]
+    ) -> LookupAnswer:
+        """Return the entry instances for an address.
+
+        :raises VerbenaError: if the address is malformed or foreign.
+        """
+        match = self._blocks.find(address)
+        block_hash = hash_block(match.range_start)
+        region = self._region_of(match)
+        instances = self._rings.find(
+            self._region_order(region, block_hash), block_hash, is_usable
+        )
+        return LookupAnswer(
+            instances=tuple(instances), block_hash=block_hash, region=region
+        )
+
+    def plan_of(self, shift: ShiftConfig) -> ShiftPlan | None:
+        """Return the plan of a shift at this revision."""
+        if self._config is None:
+            return None
+        return self._plan(self._config, shift)
+
+    def _plan(self, config: CompiledConfig, shift: ShiftConfig) -> ShiftPlan:
+        spec = ShiftSpec(
+            name=shift.name,
+            from_region=shift.from_region,
+            to_region=shift.to_region,
+            cap_share=shift.cap_share,
+            step_share=shift.step_share,
+        )
+        sites = {
+            name
+            for name, site in config.sites.items()
+            if site.region == shift.from_region
+        }
+        starts = (s for s, site in self._blocks.ranges() if site in sites)
+        return ShiftPlan(spec, ((start, 1) for start in starts))
+
+    def _region_of(self, match: BlockMatch) -> str:
+        if self._config is None:
+            return ""
+        region = self._config.sites[match.site].region
+        for shift in self._shifts.get(region, ()):
+            if shift.plan.is_moved(match.range_start, shift.step):
+                return shift.plan.spec.to_region
+        return region
+
+    def _region_order(self, region: str, block_hash: int) -> list[str]:
+        """Return the caller's region, then the others in turn.
+
+        The callers of a lost region spread over the others by block.
+        """
+        regions = self._config.regions if self._config else {}
+        others = sorted(name for name in regions if name != region)
+        if others:
+            first = block_hash % len(others)
+            others = others[first:] + others[:first]
+        order = [region, *others]
+        return sorted(
+            order, key=lambda name: name in regions and regions[name].draining
+        )
--- /dev/null
+++ b/packages/verbenad/src/verbenad/region_units.py
@@ -0,0 +1,121 @@
+"""Load of regions, as units that this instance holds.
+
+The load of a region is divided into parts with different owners, so that the
+death of one owner withholds only a part of it.
+"""
+
+from collections.abc import Callable, Mapping
+
+from verbenad.budget_loop import BudgetLoop
+from verbenad.budget_plan import region_budget_name, region_parts
+from verbenad.divided_units import DividedUnits
+from verbenaworks.compiled_config import CompiledConfig
+from verbenaworks.near_table import Place
+from verbenaworks.target import TargetInfo
+
+# Units asked for beyond those in use, so that a request seldom waits.
+RESERVE = 4
+# Several round trips between regions; a region that granted nothing in this
+# time counts as full for the division of slots.
+DENIED_AFTER_S = 0.15
+
+
+class RegionUnits:
+    """Load of all regions."""
+
+    def __init__(
+        self,
+        *,
+        loop: BudgetLoop,
+        place: Place,
+        now_s: Callable[[], float],
+    ) -> None:
+        self._now_s = now_s
+        self._parts = DividedUnits(
+            loop=loop,
+            place=place,
+            now_s=now_s,
+            budget_name=region_budget_name,
+        )
+        self._in_use: dict[str, int] = {}
+        self._used_parts: dict[tuple[str, str], list[str]] = {}
+        self._short_since_s: dict[str, float] = {}
+
+    def set_config(self, config: CompiledConfig) -> None:
+        """Take over the parts of all regions."""
+        for region in config.regions:
+            capacities: Mapping[str, int] = region_parts(config, region)
+            self._parts.set_targets(
+                region,
+                [
+                    _as_member(region, part, capacity)
+                    for part, capacity in capacities.items()
+                ],
+            )
+
+    def available(self, target: str) -> int:
+        """Return the granted units of a region that are not in use."""
+        amount = sum(
+            self._parts.available(part.name)
+            for part in self._parts.members(target)
+        )
+        if amount > 0:
+            self._short_since_s.pop(target, None)
+        else:
+            self._short_since_s.setdefault(target, self._now_s())
+            self._state(target)
+        return amount
+
+    def take(self, target: str, workspace: str) -> bool:
+        """Put one unit of a region in use; false if none is available."""
+        for part in self._parts.members(target):
+            if self._parts.available(part.name) and self._parts.take(
+                part.name, workspace
+            ):
+                used = self._used_parts.setdefault((target, workspace), [])
+                used.append(part.name)
+                self._in_use[target] = self._in_use.get(target, 0) + 1
+                self._state(target)
+                return True
+        return False
+
+    def release(self, target: str, workspace: str) -> None:
+        """Return one unit that :meth:`take` put in use."""
+        part = self._used_parts[target, workspace].pop()
+        self._parts.release(part, workspace)
+        self._in_use[target] -= 1
+
+    def want(self, service: str, workspace: str, amount: int) -> None:
+        """Do nothing: the wants follow the units in use."""
+
+    def is_full(self, region: str) -> bool:
+        """Return whether a region has granted nothing for some time."""
+        since_s = self._short_since_s.get(region)
+        return (
+            since_s is not None
+            and self._now_s() - since_s >= DENIED_AFTER_S
+            and self.available(region) == 0
+        )
+
+    def restate(self) -> None:
+        """State the wants anew after grants have changed."""
+        for region in self._in_use:
+            self._state(region)
+        self._parts.restate()
+
+    def _state(self, region: str) -> None:
+        in_use = self._in_use.get(region, 0)
+        amount = in_use + max(RESERVE, in_use // 2)
+        self._parts.want(region, "", amount)
+
+
+def _as_member(region: str, part: str, capacity: int) -> TargetInfo:
+    return TargetInfo(
+        name=part,
+        service=region,
+        address="",
+        region=region,
+        failure_domain="",
+        slots=capacity,
+        connections=0,
+    )
--- /dev/null
+++ b/packages/verbenad/src/verbenad/run_claims.py
@@ -0,0 +1,199 @@
+"""Claims on idempotency keys: client and server of the run ledgers.
+
+The claim travels to the owner of the key's shard and is repeated until it is
+answered. Without an answer the outcome is unknown: an earlier attempt with
+the same key may have run.
+"""
+
+from collections.abc import Callable
+from typing import Any
+
+import eventlet
+from eventlet.event import Event
+
+from verbenad.bus import Bus, Sender
+from verbenad.directory import Directory
+from verbenaworks.run_ledger import RunLedger
+from verbenaworks.run_messages import (
+    AlreadyAnswered,
+    ClaimReply,
+    ClaimRun,
+    CurrentGeneration,
+    KeyReused,
+    LedgerFull,
+    QueryGeneration,
+    ReportAnswered,
+    ReportNotRun,
+    ReportTaken,
+    ReportUnknown,
+    RunNow,
+    RunReport,
+    RunUnknown,
+    StillRunning,
+)
+from verbenaworks.run_ticket import RunTicket
+
+RESEND_S = 0.25
+REPORT_RESEND_S = 0.5
+MAX_REPORT_SENDS = 20
+GENERATION_QUERY_S = 30.0
+
+_REPLIES = (
+    RunNow,
+    AlreadyAnswered,
+    StillRunning,
+    RunUnknown,
+    KeyReused,
+    LedgerFull,
+)
+_REPORTS = (ReportAnswered, ReportNotRun, ReportUnknown)
+
+
+class RunClaims:
+    """Claims and ledgers of one instance.
+
+    :param shards: number of shards.
+    """
+
+    def __init__(
+        self,
+        *,
+        bus: Bus,
+        directory: Directory,
+        now_s: Callable[[], float],
+        shards: int,
+    ) -> None:
+        self._bus = bus
+        self._directory = directory
+        self._now_s = now_s
+        self._shards = shards
+        self._ledgers: dict[int, RunLedger] = {}
+        self._generations: dict[int, CurrentGeneration] = {}
+        self._waiting: dict[str, Event] = {}
+        self._unreported: set[str] = set()
+        bus.subscribe(ClaimRun, self._on_claim)
+        bus.subscribe(QueryGeneration, self._on_query)
+        bus.subscribe(CurrentGeneration, self._on_generation)
+        bus.subscribe(ReportTaken, self._on_report_taken)
+        for reply_type in _REPLIES:
+            bus.subscribe(reply_type, self._on_reply)
+        for report_type in _REPORTS:
+            bus.subscribe(report_type, self._on_report)
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether every attempt has been reported."""
+        return not self._unreported
+
+    def own(self, epochs: dict[int, int]) -> None:
+        """Keep ledgers of exactly these shards, by epoch.
+
+        A shard under a new epoch starts with an empty ledger.
+        """
+        for shard in list(self._ledgers):
+            if epochs.get(shard) != self._ledgers[shard].epoch:
+                del self._ledgers[shard]
+        for shard, epoch in epochs.items():
+            if shard not in self._ledgers:
+                self._ledgers[shard] = RunLedger(
+                    shard=shard, epoch=epoch, started_at_s=self._now_s()
+                )
+
+    def ticket(self, block_hash: int) -> RunTicket | None:
+        """Return a ticket for new keys; None if no shard is ready."""
+        for offset in range(self._shards):
+            shard = (block_hash + offset) % self._shards
+            known = self._generations.get(shard)
+            owner = self._directory.owner(shard)
+            if known and owner and known.epoch == owner.epoch:
+                return RunTicket(
+                    shard=shard,
+                    epoch=known.epoch,
+                    generation=known.generation,
+                )
+        return None
+
+    def query_generations(self) -> None:
+        """Ask all owners; call it every ``GENERATION_QUERY_S`` seconds."""
+        for shard in range(self._shards):
+            owner = self._directory.owner(shard)
+            if owner is not None:
+                message = QueryGeneration(shard=shard)
+                self._bus.send(owner.bus_address, message)
+
+    def claim(self, request: ClaimRun, until_s: float) -> ClaimReply | None:
+        """Ask the key's owner; None if there is no answer by ``until_s``."""
+        owner = self._directory.owner(request.shard)
+        if owner is not None and owner.epoch > request.epoch:
+            return RunUnknown(attempt_id=request.attempt_id)
+        event = Event()
+        self._waiting[request.attempt_id] = event
+        try:
+            while self._now_s() < until_s:
+                owner = self._directory.owner(request.shard)
+                if owner is not None:
+                    self._bus.send(owner.bus_address, request)
+                with eventlet.Timeout(RESEND_S, False):
+                    reply: ClaimReply = event.wait()
+                    return reply
+        finally:
+            del self._waiting[request.attempt_id]
+        return None
+
+    def report(self, report: RunReport) -> None:
+        """Send the end of an attempt until the owner has taken it."""
+        self._unreported.add(report.attempt_id)
+        eventlet.spawn_n(self._send_report, report)
+
+    def _send_report(self, report: RunReport) -> None:
+        for _ in range(MAX_REPORT_SENDS):
+            owner = self._directory.owner(report.shard)
+            if owner is not None and owner.epoch > report.epoch:
+                break
+            if owner is not None:
+                self._bus.send(owner.bus_address, report)
+            eventlet.sleep(REPORT_RESEND_S)
+            if report.attempt_id not in self._unreported:
+                return
+        self._unreported.discard(report.attempt_id)
+
+    def _on_claim(self, sender: Sender, request: ClaimRun) -> None:
+        ledger = self._ledgers.get(request.shard)
+        if ledger is None or ledger.epoch < request.epoch:
+            return
+        self._bus.send(sender.address, ledger.claim(self._now_s(), request))
+
+    def _on_reply(self, _sender: Sender, reply: Any) -> None:
+        event = self._waiting.get(reply.attempt_id)
+        if event is not None and not event.ready():
+            event.send(reply)
+
+    def _on_report(self, sender: Sender, report: RunReport) -> None:
+        ledger = self._ledgers.get(report.shard)
+        if ledger is not None:
+            ledger.report(report)
+        self._bus.send(
+            sender.address, ReportTaken(attempt_id=report.attempt_id)
+        )
+
+    def _on_report_taken(self, _sender: Sender, message: ReportTaken) -> None:
+        self._unreported.discard(message.attempt_id)
+
+    def _on_query(self, sender: Sender, query: QueryGeneration) -> None:
+        ledger = self._ledgers.get(query.shard)
+        if ledger is None:
+            return
+        answer = CurrentGeneration(
+            shard=query.shard,
+            epoch=ledger.epoch,
+            generation=ledger.generation(self._now_s()),
+        )
+        self._bus.send(sender.address, answer)
+
+    def _on_generation(
+        self, _sender: Sender, message: CurrentGeneration
+    ) -> None:
+        known = self._generations.get(message.shard)
+        new = (message.epoch, message.generation)
+        if known is None or (known.epoch, known.generation) < new:
+            self._generations[message.shard] = message
--- /dev/null
+++ b/packages/verbenad/src/verbenad/run_guard.py
@@ -0,0 +1,186 @@
+"""Keeps non-idempotent requests from running twice."""
+
+import secrets
+from dataclasses import dataclass
+
+from verbenad.budget_plan import STORE_CLAIMS_BUDGET
+from verbenad.call import Call
+from verbenad.call_digest import call_digest
+from verbenad.rate_gate import RateGate
+from verbenad.refusal import OUTCOME_UNKNOWN
+from verbenad.refused import refused
+from verbenad.run_claims import RunClaims
+from verbenad.store_claims import StoreClaim, StoreClaims
+from verbenaworks.run_messages import (
+    AlreadyAnswered,
+    ClaimRun,
+    KeyReused,
+    LedgerFull,
+    ReportAnswered,
+    ReportNotRun,
+    ReportUnknown,
+    RunNow,
+    StillRunning,
+    StoredAnswer,
+)
+from verbenaworks.run_ticket import MAX_KEY_LENGTH, RunTicket, parse_ticket
+
+# Time kept for running the request after the claim.
+_CLAIM_SHARE = 0.5
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RunClaim:
+    """A granted claim.
+
+    :ivar ticket: None for a claim in the store.
+    """
+
+    key: str
+    attempt_id: str
+    ticket: RunTicket | None
+
+
+class RunGuard:
+    """Claims the idempotency keys of requests.
+
+    :param claims: ledgers of shard owners, for keys with a ticket.
+    :param store_claims: claims in the store, for other keys.
+    :param gate: limits the fleet's claims in the store.
+    """
+
+    def __init__(
+        self,
+        *,
+        claims: RunClaims,
+        store_claims: StoreClaims,
+        gate: RateGate,
+    ) -> None:
+        self._claims = claims
+        self._store_claims = store_claims
+        self._gate = gate
+
+    def claim(
+        self, call: Call, now_s: float, window_s: float
+    ) -> RunClaim | StoredAnswer | None:
+        """Return the claim, or the answer of an earlier run.
+
+        None means that the request carries no key and is not protected.
+
+        :raises Refused: if the request must not run.
+        """
+        values = call.head.values("idempotency-key")
+        if call.idempotent or not values:
+            return None
+        key = values[0]
+        if len(values) > 1 or not 0 < len(key) <= MAX_KEY_LENGTH:
+            raise refused("malformed-idempotency-key", call.request_id)
+        ticket = parse_ticket(key)
+        if ticket is None:
+            return self._claim_in_store(call, key, window_s)
+        return self._claim_at_owner(call, key, ticket, now_s)
+
+    def answered(self, claim: RunClaim, answer: StoredAnswer | None) -> None:
+        """Record that the request ran and was answered."""
+        if claim.ticket is None:
+            return
+        self._claims.report(
+            ReportAnswered(
+                shard=claim.ticket.shard,
+                epoch=claim.ticket.epoch,
+                key=claim.key,
+                attempt_id=claim.attempt_id,
+                answer=answer,
+            )
+        )
+
+    def not_run(self, claim: RunClaim) -> None:
+        """Record that the request provably did not run."""
+        if claim.ticket is None:
+            self._store_claims.release(claim.key)
+            return
+        self._claims.report(
+            ReportNotRun(
+                shard=claim.ticket.shard,
+                epoch=claim.ticket.epoch,
+                key=claim.key,
+                attempt_id=claim.attempt_id,
+            )
+        )
+
+    def unknown(self, claim: RunClaim) -> None:
+        """Record that the request may have run."""
+        if claim.ticket is None:
+            return
+        self._claims.report(
+            ReportUnknown(
+                shard=claim.ticket.shard,
+                epoch=claim.ticket.epoch,
+                key=claim.key,
+                attempt_id=claim.attempt_id,
+            )
+        )
+
+    def _claim_at_owner(
+        self, call: Call, key: str, ticket: RunTicket, now_s: float
+    ) -> RunClaim | StoredAnswer:
+        scoped = f"{call.workspace}/{key}"
+        claim = RunClaim(
+            key=scoped, attempt_id=secrets.token_hex(8), ticket=ticket
+        )
+        until_s = now_s + (call.deadline_s - now_s) * _CLAIM_SHARE
+        reply = self._claims.claim(
+            ClaimRun(
+                shard=ticket.shard,
+                epoch=ticket.epoch,
+                generation=ticket.generation,
+                key=scoped,
+                attempt_id=claim.attempt_id,
+                fingerprint=call_digest(call),
+            ),
+            until_s,
+        )
+        request_id = call.request_id
+        match reply:
+            case RunNow():
+                return claim
+            case AlreadyAnswered(answer=answer):
+                return answer
+            case StillRunning():
+                raise refused(
+                    "still-running",
+                    request_id,
+                    run=OUTCOME_UNKNOWN,
+                    retry_after_s=1.0,
+                )
+            case KeyReused():
+                raise refused(
+                    "malformed-idempotency-key",
+                    request_id,
+                    message="the key was used for another request",
+                )
+            case LedgerFull():
+                raise refused(
+                    "run-window-full", request_id, retry_after_s=60.0
+                )
+            case None:
+                # The claim may have been granted and its reply lost.
+                self.not_run(claim)
+        raise refused("outcome-unknown", request_id, run=OUTCOME_UNKNOWN)
+
+    def _claim_in_store(
+        self, call: Call, key: str, window_s: float
+    ) -> RunClaim:
+        request_id = call.request_id
+        if not self._gate.take_budget(
+            STORE_CLAIMS_BUDGET, call.workspace, call.deadline_s
+        ):
+            raise refused("run-window-full", request_id, retry_after_s=1.0)
+        scoped = f"{call.workspace}/{key}"
+        match self._store_claims.claim(scoped, window_s):
+            case StoreClaim.GRANTED:
+                return RunClaim(key=scoped, attempt_id="", ticket=None)
+            case _:
+                raise refused(
+                    "outcome-unknown", request_id, run=OUTCOME_UNKNOWN
+                )
--- /dev/null
+++ b/packages/verbenad/src/verbenad/service_desk.py
@@ -0,0 +1,175 @@
+"""Queues, targets and retry budgets of all services at one instance."""
+
+from collections.abc import Callable, Mapping
+from random import Random
+
+from verbenad.budget_loop import BudgetLoop
+from verbenad.budget_plan import slots_budget_name
+from verbenad.dispatcher import Dispatcher
+from verbenad.divided_units import DividedUnits
+from verbenad.region_units import RegionUnits
+from verbenaworks.admission_queue import AdmissionQueue
+from verbenaworks.choice_result import Choice, ChoiceRequest, NoTarget
+from verbenaworks.compiled_config import CompiledConfig, ServiceConfig
+from verbenaworks.connection_plan import connection_plan
+from verbenaworks.near_table import Place
+from verbenaworks.retry_budget import RetryBudget
+from verbenaworks.target import TargetInfo
+from verbenaworks.target_choice import TargetChoice
+
+WANTS_PERIOD_S = 0.25
+_DEFAULT_SERVICE_S = 0.05
+
+
+class ServiceDesk:
+    """Keeps one dispatcher for each service of the configuration."""
+
+    def __init__(
+        self,
+        *,
+        place: Place,
+        loop: BudgetLoop,
+        now_s: Callable[[], float],
+        random: Random,
+    ) -> None:
+        self._place = place
+        self._now_s = now_s
+        self._region_units = RegionUnits(loop=loop, place=place, now_s=now_s)
+        self.units = DividedUnits(
+            loop=loop,
+            place=place,
+            now_s=now_s,
+            budget_name=slots_budget_name,
+            may_ask=lambda t: not self._region_units.is_full(t.region),
+        )
+        self.choice = TargetChoice(
+            place=place,
+            units=self.units,
+            region_units=self._region_units,
+            random=random,
+        )
+        self.dispatchers: dict[str, Dispatcher] = {}
+        self._targets: dict[str, tuple[TargetInfo, ...]] = {}
+        self._retries: dict[str, RetryBudget] = {}
+        self._instances: Mapping[str, str] = {place.instance: place.region}
+        self._plans: dict[str, Mapping[str, int]] = {}
+
+    @property
+    def targets(self) -> list[TargetInfo]:
+        """Return the targets that this instance may use."""
+        return [
+            target
+            for service, targets in self._targets.items()
+            for target in targets
+            if self._plans[service].get(target.name, 0) > 0
+        ]
+
+    def set_config(self, config: CompiledConfig) -> None:
+        """Take over the services of a configuration."""
+        self._region_units.set_config(config)
+        for name in self.dispatchers.keys() - config.services.keys():
+            del self.dispatchers[name], self._targets[name]
+        for service in config.services.values():
+            targets = _target_infos(service)
+            if self._targets.get(service.name) != targets:
+                self._targets[service.name] = targets
+                self._set_targets(service.name, targets)
+            if service.name not in self.dispatchers:
+                self._add(service)
+
+    def set_instances(self, instances: Mapping[str, str]) -> None:
+        """Share the targets' connections among live instances.
+
+        :param instances: region of each live instance by name, this one
+            included.
+        """
+        if instances == self._instances:
+            return
+        self._instances = dict(instances)
+        for service, targets in self._targets.items():
+            self._set_plan(service, targets)
+
+    def set_leaving(self, target: str, leaving: bool) -> None:
+        """Take over what the platform's list says of a target."""
+        service, _, _ = target.partition("/")
+        if any(t.name == target for t in self._targets.get(service, ())):
+            self.choice.listed(self._now_s(), service, target, leaving=leaving)
+
+    def serve(self) -> None:
+        """Start waiting requests after grants have changed."""
+        for dispatcher in self.dispatchers.values():
+            dispatcher.serve()
+
+    def serve_one(self, service: str) -> None:
+        """Start a service's waiting requests after its targets changed."""
+        dispatcher = self.dispatchers.get(service)
+        if dispatcher is not None:
+            dispatcher.serve()
+
+    def state_wants(self) -> None:
+        """State the wanted units; call it every ``WANTS_PERIOD_S``."""
+        for dispatcher in self.dispatchers.values():
+            dispatcher.state_wants()
+        self._region_units.restate()
+        self.units.restate()
+
+    def retries(self, service: str) -> RetryBudget:
+        """Return the retry budget of a service."""
+        return self._retries[service]
+
+    def usual_s(self, service: str) -> float:
+        """Return the usual service time of a service."""
+        return self.choice.service_time(service).mean_s or _DEFAULT_SERVICE_S
+
+    def connection_limit(self, target: TargetInfo) -> int:
+        """Return how many connections may be open to a target."""
+        return self._plans[target.service].get(target.name, 0)
+
+    def waiting(self) -> int:
+        """Return how many requests wait for a target."""
+        return sum(d.waiting for d in self.dispatchers.values())
+
+    def _add(self, service: ServiceConfig) -> None:
+        name = service.name
+
+        def choose(now_s: float, request: ChoiceRequest) -> Choice | NoTarget:
+            return self.choice.choose(now_s, request, self._targets[name])
+
+        queue = AdmissionQueue(
+            service=name,
+            choose=choose,
+            units=self.units,
+            time=self.choice.service_time(name),
+        )
+        self.dispatchers[name] = Dispatcher(
+            queue=queue, choice=self.choice, now_s=self._now_s
+        )
+        self._retries[name] = RetryBudget(share=service.policy.retry_share)
+
+    def _set_targets(
+        self, service: str, targets: tuple[TargetInfo, ...]
+    ) -> None:
+        self.choice.set_targets(self._now_s(), service, targets)
+        self._set_plan(service, targets)
+        self.units.set_targets(service, targets)
+
+    def _set_plan(self, service: str, targets: tuple[TargetInfo, ...]) -> None:
+        plan = connection_plan(self._place.instance, self._instances, targets)
+        self._plans[service] = plan
+        self.choice.set_connection_plan(service, plan)
+
+
+def _target_infos(service: ServiceConfig) -> tuple[TargetInfo, ...]:
+    return tuple(
+        TargetInfo(
+            name=f"{service.name}/{target.name}",
+            service=service.name,
+            address=target.address,
+            region=target.region,
+            failure_domain=target.failure_domain,
+            slots=target.slots,
+            connections=target.connections,
+            draining=target.draining,
+        )
+        for target in service.targets.values()
+    )
--- /dev/null
+++ b/packages/verbenad/src/verbenad/target_prober.py
@@ -0,0 +1,109 @@
+"""Asks backend servers for their health and load.
+
+A probe costs a target about 6 ms, so each instance spreads its probes over
+the period, and the period grows with the number of instances.
+"""
+
+from collections.abc import Callable, Sequence
+
+import eventlet
+import urllib3
+
+from verbenaworks.load_report import (
+    MAX_ANSWER_BYTES,
+    Health,
+    parse_health,
+    parse_load,
+)
+from verbenaworks.target import TargetInfo
+from verbenaworks.target_choice import TargetChoice
+
+PROBE_PERIOD_S = 1.5
+# At 11 instances a target then answers 7 probes/s, or 4% of its time.
+PROBE_TIMEOUT_S = 1.0
+# In a large fleet the probes of all instances together keep to this rate.
+MAX_PROBES_PER_TARGET_PER_S = 10.0
+HEALTH_PATH = "/health"
+LOAD_PATH = "/load"
+
+
+class TargetProber:
+    """Probes of one instance.
+
+    :param instances: current number of instances in the fleet.
+    :param on_change: called when a service's targets may have changed state.
+    """
+
+    def __init__(
+        self,
+        *,
+        choice: TargetChoice,
+        now_s: Callable[[], float],
+        instances: Callable[[], int],
+        on_change: Callable[[str], None],
+    ) -> None:
+        self._choice = choice
+        self._now_s = now_s
+        self._instances = instances
+        self._on_change = on_change
+        self._targets: Sequence[TargetInfo] = ()
+        self._pool = urllib3.PoolManager(
+            num_pools=256, maxsize=1, retries=False
+        )
+
+    def set_targets(self, targets: Sequence[TargetInfo]) -> None:
+        """Set the targets to probe."""
+        self._targets = targets
+
+    def run(self) -> None:
+        """Probe all targets in turn, for ever."""
+        while True:
+            targets = self._targets
+            period_s = self._period_s()
+            for target in targets:
+                eventlet.spawn_n(self._probe, target)
+                eventlet.sleep(period_s / len(targets))
+            if not targets:
+                eventlet.sleep(PROBE_PERIOD_S)
+
+    def _period_s(self) -> float:
+        return max(
+            PROBE_PERIOD_S, self._instances() / MAX_PROBES_PER_TARGET_PER_S
+        )
+
+    def _probe(self, target: TargetInfo) -> None:
+        asked_s = self._now_s()
+        health, load = Health.NO_ANSWER, None
+        answer = self._get(target, HEALTH_PATH)
+        if answer is not None:
+            health = parse_health(*answer)
+            answer = self._get(target, LOAD_PATH)
+        if answer is not None:
+            load = parse_load(*answer)
+        try:
+            self._choice.probed(
+                self._now_s(), asked_s, target.service, target.name, health
+            )
+            if load is not None:
+                self._choice.reported(
+                    asked_s, target.service, target.name, load
+                )
+        except KeyError:
+            # The target was removed while the probe was under way.
+            return
+        self._on_change(target.service)
+
+    def _get(self, target: TargetInfo, path: str) -> tuple[int, bytes] | None:
+        try:
+            answer = self._pool.request(
+                "GET",
+                f"http://{target.address}{path}",
+                timeout=PROBE_TIMEOUT_S,
+                preload_content=False,
+            )
+            # Closed and not reused if the answer is longer than that.
+            data = answer.read(MAX_ANSWER_BYTES + 1)
+            answer.release_conn()
+        except urllib3.exceptions.HTTPError:
+            return None
+        return answer.status, data
