--- a/packages/verbenaworks/src/verbenaworks/budget_taker.py
+++ b/packages/verbenaworks/src/verbenaworks/budget_taker.py
@@ -135,6 +135,14 @@
             case _:
                 return float("inf")
 
+    def held(self, now_s: float, budget: str) -> tuple[int, int]:
+        """Return the units or the rate, and the depth, held at a time."""
+        match self._holdings.get(budget):
+            case RateHolding() | LevelHolding() as holding:
+                return holding.held(now_s)
+            case _:
+                return (0, 0)
+
     def due_at_s(self) -> float:
         """Return when :meth:`next_request` should be called next."""
         if not self._holdings:
@@ -224,7 +232,7 @@
 
     def _drop_unused(self, now_s: float) -> None:
         for name, holding in list(self._holdings.items()):
-            if _is_idle(now_s, holding) and holding.is_empty(now_s):
+            if _is_idle(now_s, holding) and holding.held(now_s) == (0, 0):
                 del self._holdings[name]
 
 
--- a/packages/verbenaworks/src/verbenaworks/level_holding.py
+++ b/packages/verbenaworks/src/verbenaworks/level_holding.py
@@ -49,10 +49,10 @@
         """Apply changed settings; an increase waits for a new process."""
         self._linger_s = min(self._linger_s, linger_s)
 
-    def is_empty(self, now_s: float) -> bool:
-        """Return whether nothing is held."""
+    def held(self, now_s: float) -> tuple[int, int]:
+        """Return the units that are or may be in use, and no depth."""
         self.expire(now_s)
-        return self._amount == 0 and self._in_use == 0
+        return max(self._amount, self._in_use), 0
 
     def try_take(self, now_s: float, hold: Hold, retry: bool) -> bool:
         """Use units if the grant and the workspace's part allow it."""
--- a/packages/verbenaworks/src/verbenaworks/rate_holding.py
+++ b/packages/verbenaworks/src/verbenaworks/rate_holding.py
@@ -27,10 +27,10 @@
         """When a caller last asked for tokens."""
         return self._asked_at_s
 
-    def is_empty(self, now_s: float) -> bool:
-        """Return whether nothing is held."""
+    def held(self, now_s: float) -> tuple[int, int]:
+        """Return the rate and the depth."""
         self.expire(now_s)
-        return self._bucket.depth == 0 and self._bucket.rate_milli_per_s == 0
+        return self._bucket.rate_milli_per_s, self._bucket.depth
 
     def try_take(
         self, now_s: float, workspace: str, amount: int, retry: bool
