--- a/packages/verbenaworks/src/verbenaworks/edit.py
+++ b/packages/verbenaworks/src/verbenaworks/edit.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from verbenaworks.block_table import parse_block
 from verbenaworks.settings_path import BLOCKS, is_within
 
 
@@ -87,9 +88,10 @@
     return True
 
 
-def _block(change: Change) -> str:
+def _block(change: Change) -> object:
+    """Return what identifies a block, however it is spelled."""
     match change:
-        case SetValue(field=block) | UnsetValue(field=block):
-            return block
+        case SetValue(field=text) | UnsetValue(field=text):
+            return parse_block(text).unwrap_or(text)
         case _:
-            return ""
+            return None
--- a/packages/verbenaworks/src/verbenaworks/settings_schema.py
+++ b/packages/verbenaworks/src/verbenaworks/settings_schema.py
@@ -81,7 +81,7 @@
         levels=("deployment", "workspace"),
         description=(
             "Requests that a workspace may send at once over the fleet; at "
-            "least 0.2 s of rate_per_s."
+            "least 0.2 s of rate_per_s, and 1 unless the rate is 0."
         ),
     ),
     FieldSpec(
--- a/packages/verbenaworks/src/verbenaworks/tree_rules.py
+++ b/packages/verbenaworks/src/verbenaworks/tree_rules.py
@@ -125,12 +125,15 @@
         path = f"/workspaces/{name}"
         rate_per_s = tree.value(path, "rate_per_s")
         burst = tree.value(path, "burst")
-        if burst < BURST_MIN_S * rate_per_s:
+        # A bucket of less than one token never admits a request.
+        least = max(1.0, BURST_MIN_S * rate_per_s) if rate_per_s else 0.0
+        if burst < least:
             yield EditRefused(
                 "burst-too-small",
-                f"burst = {burst:g} of {path} is less than {BURST_MIN_S} s "
-                f"of rate_per_s = {rate_per_s:g}",
-                f"set burst to at least {BURST_MIN_S * rate_per_s:g}",
+                f"burst = {burst:g} of {path} is too small for "
+                f"rate_per_s = {rate_per_s:g}",
+                f"set burst to at least {least:g} ({BURST_MIN_S} s of the "
+                "rate, and 1)",
             )
 
 
--- a/tests/test_config_document.py
+++ b/tests/test_config_document.py
@@ -147,6 +147,13 @@
         ("exists", [CreateBranch(path="/workspaces/acme")]),
         ("permanent-path", [DeleteBranch(path="/")]),
         ("burst-too-small", [set_value("/workspaces/acme", "burst", 3.9)]),
+        (
+            "burst-too-small",
+            [
+                set_value("/workspaces/acme", "rate_per_s", 2),
+                set_value("/workspaces/acme", "burst", 0.9),
+            ],
+        ),
         ("dangling-reference", [DeleteBranch(path="/regions/west")]),
         ("dangling-reference", [DeleteBranch(path="/sites/port")]),
         ("dangling-reference", [set_value("/blocks", "10.2.0.0/16", "q")]),
@@ -204,6 +211,18 @@
     assert rebased.apply_edit(delete).unwrap_err().code == "concurrent-edit"
 
 
+def test_racing_edits_of_one_block() -> None:
+    """Guards against a race hidden by two spellings of one block."""
+    document = sample()
+    first = make_edit("a", set_value("/blocks", "2001:db9::/32", "port"))
+    document = document.apply_edit(replace(first, read_revision=1)).unwrap()
+    same = make_edit("b", set_value("/blocks", "2001:DB9:0::/32", "port"))
+    result = document.apply_edit(replace(same, read_revision=1))
+    assert result.unwrap_err().code == "concurrent-edit"
+    other = make_edit("c", set_value("/blocks", "2001:dba::/32", "port"))
+    assert document.apply_edit(replace(other, read_revision=1)).is_ok()
+
+
 def test_expected_revision() -> None:
     """Guards against an edit landing on a revision it was not made for."""
     change = set_value("/", "lookup_ttl_s", 3)
--- a/tests/test_verbena.py
+++ b/tests/test_verbena.py
@@ -9,9 +9,10 @@
 import pytest
 
 from fake_agreement import BOOTSTRAP_TOKEN, FakeAgreement, serve
-from test_config_document import KEY, sample
+from test_config_document import KEY, make_edit, sample
 from verbena.main import run
 from verbenaworks.compiled_config import compile_config
+from verbenaworks.edit import CreateBranch
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -200,20 +201,13 @@
     """Guards against the verdict "not applied" on a forgotten edit."""
     shell.json("set", "/", "lookup_ttl_s=3", "--edit-id", "1-old")
     for number in range(257):
-        name = f"w{number}"
-        shell.agreement.submit(_create_workspace(shell, name))
+        revision = shell.agreement.document().config_revision
+        change = CreateBranch(path=f"/workspaces/w{number}")
+        edit = make_edit(f"w{number}", change, read=revision)
+        assert shell.agreement.submit(edit).is_ok()
     assert shell.run("settle", "1-old")[0] == 3
 
 
-def _create_workspace(shell: Shell, name: str) -> object:
-    from test_config_document import make_edit
-    from verbenaworks.edit import CreateBranch
-
-    revision = shell.agreement.document().config_revision
-    change = CreateBranch(path=f"/workspaces/{name}")
-    return make_edit(name, change, read=revision)
-
-
 def test_same_edit_id_twice(shell: Shell) -> None:
     """Guards against a script's resend being applied twice."""
     create = ["workspace", "create", "beta", "--edit-id", "mine"]
@@ -232,6 +226,20 @@
     assert shell.run("status", "--instance", dead)[0] == 4
 
 
+def test_refusal_after_a_lost_answer(
+    shell: Shell, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against "refused" while a lost edit may still be applied."""
+    instances = f"{shell.address},{shell.address}"
+    monkeypatch.setenv("VERBENA_INSTANCES", instances)
+    shell.agreement.lost = ["before"]
+    code, _, err = shell.run("set", "/workspaces/acme", "burst=1")
+    assert code == 3 and "verbena settle" in err
+    shell.agreement.lost = ["after"]
+    assert shell.run("set", "/", "lookup_ttl_s=3")[0] == 0
+    assert shell.agreement.document().config_revision == 2
+
+
 def test_operators_and_roles(
     shell: Shell, monkeypatch: pytest.MonkeyPatch
 ) -> None:
