--- a/packages/verbenad/src/verbenad/daemon.py
+++ b/packages/verbenad/src/verbenad/daemon.py
@@ -23,9 +23,9 @@
 from verbenad.front import Front
 from verbenad.front_limits import FrontLimits
 from verbenad.gateway import Gateway
+from verbenad.line_writer import LineWriter
 from verbenad.lookup_page import LookupPage
 from verbenad.lookup_table import LookupTable
-from verbenad.line_writer import LineWriter
 from verbenad.loop_timers import LoopTimers
 from verbenad.metrics import Metrics
 from verbenad.platform_list import PlatformList
--- a/packages/verbenaworks/src/verbenaworks/membership.py
+++ b/packages/verbenaworks/src/verbenaworks/membership.py
@@ -154,6 +154,10 @@
         )
         self.version += 1
 
+    def set_seeds(self, seeds: Iterable[str]) -> None:
+        """Take over the bus addresses that the platform's list shows now."""
+        self._seeds = tuple(s for s in seeds if s != self._own.bus_address)
+
     def leave(self) -> None:
         """Tell the others that this instance is shutting down."""
         if self._own.state is MemberState.ALIVE:
