Ask for slots at other targets after an attempt has failed

Cause: a retry excludes the target that failed, but the service's wants were satisfied by the slots held there, so none was asked for elsewhere and the retry waited to its deadline. Ruled out: ejection (the target was not ejected) and the retry budget (a retry had been granted). A target is now left out of the wants for 1 s after a failure, and while it is leaving or ejected.

The backend server stand-in now closes its port while it is crashed, as a real process does; it accepted and reset connections before.

--- a/packages/standins/src/standins/__main__.py
+++ b/packages/standins/src/standins/__main__.py
@@ -12,6 +12,7 @@
 import eventlet.wsgi  # noqa: E402
 
 from standins.backend_app import BackendApp  # noqa: E402
+from standins.backend_server import BackendServer  # noqa: E402
 from standins.instance_list_app import InstanceListApp  # noqa: E402
 from standins.store_app import StoreApp  # noqa: E402
 from standins.wsgi_tools import Application  # noqa: E402
@@ -49,7 +50,8 @@
     for text in targets:
         name, port, slots, service_ms = text.rsplit(":", 3)
         app = BackendApp(name, int(slots), float(service_ms) / 1000, cold_s)
-        threads.append(eventlet.spawn(_serve, app, int(port)))
+        server = BackendServer(app, int(port))
+        threads.append(eventlet.spawn(server.run))
     for thread in threads:
         thread.wait()
 
--- a/packages/standins/src/standins/backend_app.py
+++ b/packages/standins/src/standins/backend_app.py
@@ -1,9 +1,11 @@
 """A backend server stand-in: slots, cold start, shedding, failures."""
 
+import contextlib
 import hashlib
+import socket
 import time
 from collections import deque
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import replace
 
 import eventlet
@@ -31,8 +33,10 @@
 
     Every path is served; ``?bytes=N`` asks for an answer of N bytes and
     ``?ms=N`` for a service time. A body or query that holds
-    ``crash-this-server`` crashes the target: all its connections are reset
-    and it refuses work until it has restarted, cold.
+    ``crash-this-server`` crashes the target: all its connections end and
+    its port refuses new ones until it has restarted, cold.
+
+    :ivar on_crash: called at each crash.
 
     :param slots: requests run at once; more are shed as not run.
     :param service_s: service time of a request when warm, in seconds.
@@ -55,10 +59,10 @@
         self._in_flight = 0
         self._peak_in_flight = 0
         self._started_at_s = time.monotonic()
-        self._down_until_s = 0.0
         self._generation = 0
         self._silenced: set[object] = set()
-        self._connections: dict[object, object] = {}
+        self._connections: dict[object, socket.socket] = {}
+        self.on_crash: Callable[[], None] = lambda: None
         self._history: deque[BackendRun] = deque(maxlen=HISTORY_LENGTH)
         self._reports: deque[tuple[float, int]] = deque(maxlen=1000)
 
@@ -74,8 +78,6 @@
         self._connections[peer] = connection
         while peer in self._silenced:
             eventlet.sleep(0.05)
-        if time.monotonic() < self._down_until_s:
-            return abort_connection(environ)
         if path == "/health":
             return self._health(start_response)
         if path == "/load":
@@ -181,10 +183,14 @@
         return service_s * cold_factor * self._faults.slow_factor
 
     def _crash(self) -> None:
+        """End all connections, as the end of a process does."""
         self._generation += 1
-        now_s = time.monotonic()
-        self._down_until_s = now_s + CRASH_RESTART_S
-        self._started_at_s = self._down_until_s
+        self._started_at_s = time.monotonic() + CRASH_RESTART_S
+        for connection in self._connections.values():
+            with contextlib.suppress(OSError):
+                connection.shutdown(socket.SHUT_RDWR)
+        self._connections.clear()
+        self.on_crash()
 
     def _health(self, start_response: StartResponse) -> Iterable[bytes]:
         healthy = not self._faults.draining
--- /dev/null
+++ b/packages/standins/src/standins/backend_server.py
@@ -0,0 +1,51 @@
+"""Serves one backend server stand-in, through crashes and restarts."""
+
+import contextlib
+
+import eventlet
+import eventlet.wsgi
+import greenlet
+
+from standins.backend_app import CRASH_RESTART_S, BackendApp
+
+_MAX_CONNECTIONS = 4096
+
+
+class BackendServer:
+    """Listens on a port except while the target is crashed."""
+
+    def __init__(self, app: BackendApp, port: int) -> None:
+        self._app = app
+        self._port = port
+        self._thread: eventlet.greenthread.GreenThread | None = None
+        self._listener: eventlet.greenio.GreenSocket | None = None
+        app.on_crash = self._crash
+
+    def run(self) -> None:
+        """Serve for ever."""
+        while True:
+            self._listener = eventlet.listen(("127.0.0.1", self._port))
+            self._thread = eventlet.spawn(self._serve)
+            with contextlib.suppress(greenlet.GreenletExit):
+                self._thread.wait()
+            eventlet.sleep(CRASH_RESTART_S)
+
+    def _serve(self) -> None:
+        # A pool of its own: ending the accept loop must not wait for the
+        # handlers of the crashed process.
+        eventlet.wsgi.server(
+            self._listener,
+            self._app,
+            log_output=False,
+            debug=False,
+            max_size=_MAX_CONNECTIONS,
+        )
+
+    def _crash(self) -> None:
+        eventlet.spawn_after(0, self._stop)
+
+    def _stop(self) -> None:
+        if self._listener is not None:
+            self._listener.close()
+        if self._thread is not None:
+            self._thread.kill()
--- a/packages/verbenad/src/verbenad/call_runner.py
+++ b/packages/verbenad/src/verbenad/call_runner.py
@@ -75,6 +75,7 @@
 
     :param dispatchers: by service name.
     :param usual_s: usual service time of a service.
+    :param avoid: called with a target on which an attempt failed.
     """
 
     def __init__(
@@ -87,6 +88,7 @@
         log: DecisionLog,
         usual_s: Callable[[str], float],
         connection_limit: Callable[[TargetInfo], int],
+        avoid: Callable[[TargetInfo], None],
         now_s: Callable[[], float],
     ) -> None:
         self._dispatchers = dispatchers
@@ -98,6 +100,7 @@
         self._log = log
         self._usual_s = usual_s
         self._connection_limit = connection_limit
+        self._avoid = avoid
         self._now_s = now_s
 
     def run(self, call: Call, digest: str) -> RunningAnswer:
@@ -142,6 +145,7 @@
             crashes += failed.looks_like_crash
             if not failed.silent:
                 tried |= {choice.target.name}
+                self._avoid(choice.target)
             if (
                 number == MAX_ATTEMPTS
                 or crashes == MAX_CRASHES_OF_CALL
--- a/packages/verbenad/src/verbenad/daemon.py
+++ b/packages/verbenad/src/verbenad/daemon.py
@@ -221,6 +221,7 @@
             log=self._log,
             usual_s=self._desk.usual_s,
             connection_limit=self._desk.connection_limit,
+            avoid=self._desk.avoid,
             now_s=self._now_s,
         )
         self._table = LookupTable()
--- a/packages/verbenad/src/verbenad/service_desk.py
+++ b/packages/verbenad/src/verbenad/service_desk.py
@@ -18,6 +18,7 @@
 from verbenaworks.target_choice import TargetChoice
 
 WANTS_PERIOD_S = 0.25
+AVOID_S = 1.0
 _DEFAULT_SERVICE_S = 0.05
 
 
@@ -40,7 +41,7 @@
             place=place,
             now_s=now_s,
             budget_name=slots_budget_name,
-            may_ask=lambda t: not self._region_units.is_full(t.region),
+            may_ask=self._may_ask,
         )
         self.choice = TargetChoice(
             place=place,
@@ -53,6 +54,7 @@
         self._retries: dict[str, RetryBudget] = {}
         self._instances: Mapping[str, str] = {place.instance: place.region}
         self._plans: dict[str, Mapping[str, int]] = {}
+        self._avoided: dict[str, float] = {}
 
     @property
     def targets(self) -> list[TargetInfo]:
@@ -95,6 +97,15 @@
         if any(t.name == target for t in self._targets.get(service, ())):
             self.choice.listed(self._now_s(), service, target, leaving=leaving)
 
+    def avoid(self, target: TargetInfo) -> None:
+        """Ask for slots elsewhere after an attempt on a target failed.
+
+        Otherwise a retry would wait for slots at other targets while those
+        of the failed one satisfy the service's wants.
+        """
+        self._avoided[target.name] = self._now_s() + AVOID_S
+        self.units.restate()
+
     def serve(self) -> None:
         """Start waiting requests after grants have changed."""
         for dispatcher in self.dispatchers.values():
@@ -129,6 +140,14 @@
         """Return how many requests wait for a target."""
         return sum(d.waiting for d in self.dispatchers.values())
 
+    def _may_ask(self, target: TargetInfo) -> bool:
+        now_s = self._now_s()
+        if now_s < self._avoided.get(target.name, 0.0):
+            return False
+        if not self.choice.is_in_service(now_s, target.service, target.name):
+            return False
+        return not self._region_units.is_full(target.region)
+
     def _add(self, service: ServiceConfig) -> None:
         name = service.name
 
--- a/packages/verbenaworks/src/verbenaworks/target_choice.py
+++ b/packages/verbenaworks/src/verbenaworks/target_choice.py
@@ -247,6 +247,15 @@
         """Return the usual service time of a service."""
         return self._services.setdefault(service, _Service()).time
 
+    def is_in_service(self, now_s: float, service: str, target: str) -> bool:
+        """Return whether a target is neither leaving nor ejected."""
+        state = self._services.get(service)
+        if state is None or target not in state.stats:
+            return False
+        if state.stats[target].signs:
+            return False
+        return state.ejection.standing(now_s, target) is not Standing.OUT
+
     def _why_not(
         self,
         now_s: float,
--- /dev/null
+++ b/tests/test_service_desk.py
@@ -0,0 +1,89 @@
+"""Wants for slots after a failed attempt."""
+
+from collections.abc import Callable
+from random import Random
+
+from verbenad.service_desk import AVOID_S, ServiceDesk
+from verbenaworks.near_table import Place
+from verbenaworks.target import TargetInfo
+
+
+class _Taker:
+    """Records the wants that are stated for each budget."""
+
+    def __init__(self) -> None:
+        self.wants: dict[str, dict[str, int]] = {}
+
+    def available(self, now_s: float, budget: str) -> int:
+        return 0
+
+    def granted(self, now_s: float, budget: str) -> int:
+        return 0
+
+    def state_wants(
+        self, now_s: float, budget: str, wants: dict[str, int]
+    ) -> None:
+        self.wants[budget] = dict(wants)
+
+
+class _Loop:
+    def __init__(self) -> None:
+        self.taker = _Taker()
+
+    def taker_of(self, shard: int) -> _Taker:
+        return self.taker
+
+    def kick(self, shard: int) -> None:
+        """Do nothing: there is no owner."""
+
+
+def _target(name: str) -> TargetInfo:
+    return TargetInfo(
+        name=f"s/{name}",
+        service="s",
+        address="127.0.0.1:1",
+        region="r",
+        failure_domain="r-1",
+        slots=4,
+        connections=10,
+    )
+
+
+def _desk(loop: _Loop, now_s: Callable[[], float]) -> ServiceDesk:
+    return ServiceDesk(
+        place=Place(
+            instance="e1",
+            region="r",
+            failure_domain="r-1",
+            domain_delay_s=0.001,
+            region_delay_s=0.01,
+        ),
+        loop=loop,  # type: ignore[arg-type]
+        now_s=now_s,
+        random=Random(1),
+    )
+
+
+def test_slots_are_asked_for_elsewhere_after_a_failure() -> None:
+    """Guards against a retry that waits for slots until its deadline.
+
+    One want was satisfied by the target that had failed, so none was asked
+    for at the others.
+    """
+    clock = [0.0]
+    loop = _Loop()
+    desk = _desk(loop, lambda: clock[0])
+    targets = (_target("a"), _target("b"))
+    desk.choice.set_targets(0.0, "s", targets)
+    desk.units.set_targets("s", targets)
+    desk.units.want("s", "w", 1)
+    asked = [name for name, wants in loop.taker.wants.items() if wants]
+    assert len(asked) == 1
+    failed = next(t for t in targets if f"slots/{t.name}" == asked[0])
+    desk.avoid(failed)
+    asked_now = [name for name, wants in loop.taker.wants.items() if wants]
+    assert len(asked_now) == 1
+    assert asked_now != asked
+    clock[0] = AVOID_S
+    desk.units.restate()
+    assert loop.taker.wants[asked[0]]
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -5,6 +5,7 @@
 """
 
 import json
+import threading
 import time
 from collections.abc import Callable, Iterator
 from pathlib import Path
@@ -202,8 +203,6 @@
 
 def test_graceful_shutdown_finishes_requests(local: LocalDeployment) -> None:
     """Guards against a restart that cuts off a running request."""
-    import threading
-
     caller = _caller(local)
     first = caller.lookup("catalogue")["instances"][0]["name"]  # type: ignore[index]
     results = []
@@ -218,6 +217,8 @@
     thread.join()
     assert results[0].status == 200
     assert process.wait(LIMIT_S) == 0
+    local.start_instance(str(first))
+    local.wait_until_fresh([str(first)])
     _until(lambda: caller.call("catalogue").status == 200)
 
 
