Divide each workspace's rate over four owners

Cause: the rate of a workspace had one owner. When the instance died that was both the owner and the only taker, the next instance got no token until the owner had been replaced and all earlier grants had lapsed. Ruled out: a shorter validity of grants, which must outlast the detection of the death and the wait of the new owner (about 4 s). Change: the rate and the burst are divided into four budgets whose owners differ.

--- a/packages/standins/src/standins/local_deployment.py
+++ b/packages/standins/src/standins/local_deployment.py
@@ -209,6 +209,10 @@
         """Return the JSON of a stand-in's page."""
         return self._http.request("GET", url, timeout=5.0).json()
 
+    def accepts(self, name: str) -> bool:
+        """Return whether a target's port accepts connections."""
+        return self._get(f"{self.target_url(name)}/admin/peak")
+
     def target_url(self, name: str) -> str:
         """Return the base URL of a target by ``service/target``."""
         return f"http://127.0.0.1:{self.target_ports[name]}"
--- a/packages/verbenad/src/verbenad/budget_plan.py
+++ b/packages/verbenad/src/verbenad/budget_plan.py
@@ -4,17 +4,30 @@
 from math import floor
 
 from verbenaworks.budget_spec import Budget, LevelBudget, RateBudget
-from verbenaworks.compiled_config import CompiledConfig
+from verbenaworks.compiled_config import CompiledConfig, WorkspaceConfig
 
 STORE_CLAIMS_BUDGET = "runs/store-claims"
 STORE_CLAIMS_PER_S = 100
-# The parts of a region's load belong to different shards.
+# The parts of a workspace's rate and of a region's load belong to different
+# shards, so that the death of an owner withholds only a part of them.
+RATE_PARTS = 4
+MIN_PART_BURST = 4
 REGION_PARTS = 8
 
 
-def rate_budget_name(workspace: str) -> str:
-    """Return the name of a workspace's rate budget."""
-    return f"rate/{workspace}"
+def rate_parts(workspace: WorkspaceConfig) -> list[RateBudget]:
+    """Return the parts of a workspace's rate; they add up to the whole."""
+    burst = floor(workspace.burst)
+    parts = max(1, min(RATE_PARTS, burst // MIN_PART_BURST))
+    whole, rest = divmod(burst, parts)
+    return [
+        RateBudget(
+            name=f"rate/{workspace.name}/{part}",
+            rate_per_s=workspace.rate_per_s / parts,
+            burst=whole + (part < rest),
+        )
+        for part in range(parts)
+    ]
 
 
 def slots_budget_name(target: str) -> str:
@@ -64,11 +77,7 @@
 
 def _rates(config: CompiledConfig) -> Iterator[Budget]:
     for workspace in config.workspaces.values():
-        yield RateBudget(
-            name=rate_budget_name(workspace.name),
-            rate_per_s=workspace.rate_per_s,
-            burst=floor(workspace.burst),
-        )
+        yield from rate_parts(workspace)
 
 
 def _slots(config: CompiledConfig) -> Iterator[Budget]:
--- a/packages/verbenad/src/verbenad/daemon.py
+++ b/packages/verbenad/src/verbenad/daemon.py
@@ -188,7 +188,9 @@
 
     def _build_serving(self) -> None:
         settings = self._settings
-        self._gate = RateGate(loop=self._budgets, now_s=self._now_s)
+        self._gate = RateGate(
+            instance=settings.name, loop=self._budgets, now_s=self._now_s
+        )
         self._desk = ServiceDesk(
             place=Place(
                 instance=settings.name,
@@ -271,6 +273,7 @@
         config = compile_config(self._document)
         self._config = config
         self._budgets.set_config(config)
+        self._gate.set_config(config)
         self._desk.set_config(config)
         self._prober.set_targets(self._desk.targets)
         self._table.set_config(config)
--- a/packages/verbenad/src/verbenad/rate_gate.py
+++ b/packages/verbenad/src/verbenad/rate_gate.py
@@ -1,63 +1,81 @@
 """Admits requests within their workspace's rate and burst.
 
 A request without a token waits a short time for the next exchange with the
-budget's owner instead of being refused: tokens may be at another instance.
+owners of the budget instead of being refused: tokens may be at another
+instance.
 """
 
+import zlib
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
 
 import eventlet
 from eventlet.event import Event
 
 from verbenad.budget_loop import BudgetLoop
-from verbenad.budget_plan import rate_budget_name
+from verbenad.budget_plan import STORE_CLAIMS_BUDGET, rate_parts
 from verbenaworks.budget_spec import shard_of
 from verbenaworks.budget_taker import BudgetTaker
+from verbenaworks.compiled_config import CompiledConfig
 
 # Longer than the two exchanges after which tokens have moved between
 # instances, short enough that callers over their rate learn of it at once.
 RATE_WAIT_S = 1.0
 # Requests for one budget that wait at one time; more are refused at once.
 MAX_WAITING = 128
+MAX_RETRY_AFTER_S = 10.0
 _POLL_S = 0.05
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Part:
+    name: str
+    shard: int
+    taker: BudgetTaker
+
+
 class RateGate:
-    """Takes tokens for requests."""
+    """Takes tokens for requests.
+
+    :param instance: name of this instance; instances begin with different
+        parts of a budget, so that each part serves few of them.
+    """
 
     def __init__(
-        self, *, loop: BudgetLoop, now_s: Callable[[], float]
+        self, *, instance: str, loop: BudgetLoop, now_s: Callable[[], float]
     ) -> None:
+        self._instance = instance
         self._loop = loop
         self._now_s = now_s
+        self._parts: dict[str, list[_Part]] = {}
+        self._claims = [self._part(STORE_CLAIMS_BUDGET)]
         self._waiting: Counter[str] = Counter()
         self._granted = Event()
 
+    def set_config(self, config: CompiledConfig) -> None:
+        """Take over the parts of all workspaces' rates."""
+        self._parts = {
+            workspace.name: self._in_order(
+                [self._part(part.name) for part in rate_parts(workspace)],
+                workspace.name,
+            )
+            for workspace in config.workspaces.values()
+        }
+
     def take(self, workspace: str, until_s: float) -> bool:
         """Take one of a workspace's tokens; wait for it if necessary.
 
         :param until_s: monotonic time at which the wait ends at the latest.
         """
-        return self.take_budget(
-            rate_budget_name(workspace), workspace, until_s
-        )
+        parts = self._parts.get(workspace, [])
+        return self._take(parts, workspace, workspace, until_s)
 
-    def take_budget(self, name: str, workspace: str, until_s: float) -> bool:
-        """Take one token of a rate budget; see :meth:`take`."""
-        taker = self._loop.taker_of(shard_of(name))
-        if self._waiting[name] == 0 and taker.try_take(
-            self._now_s(), name, workspace
-        ):
-            return True
-        if self._waiting[name] >= MAX_WAITING:
-            return False
-        self._waiting[name] += 1
-        try:
-            end_s = min(until_s, self._now_s() + RATE_WAIT_S)
-            return self._wait(taker, name, workspace, end_s)
-        finally:
-            self._waiting[name] -= 1
+    def take_store_claim(self, workspace: str, until_s: float) -> bool:
+        """Take a token for a claim in the store; see :meth:`take`."""
+        return self._take(
+            self._claims, STORE_CLAIMS_BUDGET, workspace, until_s
+        )
 
     def granted(self) -> None:
         """Wake waiting requests; call it after each accepted reply."""
@@ -66,20 +84,65 @@
 
     def retry_after_s(self, workspace: str) -> float:
         """Return when the workspace may have a token again."""
-        name = rate_budget_name(workspace)
-        taker = self._loop.taker_of(shard_of(name))
-        return min(taker.wait_s(self._now_s(), name), 10.0)
+        parts = self._parts.get(workspace, [])
+        return min(self._wait_s(parts), MAX_RETRY_AFTER_S)
+
+    def _take(
+        self,
+        parts: Sequence[_Part],
+        queue: str,
+        workspace: str,
+        until_s: float,
+    ) -> bool:
+        if self._waiting[queue] == 0 and self._try(parts, workspace, False):
+            return True
+        if self._waiting[queue] >= MAX_WAITING:
+            return False
+        self._waiting[queue] += 1
+        try:
+            end_s = min(until_s, self._now_s() + RATE_WAIT_S)
+            return self._wait(parts, workspace, end_s)
+        finally:
+            self._waiting[queue] -= 1
+
+    def _try(
+        self, parts: Sequence[_Part], workspace: str, is_retry: bool
+    ) -> bool:
+        now_s = self._now_s()
+        for part in parts:
+            if part.taker.try_take(
+                now_s, part.name, workspace, retry=is_retry
+            ):
+                return True
+        return False
 
     def _wait(
-        self, taker: BudgetTaker, name: str, workspace: str, end_s: float
+        self, parts: Sequence[_Part], workspace: str, end_s: float
     ) -> bool:
         while (now_s := self._now_s()) < end_s:
-            if taker.try_take(now_s, name, workspace, retry=True):
+            if self._try(parts, workspace, True):
                 return True
-            self._loop.kick(shard_of(name))
+            for part in parts:
+                self._loop.kick(part.shard)
             wait_s = min(
-                max(taker.wait_s(now_s, name), 0.001), _POLL_S, end_s - now_s
+                max(self._wait_s(parts), 0.001), _POLL_S, end_s - now_s
             )
             with eventlet.Timeout(wait_s, False):
                 self._granted.wait()
         return False
+
+    def _wait_s(self, parts: Sequence[_Part]) -> float:
+        now_s = self._now_s()
+        return min(
+            (part.taker.wait_s(now_s, part.name) for part in parts),
+            default=MAX_RETRY_AFTER_S,
+        )
+
+    def _part(self, name: str) -> _Part:
+        shard = shard_of(name)
+        return _Part(name=name, shard=shard, taker=self._loop.taker_of(shard))
+
+    def _in_order(self, parts: list[_Part], workspace: str) -> list[_Part]:
+        start = zlib.crc32(f"{self._instance}/{workspace}".encode())
+        first = start % len(parts)
+        return parts[first:] + parts[:first]
--- a/packages/verbenad/src/verbenad/run_guard.py
+++ b/packages/verbenad/src/verbenad/run_guard.py
@@ -3,7 +3,6 @@
 import secrets
 from dataclasses import dataclass
 
-from verbenad.budget_plan import STORE_CLAIMS_BUDGET
 from verbenad.call import Call
 from verbenad.call_digest import call_digest
 from verbenad.rate_gate import RateGate
@@ -172,9 +171,7 @@
         self, call: Call, key: str, window_s: float
     ) -> RunClaim:
         request_id = call.request_id
-        if not self._gate.take_budget(
-            STORE_CLAIMS_BUDGET, call.workspace, call.deadline_s
-        ):
+        if not self._gate.take_store_claim(call.workspace, call.deadline_s):
             raise refused("run-window-full", request_id, retry_after_s=1.0)
         scoped = f"{call.workspace}/{key}"
         match self._store_claims.claim(scoped, window_s):
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -60,6 +60,7 @@
 def _history(deployment: LocalDeployment) -> list[dict[str, object]]:
     runs: list[dict[str, object]] = []
     for name in deployment.target_ports:
+        _until(lambda n=name: deployment.accepts(n))  # type: ignore[misc]
         url = f"{deployment.target_url(name)}/admin/history"
         runs += deployment.get_json(url)  # type: ignore[arg-type]
     return runs
