Drive traffic shifts and cap the move of a lost region's blocks

The owner of a shift's shard takes the next step when every member has the current one in force, or can no longer be fresh without it, and the callers' caches have expired. The blocks of a region without usable instances move up to emergency_cap_share, by the same exact plan as a shift. Links are not measured yet and do not hold a shift.

--- a/packages/verbenad/src/verbenad/daemon.py
+++ b/packages/verbenad/src/verbenad/daemon.py
@@ -36,6 +36,8 @@
 from verbenad.run_guard import RunGuard
 from verbenad.service_desk import WANTS_PERIOD_S, ServiceDesk
 from verbenad.service_pages import ServicePages
+from verbenad.shift_loop import PERIOD_S as SHIFT_PERIOD_S
+from verbenad.shift_loop import ShiftLoop
 from verbenad.store_claims import StoreClaims
 from verbenad.store_client import StoreClient
 from verbenad.target_prober import TargetProber
@@ -93,6 +95,7 @@
         every(POOL_PERIOD_S, self._pool.close_expired)
         every(GENERATION_PERIOD_S, self._claims.query_generations)
         every(LIST_PERIOD_S, self._read_list)
+        every(SHIFT_PERIOD_S, self._shifts.tick)
         every(REPORT_PERIOD_S, self._report_self)
         every(FLUSH_PERIOD_S, self._lines.flush)
         self._fleet.start(self._timers)
@@ -249,6 +252,15 @@
             now_s=self._now_s,
             on_refusal=lambda code: self._refusals.add((code,)),
         )
+        self._shifts = ShiftLoop(
+            agreement=self._agreement,
+            fleet=self._fleet,
+            desk=self._desk,
+            table=self._table,
+            edits=self._edits,
+            config=lambda: self._config,
+            now_s=self._now_s,
+        )
         host, _, port = settings.caller_address.rpartition(":")
         self._front = Front(
             self._gateway, host=host, port=int(port), limits=_limits(settings)
--- a/packages/verbenad/src/verbenad/lookup_table.py
+++ b/packages/verbenad/src/verbenad/lookup_table.py
@@ -14,7 +14,7 @@
 from verbenaworks.shift_plan import ShiftPlan, ShiftSpec
 
 # States in which a shift's blocks are at the target region.
-_MOVED_STATES = frozenset({"running", "paused", "done"})
+_MOVED_STATES = frozenset({"running", "paused"})
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -46,6 +46,7 @@
         self._source: BlockTable | None = None
         self._blocks = ClientBlocks([])
         self._shifts: dict[str, list[_ActiveShift]] = {}
+        self._emergencies: dict[str, ShiftPlan] = {}
         self._rings = EntryLookup([])
         self._members: frozenset[EntryInstance] = frozenset()
 
@@ -58,6 +59,7 @@
             )
         self._config = config
         self._shifts = {}
+        self._emergencies = {}
         for shift in config.shifts.values():
             if shift.state in _MOVED_STATES and shift.step > 0:
                 active = _ActiveShift(
@@ -82,9 +84,10 @@
         match = self._blocks.find(address)
         block_hash = hash_block(match.range_start)
         region = self._region_of(match)
-        instances = self._rings.find(
-            self._region_order(region, block_hash), block_hash, is_usable
-        )
+        order = self._region_order(region, block_hash)
+        if not self._rings.has_usable(region, is_usable):
+            order = order if self._may_leave(region, match) else []
+        instances = self._rings.find(order, block_hash, is_usable)
         return LookupAnswer(
             instances=tuple(instances), block_hash=block_hash, region=region
         )
@@ -111,6 +114,31 @@
         starts = (s for s, site in self._blocks.ranges() if site in sites)
         return ShiftPlan(spec, ((start, 1) for start in starts))
 
+    def _may_leave(self, region: str, match: BlockMatch) -> bool:
+        """Return whether a block of a lost region moves to the others."""
+        config = self._config
+        if config is None or region not in config.regions:
+            return True
+        cap_share = config.regions[region].emergency_cap_share
+        if cap_share >= 1.0:
+            return True
+        plan = self._emergencies.get(region)
+        if plan is None:
+            plan = self._plan(
+                config,
+                ShiftConfig(
+                    name=f"emergency-{region}",
+                    from_region=region,
+                    to_region="",
+                    cap_share=cap_share,
+                    step_share=1.0,
+                    state="running",
+                    step=1,
+                ),
+            )
+            self._emergencies[region] = plan
+        return plan.is_moved(match.range_start, 1)
+
     def _region_of(self, match: BlockMatch) -> str:
         if self._config is None:
             return ""
--- a/packages/verbenad/src/verbenad/service_desk.py
+++ b/packages/verbenad/src/verbenad/service_desk.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Mapping
 from random import Random
+from statistics import median
 
 from verbenad.budget_loop import BudgetLoop
 from verbenad.budget_plan import slots_budget_name
@@ -14,6 +15,7 @@
 from verbenaworks.connection_plan import connection_plan
 from verbenaworks.near_table import Place
 from verbenaworks.retry_budget import RetryBudget
+from verbenaworks.shift_driver import ShiftMeasurements
 from verbenaworks.target import TargetInfo
 from verbenaworks.target_choice import TargetChoice
 
@@ -124,6 +126,33 @@
         self._region_units.restate()
         self.units.restate()
 
+    def region_measurements(self, region: str) -> ShiftMeasurements | None:
+        """Return the load of a region by its targets' reports.
+
+        None if no target has reported. The age is that of the median
+        report: a single silent target must not hold up a shift for ever.
+        """
+        now_s = self._now_s()
+        slots = in_flight = 0
+        ages_s = []
+        for service, targets in self._targets.items():
+            for target in targets:
+                if target.region != region or target.draining:
+                    continue
+                stats = self.choice.stats(service, target.name)
+                slots += target.slots
+                if stats.report is None:
+                    # Counted as full: its load is not known.
+                    in_flight += target.slots
+                    continue
+                in_flight += min(stats.report.in_flight, target.slots)
+                ages_s.append(now_s - stats.report_at_s)
+        if not ages_s:
+            return None
+        return ShiftMeasurements(
+            age_s=median(ages_s), headroom_share=1 - in_flight / slots
+        )
+
     def retries(self, service: str) -> RetryBudget:
         """Return the retry budget of a service."""
         return self._retries[service]
--- a/packages/verbenaworks/src/verbenaworks/entry_lookup.py
+++ b/packages/verbenaworks/src/verbenaworks/entry_lookup.py
@@ -41,6 +41,13 @@
             region: _Ring(members) for region, members in by_region.items()
         }
 
+    def has_usable(
+        self, region: str, is_usable: Callable[[str], bool]
+    ) -> bool:
+        """Return whether a region has at least one usable instance."""
+        ring = self._rings.get(region)
+        return ring is not None and ring.has_usable(is_usable)
+
     def find(
         self,
         regions: Sequence[str],
@@ -82,6 +89,9 @@
         self._positions = [position for position, _ in points]
         self._indexes = [index for _, index in points]
 
+    def has_usable(self, is_usable: Callable[[str], bool]) -> bool:
+        return any(is_usable(instance.name) for instance in self._instances)
+
     def walk(
         self, start: int, is_usable: Callable[[str], bool], limit: int
     ) -> list[EntryInstance]:
--- a/packages/verbenaworks/src/verbenaworks/shift_driver.py
+++ b/packages/verbenaworks/src/verbenaworks/shift_driver.py
@@ -25,12 +25,13 @@
 
     :ivar age_s: age of the oldest measurement used, in seconds.
     :ivar headroom_share: unused part of the region's slots.
-    :ivar link_free_share: unused part of the link into the region.
+    :ivar link_free_share: unused part of the link into the region, None
+        where links are not measured.
     """
 
     age_s: float
     headroom_share: float
-    link_free_share: float
+    link_free_share: float | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -128,6 +129,10 @@
         return Hold(reason="measurements of the target region are missing")
     if measurements.headroom_share < state.min_headroom_share:
         return Hold(reason="the target region lacks headroom")
-    if measurements.link_free_share < state.min_headroom_share:
+    link_free_share = measurements.link_free_share
+    if (
+        link_free_share is not None
+        and link_free_share < state.min_headroom_share
+    ):
         return Hold(reason="the link into the target region lacks headroom")
     return Advance(step=state.step + 1)
--- a/tests/test_shift_driver.py
+++ b/tests/test_shift_driver.py
@@ -75,6 +75,15 @@
             assert isinstance(decision, Hold)
 
 
+def test_links_that_are_not_measured_do_not_hold_a_shift() -> None:
+    """Guards against a shift that can never start."""
+    driver = ShiftDriver(FENCE_S)
+    measurements = ShiftMeasurements(age_s=1.0, headroom_share=0.5)
+    driver.decide(0.0, STATE, _members(7), measurements, TTL_S)
+    decision = driver.decide(TTL_S, STATE, _members(7), measurements, TTL_S)
+    assert decision == Advance(step=2)
+
+
 def test_ends_at_the_last_step() -> None:
     """Guards against a driver that writes steps without effect."""
     state = ShiftState(
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -13,6 +13,7 @@
 import pytest
 
 from standins.caller import Caller
+from standins.deployment_settings import BLOCKS_PER_REGION
 from standins.deployments import MATUNDA
 from standins.local_deployment import LocalDeployment
 
@@ -188,6 +189,36 @@
     _until(lambda: caller.call("uploads").status == 200)
 
 
+def test_shift_moves_blocks_up_to_its_cap(local: LocalDeployment) -> None:
+    """Guards against a shift that stops early or exceeds its cap."""
+    regions = list(local.settings.addresses)
+    local.verbena(
+        *("shift", "start", "s1", "--from-region", regions[0]),
+        *("--to-region", regions[1], "--cap-share", "0.25"),
+        *("--step-share", "0.125", "--wait"),
+    )
+    instance = next(iter(local.instances.values())).caller
+
+    def moved() -> int:
+        answers = [
+            Caller([instance], f"10.0.{block}.7", None).lookup("catalogue")
+            for block in range(BLOCKS_PER_REGION)
+        ]
+        return sum(answer["region"] == regions[1] for answer in answers)
+
+    seen = {moved()}
+    cap = BLOCKS_PER_REGION // 4
+
+    def is_complete() -> bool:
+        seen.add(moved())
+        return max(seen) >= cap
+
+    _until(is_complete)
+    assert max(seen) == cap
+    local.verbena("shift", "abort", "s1", "--wait")
+    assert moved() == 0
+
+
 def test_store_outage_does_not_stop_keyed_requests(
     local: LocalDeployment,
 ) -> None:
