Split record upkeep and shard ownership from the agreement

A release now counts only for the instance that gave it, because after a restore one epoch can have had two owners. An instance that sees all others dead waits 30 s before it takes their duties; it is more often cut off itself. Instances that do not use the store no longer ask the writers: with the store and a writer down, 1,300 of them would have sent each writer 3,250 polls/s (computed from the poll period, not measured).

--- a/packages/verbenaworks/src/verbenaworks/agreement.py
+++ b/packages/verbenaworks/src/verbenaworks/agreement.py
@@ -5,7 +5,7 @@
 """
 
 import itertools
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from dataclasses import dataclass, replace
 from random import Random
 
@@ -33,26 +33,26 @@
 from verbenaworks.applied_state import AppliedState, Comparison
 from verbenaworks.attestations import Attestations
 from verbenaworks.control_record import (
-    SHARDS,
-    ControlRecord,
     InstanceId,
     Writer,
 )
 from verbenaworks.freshness import (
-    DRIFT,
-    FENCE_S,
     POLL_PERIOD_S,
     Freshness,
 )
-from verbenaworks.member import Member, MemberState
+from verbenaworks.member import Member
 from verbenaworks.owner_lease import OwnerLease
 from verbenaworks.poll_plan import PollPlan, plan_polls
+from verbenaworks.record_upkeep import (
+    ATTEST_LIMIT_S,
+    RecordUpkeep,
+    UpkeepView,
+)
 from verbenaworks.shard_assignment import (
-    assign_shards,
     is_lost,
     merge_control,
-    replace_writers,
 )
+from verbenaworks.shard_ownership import ShardOwnership
 from verbenaworks.state_delta import (
     DeltaMismatchError,
     StateDelta,
@@ -86,7 +86,6 @@
 
 # The daemon calls tick() this often.
 TICK_S = 0.1
-ATTEST_LIMIT_S = 4_500.0
 WATCH_WAIT_S = 20.0
 # Writers and further relays are asked when the newest confirmation is older
 # than this, so that one lost answer costs nothing in the ordinary case.
@@ -101,12 +100,6 @@
 # A write after a restore is repeated until its version is above the known
 # ones, unless so many versions were lost that other keys used them up.
 _MAX_REPEATS = 64
-_BOOTSTRAP_WAIT_S = 1.0
-# A new assigner first learns who is alive.
-_SETTLE_S = 3.0
-_LEAVING_GRACE_S = 2.0
-_CONTROL_PERIOD_S = 0.5
-_TAKEOVER_AFTER_S = 10.0
 # How long a peer's word that it has a newer state keeps the store from
 # confirming ours. The peer may be gone before it can send that state.
 _AHEAD_LIMIT_S = 3.0
@@ -140,12 +133,6 @@
     tag: int
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class _Owned:
-    epoch: int
-    acts_from_s: float
-
-
 class Agreement:
     """The agreed state as one instance sees and changes it.
 
@@ -158,12 +145,18 @@
         self._settings = settings
         self._instance = settings.instance
         self._rng = rng
-        self._started_s = now_s
         self._ids = itertools.count(1)
         self._applied = AppliedState()
         self._applied_at_s = now_s
         self._freshness = Freshness()
         self._attestations = Attestations()
+        self._ownership = ShardOwnership(self._instance, self._freshness)
+        self._upkeep = RecordUpkeep(
+            Writer(instance=self._instance, region=settings.region),
+            settings.failure_domain,
+            settings.initial_config,
+            now_s,
+        )
         self._writes = StateWrites(self._instance, lambda: next(self._ids))
         self._members: dict[str, Member] = {}
         self._plan = PollPlan(uses_store=True, watches=True)
@@ -181,16 +174,8 @@
         self._next_store_poll_s = now_s
         self._next_peer_poll_s = now_s + rng.random() * POLL_PERIOD_S
         self._next_writer_poll_s = now_s
-        self._next_control_s = now_s
         self._next_release_s = now_s
         self._next_parent = rng.randrange(2)
-        self._owned: dict[int, _Owned] = {}
-        self._released: set[tuple[int, int]] = set()
-        self._waited: set[tuple[int, int]] = set()
-        self._handed_over: set[tuple[int, int]] = set()
-        self._leaving_since_s: dict[InstanceId, float] = {}
-        self._writers_lost_since_s: float | None = None
-        self._takeover_from_s: float | None = None
         self._is_resigning = False
         self._is_resigned = False
         self._is_releasing = False
@@ -228,22 +213,11 @@
 
     def lease(self, shard: int) -> OwnerLease | None:
         """Return the lease on a shard that the newest record gives."""
-        owned = self._owned.get(shard)
-        if owned is None:
-            return None
-        return OwnerLease(
-            shard=shard,
-            epoch=owned.epoch,
-            is_valid=lambda now_s: self._may_act(shard, owned, now_s),
-        )
+        return self._ownership.lease(shard)
 
     def leases(self) -> tuple[OwnerLease, ...]:
         """Return the leases on all shards that the newest record gives."""
-        return tuple(
-            lease
-            for lease in map(self.lease, self._owned)
-            if lease is not None
-        )
+        return self._ownership.leases()
 
     def writers_for_edit(self) -> tuple[str, ...]:
         """Return the live writers to which to send an edit, best first."""
@@ -264,10 +238,11 @@
             for member in members
             if member.name != self._instance.name
         }
+        self._upkeep.set_members(self._members)
         self._plan = plan_polls(
             self._instance.name,
             self._settings.failure_domain,
-            [*self._members.values(), self._own_member()],
+            [*self._members.values(), self._upkeep.own_member()],
         )
 
     def tick(self, now_s: float) -> list[AgreementAction]:
@@ -289,19 +264,21 @@
 
     def resign(self, now_s: float) -> list[AgreementAction]:
         """Stop writing for good, once the last write is settled."""
-        self._is_resigning = True
+        self._is_resigning = self._upkeep.is_leaving = True
         self._step_writes(now_s)
         return self._take_actions()
 
     def release_shards(self, now_s: float) -> list[AgreementAction]:
         """Stop acting as an owner for good, and tell the assigner."""
-        self._is_releasing = True
+        self._is_releasing = self._upkeep.is_leaving = True
         self._release(now_s)
         return self._take_actions()
 
     def replace_lost_writers(self, now_s: float) -> list[AgreementAction]:
         """Replace the list at once; an operator knows all are gone."""
-        self._submit_control("order-writers", self._build_ordered_takeover)
+        self._writes.submit_control(
+            "order-writers", self._upkeep.build_ordered_takeover
+        )
         self._step_writes(now_s)
         return self._take_actions()
 
@@ -402,16 +379,11 @@
 
     def _poll_writers(self, now_s: float) -> None:
         state = self._applied.state
-        age_s = self._freshness.age_s(now_s)
         store_s = self._store_confirmed_at_s
         if (
             now_s < self._next_writer_poll_s
             or state is None
-            or not (
-                self._plan.uses_store
-                or age_s is None
-                or age_s > _FALLBACK_AFTER_S
-            )
+            or not self._plan.uses_store
             or (store_s is not None and now_s < store_s + _ATTEST_AFTER_S)
         ):
             return
@@ -693,11 +665,8 @@
             )
             self._stored_seen_s = now_s
             self._highest_version = max(self._highest_version, version)
-        if state.control.takeover != self._instance:
-            self._takeover_from_s = None
-        elif self._takeover_from_s is None:
-            self._takeover_from_s = now_s
-        self._learn_ownership(now_s, state.control)
+        self._upkeep.learn(now_s, state.control)
+        self._ownership.learn(now_s, state.control)
         self._resubmit_lost_edits(now_s, state)
         self._actions.append(StateApplied(state=state))
 
@@ -776,7 +745,7 @@
 
     def _submit_repair(self) -> None:
         if self._applied.state is not None and self.is_writer:
-            self._submit_control("repair", self._build_repair)
+            self._writes.submit_control("repair", self._build_repair)
 
     def _build_repair(self, basis: WriteBasis) -> BuildResult:
         """Return the newest state that this instance knows.
@@ -795,243 +764,44 @@
             newest, control=merge_control(state.control, other.control)
         )
 
-    # Control record.
+    # Control record and ownership.
 
     def _maintain(self, now_s: float) -> None:
-        self._note_leaving(now_s)
         if self._is_releasing:
             self._release(now_s)
-        if now_s < self._next_control_s or self._is_resigning:
-            return
-        self._next_control_s = now_s + _CONTROL_PERIOD_S
-        state = self._applied.state
-        if state is None:
-            self._bootstrap(now_s)
-        elif self.is_writer:
-            self._maintain_record(now_s, state.control)
-        else:
-            self._take_over(now_s, state.control)
-
-    def _bootstrap(self, now_s: float) -> None:
-        absent_s = self._absent_since_s
-        if absent_s is None or now_s < absent_s + _BOOTSTRAP_WAIT_S:
-            return
-        self._submit_control("bootstrap", self._build_bootstrap)
-
-    def _build_bootstrap(self, basis: WriteBasis) -> BuildResult:
-        if basis.state is not None:
-            return AlreadyInForce(config_revision=0)
-        config = self._settings.initial_config
-        return AgreedState(
-            sequence=1,
-            config=config.document,
-            config_revision=config.config_revision,
-            control=ControlRecord(
-                writers=(self._own_writer(),), writers_version=1
-            ),
-        )
-
-    def _maintain_record(self, now_s: float, control: ControlRecord) -> None:
-        if (
-            now_s < self._started_s + _SETTLE_S
-            or not self._is_assigner(control)
-            or not self._is_store_up(now_s)
-        ):
-            return
-        if self._next_control(control) != control:
-            self._submit_control("maintain", self._build_maintenance)
-
-    def _next_control(self, control: ControlRecord) -> ControlRecord:
-        members = {**self._members, self._instance.name: self._own_member()}
-        overdue = {
-            instance
-            for instance, since_s in self._leaving_since_s.items()
-            if since_s == float("-inf")
-        }
-        return replace_writers(
-            assign_shards(control, members, self._handed_over, overdue),
-            members,
-            self._own_writer(),
-        )
-
-    def _build_maintenance(self, basis: WriteBasis) -> BuildResult:
-        state = basis.state
-        if state is None or not state.control.is_writer(self._instance):
-            return AlreadyInForce(config_revision=0)
-        control = self._next_control(state.control)
-        if control == state.control:
-            return AlreadyInForce(config_revision=0)
-        return replace(state, control=control)
-
-    def _is_assigner(self, control: ControlRecord) -> bool:
-        live = [
-            writer.instance.name
-            for writer in control.writers
-            if writer.instance == self._instance
-            or (
-                not is_lost(writer.instance, self._members)
-                and self._members[writer.instance.name].is_available
-            )
-        ]
-        return min(live, default="") == self._instance.name
-
-    def _take_over(self, now_s: float, control: ControlRecord) -> None:
-        """Replace the list of writers when all of them are lost.
-
-        The first write only announces the takeover. A writer that sees the
-        announcement stops attesting and removes it; one that does not see it
-        stops attesting ``ATTEST_LIMIT_S`` after its last confirmation by the
-        store, which was before the announcement.
-        """
-        lost = all(is_lost(w.instance, self._members) for w in control.writers)
-        if not lost or not self._is_store_up(now_s):
-            self._writers_lost_since_s = None
-            return
-        if self._writers_lost_since_s is None:
-            self._writers_lost_since_s = now_s
-        if now_s < self._writers_lost_since_s + _TAKEOVER_AFTER_S:
-            return
-        if control.takeover == self._instance:
-            wait_s = ATTEST_LIMIT_S * (1 + 2 * DRIFT) + FENCE_S
-            from_s = self._takeover_from_s
-            if from_s is not None and now_s >= from_s + wait_s:
-                self._submit_control("replace-writers", self._build_takeover)
-            return
-        names = [n for n, m in self._members.items() if m.is_available]
-        if min([*names, self._instance.name]) != self._instance.name:
+        if self._is_resigning:
             return
-        if control.takeover is None or is_lost(
-            control.takeover, self._members
-        ):
-            self._submit_control("announce", self._build_announcement)
-
-    def _build_announcement(self, basis: WriteBasis) -> BuildResult:
-        state = basis.state
-        if state is None or state.sequence != basis.sequence:
-            return AlreadyInForce(config_revision=0)
-        return replace(
-            state, control=replace(state.control, takeover=self._instance)
-        )
-
-    def _build_takeover(self, basis: WriteBasis) -> BuildResult:
-        state = basis.state
-        if (
-            state is None
-            or state.sequence != basis.sequence
-            or state.control.takeover != self._instance
-        ):
-            return AlreadyInForce(config_revision=0)
-        return self._build_ordered_takeover(basis)
-
-    def _build_ordered_takeover(self, basis: WriteBasis) -> BuildResult:
-        state = basis.state
-        if state is None or self.is_writer:
-            return AlreadyInForce(config_revision=0)
-        control = state.control
-        return replace(
-            state,
-            control=replace(
-                control,
-                writers=(self._own_writer(),),
-                writers_version=control.writers_version + 1,
-                takeover=None,
+        write = self._upkeep.due(
+            now_s,
+            UpkeepView(
+                state=self._applied.state,
+                is_store_up=self._is_store_up(now_s),
+                absent_since_s=self._absent_since_s,
             ),
         )
-
-    # Ownership.
-
-    def _learn_ownership(self, now_s: float, control: ControlRecord) -> None:
-        owned: dict[int, _Owned] = {}
-        for shard, owner in enumerate(control.shards):
-            if owner is None or owner.instance != self._instance:
-                continue
-            known = self._owned.get(shard)
-            if known is not None and known.epoch == owner.epoch:
-                owned[shard] = known
-                continue
-            wait_s = 0.0 if owner.handed_over else FENCE_S
-            owned[shard] = _Owned(
-                epoch=owner.epoch, acts_from_s=now_s + wait_s
-            )
-        self._owned = owned
-
-    def _may_act(self, shard: int, owned: _Owned, now_s: float) -> bool:
-        return (
-            self._owned.get(shard) == owned
-            and (shard, owned.epoch) not in self._released
-            and self.is_fresh(now_s)
-            and self._has_waited(owned)
-        )
-
-    def _has_waited(self, owned: _Owned) -> bool:
-        """Return whether no earlier owner can still be fresh.
-
-        The wait must end before a confirmation, and the confirmations must
-        have gone on without a gap for as long. Otherwise two owners could be
-        valid while a store restored to an older state confirms the earlier
-        one.
-        """
-        confirmed_s = self._freshness.confirmed_at_s
-        resumed_s = self._freshness.resumed_at_s
-        return (
-            confirmed_s is not None
-            and resumed_s is not None
-            and confirmed_s >= owned.acts_from_s
-            and confirmed_s >= resumed_s + FENCE_S
-        )
+        if write is not None:
+            self._writes.submit_control(write.job_id, write.build)
 
     def _release(self, now_s: float) -> None:
-        """Hand over shards on which no earlier owner can be active."""
-        for shard, owned in self._owned.items():
-            self._released.add((shard, owned.epoch))
-            if self._has_waited(owned):
-                self._waited.add((shard, owned.epoch))
-        ready = tuple(
-            (shard, owned.epoch)
-            for shard, owned in self._owned.items()
-            if (shard, owned.epoch) in self._waited
-        )
+        shards = self._ownership.release()
         state = self._applied.state
-        if not ready or state is None or now_s < self._next_release_s:
+        if not shards or state is None or now_s < self._next_release_s:
             return
         self._next_release_s = now_s + POLL_PERIOD_S
         for writer in state.control.writers:
             if writer.instance != self._instance:
                 self._send(
                     writer.instance.name,
-                    ShardsReleased(owner=self._instance, shards=ready),
+                    ShardsReleased(owner=self._instance, shards=shards),
                 )
-        if self.is_writer:
-            self._handed_over.update(ready)
+        self._upkeep.note_released(state.control, self._instance, shards)
 
     def _on_released(self, message: ShardsReleased) -> None:
         state = self._applied.state
-        if state is None:
-            return
-        for shard, epoch in message.shards:
-            if not 0 <= shard < SHARDS:
-                continue
-            owner = state.control.shards[shard]
-            if (
-                owner is not None
-                and owner.instance == message.owner
-                and owner.epoch == epoch
-            ):
-                self._handed_over.add((shard, epoch))
-
-    def _note_leaving(self, now_s: float) -> None:
-        leaving: dict[InstanceId, float] = {}
-        for member in self._members.values():
-            if member.state is not MemberState.LEAVING:
-                continue
-            instance = InstanceId(
-                name=member.name, incarnation=member.incarnation
+        if state is not None:
+            self._upkeep.note_released(
+                state.control, message.owner, message.shards
             )
-            since_s = self._leaving_since_s.get(instance, now_s)
-            if now_s >= since_s + _LEAVING_GRACE_S:
-                since_s = float("-inf")
-            leaving[instance] = since_s
-        self._leaving_since_s = leaving
 
     # Helpers.
 
@@ -1045,23 +815,6 @@
             return 0
         return stored.version if stored.tag == self._applied.tag else 0
 
-    def _own_writer(self) -> Writer:
-        return Writer(instance=self._instance, region=self._settings.region)
-
-    def _own_member(self) -> Member:
-        return Member(
-            name=self._instance.name,
-            incarnation=self._instance.incarnation,
-            state=(
-                MemberState.LEAVING
-                if self._is_resigning or self._is_releasing
-                else MemberState.ALIVE
-            ),
-            region=self._settings.region,
-            failure_domain=self._settings.failure_domain,
-            fresh=True,
-        )
-
     def _expire(self, now_s: float) -> None:
         self._polls = {
             poll_id: poll
@@ -1083,11 +836,6 @@
             for pending in self._store_requests.values()
         )
 
-    def _submit_control(
-        self, job_id: str, build: Callable[[WriteBasis], BuildResult]
-    ) -> None:
-        self._writes.submit_control(job_id, build)
-
     def _call(self, now_s: float, request: StoreRequest) -> None:
         self._store_requests[request.request_id] = _Pending(
             request=request, sent_at_s=now_s
--- /dev/null
+++ b/packages/verbenaworks/src/verbenaworks/record_upkeep.py
@@ -0,0 +1,310 @@
+"""Which changes of the control record one instance should write."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+from verbenaworks.agreed_state import AgreedState, ConfigBytes
+from verbenaworks.control_record import (
+    SHARDS,
+    ControlRecord,
+    InstanceId,
+    Writer,
+)
+from verbenaworks.freshness import DRIFT, FENCE_S
+from verbenaworks.member import Member, MemberState
+from verbenaworks.shard_assignment import (
+    assign_shards,
+    is_lost,
+    replace_writers,
+)
+from verbenaworks.state_edit import AlreadyInForce
+from verbenaworks.state_writes import BuildResult, WriteBasis
+
+ATTEST_LIMIT_S = 4_500.0
+_PERIOD_S = 0.5
+_BOOTSTRAP_WAIT_S = 1.0
+# A new assigner first learns who is alive.
+_SETTLE_S = 3.0
+# An instance that reaches no other one is more often cut off itself than the
+# last one alive, so it leaves the others their duties for a while.
+_ALONE_WAIT_S = 30.0
+_LEAVING_GRACE_S = 2.0
+_TAKEOVER_AFTER_S = 10.0
+_NOTHING = AlreadyInForce(config_revision=0)
+
+Build = Callable[[WriteBasis], BuildResult]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ControlWrite:
+    """A change of the control record.
+
+    :param build: returns the new state from the newest known one.
+    """
+
+    job_id: str
+    build: Build
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class UpkeepView:
+    """What the instance knows when it looks for changes.
+
+    :param absent_since_s: when the store first said that the key does not
+        exist, if it still says so.
+    """
+
+    state: AgreedState | None
+    is_store_up: bool
+    absent_since_s: float | None
+
+
+class RecordUpkeep:
+    """Bootstrap, shard assignment, and replacement of writers.
+
+    :param own: this instance as a writer of its region.
+    :param initial_config: document of the first state.
+    """
+
+    def __init__(
+        self,
+        own: Writer,
+        failure_domain: str,
+        initial_config: ConfigBytes,
+        now_s: float,
+    ) -> None:
+        self._own = own
+        self._instance = own.instance
+        self._failure_domain = failure_domain
+        self._initial_config = initial_config
+        self._started_s = now_s
+        self._next_s = now_s
+        self._members: dict[str, Member] = {}
+        self._alone_since_s: float | None = None
+        self._leaving_since_s: dict[InstanceId, float] = {}
+        self._handed_over: set[tuple[int, int, InstanceId]] = set()
+        self._writers_lost_since_s: float | None = None
+        self._takeover_from_s: float | None = None
+        self.is_leaving = False
+
+    def set_members(self, members: dict[str, Member]) -> None:
+        """Take the other members that are known now."""
+        self._members = members
+
+    def own_member(self) -> Member:
+        """Return this instance as a member."""
+        state = MemberState.LEAVING if self.is_leaving else MemberState.ALIVE
+        return Member(
+            name=self._instance.name,
+            incarnation=self._instance.incarnation,
+            state=state,
+            region=self._own.region,
+            failure_domain=self._failure_domain,
+            fresh=True,
+        )
+
+    def learn(self, now_s: float, control: ControlRecord) -> None:
+        """Take the record of a state that has just been applied."""
+        if control.takeover != self._instance:
+            self._takeover_from_s = None
+        elif self._takeover_from_s is None:
+            self._takeover_from_s = now_s
+
+    def note_released(
+        self,
+        control: ControlRecord,
+        instance: InstanceId,
+        shards: tuple[tuple[int, int], ...],
+    ) -> None:
+        """Take an owner's word that it has stopped acting on shards."""
+        for shard, epoch in shards:
+            if not 0 <= shard < SHARDS:
+                continue
+            owner = control.shards[shard]
+            if owner is not None and (owner.instance, owner.epoch) == (
+                instance,
+                epoch,
+            ):
+                self._handed_over.add((shard, epoch, instance))
+
+    def due(self, now_s: float, view: UpkeepView) -> ControlWrite | None:
+        """Return the change to write now, if any."""
+        self._note_leaving(now_s)
+        self._note_alone(now_s)
+        if now_s < self._next_s:
+            return None
+        self._next_s = now_s + _PERIOD_S
+        if view.state is None:
+            return self._bootstrap(now_s, view.absent_since_s)
+        control = view.state.control
+        if control.is_writer(self._instance):
+            return self._maintain(now_s, view, control)
+        return self._take_over(now_s, view, control)
+
+    def build_ordered_takeover(self, basis: WriteBasis) -> BuildResult:
+        """Name this instance the only writer, as an operator ordered."""
+        state = basis.state
+        if state is None or state.control.is_writer(self._instance):
+            return _NOTHING
+        control = state.control
+        return replace(
+            state,
+            control=replace(
+                control,
+                writers=(self._own,),
+                writers_version=control.writers_version + 1,
+                takeover=None,
+            ),
+        )
+
+    def _bootstrap(
+        self, now_s: float, absent_since_s: float | None
+    ) -> ControlWrite | None:
+        if absent_since_s is None or (
+            now_s < absent_since_s + _BOOTSTRAP_WAIT_S
+        ):
+            return None
+        return ControlWrite(job_id="bootstrap", build=self._build_bootstrap)
+
+    def _build_bootstrap(self, basis: WriteBasis) -> BuildResult:
+        if basis.state is not None:
+            return _NOTHING
+        return AgreedState(
+            sequence=1,
+            config=self._initial_config.document,
+            config_revision=self._initial_config.config_revision,
+            control=ControlRecord(writers=(self._own,), writers_version=1),
+        )
+
+    def _maintain(
+        self, now_s: float, view: UpkeepView, control: ControlRecord
+    ) -> ControlWrite | None:
+        if (
+            now_s < self._started_s + _SETTLE_S
+            or not view.is_store_up
+            or not self._is_assigner(control)
+            or self._is_alone(now_s)
+            or self._next_control(control) == control
+        ):
+            return None
+        return ControlWrite(job_id="maintain", build=self._build_maintenance)
+
+    def _next_control(self, control: ControlRecord) -> ControlRecord:
+        members = {**self._members, self._instance.name: self.own_member()}
+        released = {
+            (shard, epoch)
+            for shard, epoch, instance in self._handed_over
+            if (owner := control.shards[shard]) is not None
+            and owner.instance == instance
+        }
+        overdue = {
+            instance
+            for instance, since_s in self._leaving_since_s.items()
+            if since_s == float("-inf")
+        }
+        return replace_writers(
+            assign_shards(control, members, released, overdue),
+            members,
+            self._own,
+        )
+
+    def _build_maintenance(self, basis: WriteBasis) -> BuildResult:
+        state = basis.state
+        if state is None or not state.control.is_writer(self._instance):
+            return _NOTHING
+        control = self._next_control(state.control)
+        if control == state.control:
+            return _NOTHING
+        return replace(state, control=control)
+
+    def _is_assigner(self, control: ControlRecord) -> bool:
+        live = [
+            writer.instance.name
+            for writer in control.writers
+            if writer.instance == self._instance
+            or (
+                not is_lost(writer.instance, self._members)
+                and self._members[writer.instance.name].is_available
+            )
+        ]
+        return min(live, default="") == self._instance.name
+
+    def _take_over(
+        self, now_s: float, view: UpkeepView, control: ControlRecord
+    ) -> ControlWrite | None:
+        """Replace the list of writers when all of them are lost.
+
+        The first write only announces the takeover. A writer that sees the
+        announcement stops attesting and removes it; one that does not see it
+        stops attesting ``ATTEST_LIMIT_S`` after its last confirmation by the
+        store, which was before the announcement.
+        """
+        lost = all(is_lost(w.instance, self._members) for w in control.writers)
+        if not lost or not view.is_store_up:
+            self._writers_lost_since_s = None
+            return None
+        if self._writers_lost_since_s is None:
+            self._writers_lost_since_s = now_s
+        if now_s < self._writers_lost_since_s + _TAKEOVER_AFTER_S:
+            return None
+        if control.takeover == self._instance:
+            wait_s = ATTEST_LIMIT_S * (1 + 2 * DRIFT) + FENCE_S
+            from_s = self._takeover_from_s
+            if from_s is None or now_s < from_s + wait_s:
+                return None
+            return ControlWrite(
+                job_id="replace-writers", build=self._build_takeover
+            )
+        names = [n for n, m in self._members.items() if m.is_available]
+        if min([*names, self._instance.name]) != self._instance.name:
+            return None
+        if control.takeover is None or is_lost(
+            control.takeover, self._members
+        ):
+            return ControlWrite(
+                job_id="announce", build=self._build_announcement
+            )
+        return None
+
+    def _build_announcement(self, basis: WriteBasis) -> BuildResult:
+        state = basis.state
+        if state is None or state.sequence != basis.sequence:
+            return _NOTHING
+        return replace(
+            state, control=replace(state.control, takeover=self._instance)
+        )
+
+    def _build_takeover(self, basis: WriteBasis) -> BuildResult:
+        state = basis.state
+        if (
+            state is None
+            or state.sequence != basis.sequence
+            or state.control.takeover != self._instance
+        ):
+            return _NOTHING
+        return self.build_ordered_takeover(basis)
+
+    def _note_alone(self, now_s: float) -> None:
+        others = self._members.values()
+        if not others or any(member.is_running for member in others):
+            self._alone_since_s = None
+        elif self._alone_since_s is None:
+            self._alone_since_s = now_s
+
+    def _is_alone(self, now_s: float) -> bool:
+        since_s = self._alone_since_s
+        return since_s is not None and now_s < since_s + _ALONE_WAIT_S
+
+    def _note_leaving(self, now_s: float) -> None:
+        leaving: dict[InstanceId, float] = {}
+        for member in self._members.values():
+            if member.state is not MemberState.LEAVING:
+                continue
+            instance = InstanceId(
+                name=member.name, incarnation=member.incarnation
+            )
+            since_s = self._leaving_since_s.get(instance, now_s)
+            if now_s >= since_s + _LEAVING_GRACE_S:
+                since_s = float("-inf")
+            leaving[instance] = since_s
+        self._leaving_since_s = leaving
--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -7,7 +7,6 @@
 from agreement_harness import Cluster, encode_config, make_edit
 from verbenaworks.agreed_state import AgreedState
 from verbenaworks.agreement import (
-    ATTEST_LIMIT_S,
     TICK_S,
     Agreement,
     AgreementSettings,
@@ -27,6 +26,7 @@
 )
 from verbenaworks.freshness import DRIFT, FENCE_S, FRESH_S
 from verbenaworks.member import Member, MemberState
+from verbenaworks.record_upkeep import ATTEST_LIMIT_S
 from verbenaworks.state_delta import whole_state
 from verbenaworks.store_requests import (
     OutcomeUnknown,
--- a/tools/mutations_agreement.py
+++ b/tools/mutations_agreement.py
@@ -22,7 +22,7 @@
     ),
     Mutation(
         name="a new owner skips its wait",
-        path=f"{_SRC}/agreement.py",
+        path=f"{_SRC}/shard_ownership.py",
         old="            wait_s = 0.0 if owner.handed_over else FENCE_S",
         new="            wait_s = 0.0",
         test=f"{_RULES}::test_new_owner_waits_and_must_be_confirmed_after_the"
@@ -30,7 +30,7 @@
     ),
     Mutation(
         name="a new owner skips its wait (seeded histories)",
-        path=f"{_SRC}/agreement.py",
+        path=f"{_SRC}/shard_ownership.py",
         old="            wait_s = 0.0 if owner.handed_over else FENCE_S",
         new="            wait_s = 0.0",
         test="tests/test_agreement_histories.py::test_seeded_histories",
@@ -76,14 +76,14 @@
     ),
     Mutation(
         name="an owner goes on at once after a gap",
-        path=f"{_SRC}/agreement.py",
+        path=f"{_SRC}/shard_ownership.py",
         old="            and confirmed_s >= resumed_s + FENCE_S\n",
         new="",
         test=f"{_RULES}::test_owner_waits_again_after_a_gap",
     ),
     Mutation(
         name="a shard is handed over during the owner's own wait",
-        path=f"{_SRC}/agreement.py",
+        path=f"{_SRC}/shard_ownership.py",
         old="            if (shard, owned.epoch) in self._waited\n",
         new="",
         test=f"{_RULES}::test_shard_is_not_handed_over_during_the_wait",
@@ -122,7 +122,7 @@
     ),
     Mutation(
         name="a takeover does not wait for the attestations to end",
-        path=f"{_SRC}/agreement.py",
+        path=f"{_SRC}/record_upkeep.py",
         old="            wait_s = ATTEST_LIMIT_S * (1 + 2 * DRIFT) + FENCE_S",
         new="            wait_s = 0.0",
         test=f"{_RULES}::test_lost_writers_are_replaced_only_after_the_limit",
