--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -7,7 +7,6 @@
 from agreement_harness import Cluster, encode_config, make_edit
 from verbenaworks.agreed_state import AgreedState
 from verbenaworks.agreement import (
-    ATTEST_LIMIT_S,
     TICK_S,
     Agreement,
     AgreementSettings,
@@ -27,6 +26,7 @@
 )
 from verbenaworks.freshness import DRIFT, FENCE_S, FRESH_S
 from verbenaworks.member import Member, MemberState
+from verbenaworks.record_upkeep import ATTEST_LIMIT_S
 from verbenaworks.state_delta import whole_state
 from verbenaworks.store_requests import (
     OutcomeUnknown,
@@ -151,11 +151,11 @@
     solo.run(0.5)
     request = held_of(solo, StoreVersion)
     sent_s = solo.now_s
-    solo.run(1.5)
+    solo.run(0.9)
     solo.answer(request)
     confirmed_s = solo.agreement.freshness.confirmed_at_s
     assert confirmed_s is not None and confirmed_s <= sent_s
-    solo.run(0.6)
+    solo.run(1.2)
     assert not solo.is_fresh
 
 
