Fuzz owner and takers against a global bucket and a counter

A rule-based machine delivers any earlier message again at any later time, and compares every use with one global bucket and one counter.

--- /dev/null
+++ b/tests/test_budget_machine.py
@@ -0,0 +1,174 @@
+"""Owner and takers against one global bucket and one counter."""
+
+from dataclasses import dataclass
+from fractions import Fraction
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+)
+
+from verbenaworks.budget_owner import BudgetOwner
+from verbenaworks.budget_spec import LevelBudget, RateBudget, shard_of
+from verbenaworks.budget_taker import BudgetTaker
+from verbenaworks.grant import GrantReply, GrantRequest
+from verbenaworks.hold import Hold
+
+_RATE = RateBudget(name="tokens/1", rate_per_s=8, burst=6)
+_SLOTS = LevelBudget(name="slots/7", capacity=4, linger_s=1.0)
+_SHARD = shard_of(_RATE.name)
+_TAKERS = st.integers(0, 2)
+
+
+@dataclass
+class _Lease:
+    epoch: int
+    valid_until_s: float = float("inf")
+
+    def is_valid(self, now_s: float) -> bool:
+        return now_s < self.valid_until_s
+
+
+class BudgetMachine(RuleBasedStateMachine):
+    """Any order of calls, messages, restarts and changes of owner."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        assert shard_of(_SLOTS.name) == _SHARD
+        self.now_s = 100.0
+        self.owners: list[tuple[_Lease, BudgetOwner]] = []
+        self.incarnations = 0
+        self.takers = [self._taker(index) for index in range(3)]
+        self.requests: list[tuple[BudgetOwner, GrantRequest]] = []
+        self.replies: list[GrantReply] = []
+        # The oracle.
+        self.tokens = Fraction(_RATE.burst)
+        self.used: list[tuple[float, BudgetTaker, Hold]] = []
+        self._own(wait_s=0.0)
+        self.advance(8.0)
+
+    def _taker(self, index: int) -> BudgetTaker:
+        self.incarnations += 1
+        taker = BudgetTaker(
+            shard=_SHARD, taker=f"t{index}", incarnation=self.incarnations
+        )
+        taker.configure(self.now_s, [_RATE, _SLOTS])
+        return taker
+
+    def _own(self, **wait: float) -> None:
+        lease = _Lease(epoch=len(self.owners) + 1)
+        owner = BudgetOwner(
+            shard=_SHARD, lease=lease, started_at_s=self.now_s, **wait
+        )
+        owner.configure(self.now_s, [_RATE, _SLOTS])
+        self.owners.append((lease, owner))
+
+    @rule(duration_s=st.sampled_from((0.01, 0.3, 0.3, 1.0, 2.0, 4.9)))
+    def advance(self, duration_s: float) -> None:
+        self.now_s += duration_s
+        filled = Fraction(duration_s) * Fraction(_RATE.rate_per_s)
+        self.tokens = min(Fraction(_RATE.burst), self.tokens + filled)
+        self.used = [use for use in self.used if use[0] > self.now_s]
+
+    @invariant()
+    def parts_stay_within_the_whole(self) -> None:
+        """No sum of grants exceeds a limit, spent or not."""
+        for name, amount, depth in (
+            (_RATE.name, _RATE.rate_milli_per_s, _RATE.burst),
+            (_SLOTS.name, _SLOTS.capacity, 0),
+        ):
+            held = [taker.held(self.now_s, name) for taker in self.takers]
+            assert sum(part for part, _ in held) <= amount
+            assert sum(part for _, part in held) <= depth
+
+    @rule(index=_TAKERS, count=st.sampled_from((1, 3, 9)))
+    def spend(self, index: int, count: int) -> None:
+        taker = self.takers[index]
+        for _ in range(count):
+            if taker.try_take(self.now_s, _RATE.name, "w") is not None:
+                self.tokens -= 1
+        assert self.tokens >= 0
+
+    @rule(index=_TAKERS, count=st.sampled_from((1, 2, 4)))
+    def use(self, index: int, count: int) -> None:
+        taker = self.takers[index]
+        for _ in range(count):
+            hold = taker.try_take(self.now_s, _SLOTS.name, "w")
+            if hold is not None:
+                end_s = self.now_s + _SLOTS.linger_s
+                self.used.append((end_s, taker, hold))
+        assert sum(use[2].amount for use in self.used) <= _SLOTS.capacity
+
+    @precondition(lambda self: self.used)
+    @rule(data=st.data())
+    def release(self, data: st.DataObject) -> None:
+        position = data.draw(st.integers(0, len(self.used) - 1))
+        _, taker, hold = self.used.pop(position)
+        taker.release(self.now_s, hold)
+
+    @rule(index=_TAKERS)
+    def exchange(self, index: int) -> None:
+        """Ask as long as something is wanted, without a fault."""
+        for _ in range(3):
+            self.use(index, 4)
+            self.spend(index, 9)
+            self.advance(0.06)
+            self.send(index)
+            if self.requests:
+                self._answer(len(self.requests) - 1)
+            if self.replies:
+                self._accept(len(self.replies) - 1)
+
+    @rule(index=_TAKERS)
+    def send(self, index: int) -> None:
+        request = self.takers[index].next_request(self.now_s)
+        if request is not None:
+            self.requests.append((self.owners[-1][1], request))
+
+    @precondition(lambda self: self.requests)
+    @rule(data=st.data())
+    def answer_any(self, data: st.DataObject) -> None:
+        """Deliver an old or a new request, once more if it was already."""
+        self._answer(data.draw(st.integers(0, len(self.requests) - 1)))
+
+    @precondition(lambda self: self.replies)
+    @rule(data=st.data())
+    def accept_any(self, data: st.DataObject) -> None:
+        """Deliver an old or a new reply to all processes of its name."""
+        self._accept(data.draw(st.integers(0, len(self.replies) - 1)))
+
+    def _answer(self, position: int) -> None:
+        owner, request = self.requests[position]
+        reply = owner.handle(self.now_s, request)
+        if reply is not None:
+            self.replies.append(reply)
+
+    def _accept(self, position: int) -> None:
+        for taker in self.takers:
+            taker.accept(self.now_s, self.replies[position])
+
+    @rule(index=_TAKERS)
+    def restart(self, index: int) -> None:
+        self.takers[index] = self._taker(index)
+
+    @rule(overlap_s=st.sampled_from((0.0, 0.5, 2.0)))
+    def change_owner(self, overlap_s: float) -> None:
+        """The earlier owner stays valid for up to 2 s."""
+        lease = self.owners[-1][0]
+        lease.valid_until_s = min(lease.valid_until_s, self.now_s + overlap_s)
+        self._own()
+
+
+TestBudgetMachine = BudgetMachine.TestCase
+TestBudgetMachine.__doc__ = "Guards against any use above the global limits."
+TestBudgetMachine.settings = settings(
+    derandomize=True,
+    max_examples=80,
+    stateful_step_count=60,
+    database=None,
+    deadline=None,
+)
--- a/tests/test_budget_owner.py
+++ b/tests/test_budget_owner.py
@@ -165,6 +165,7 @@
     assert grant.tokens == 20
     grant = fleet.ask(now_s, "a", kept_depth=grant.depth, tokens_wanted=20)
     assert grant.tokens == 20
+    now_s += 4.0
     rest = fleet.ask(now_s, "b", tokens_wanted=50)
     # a's bucket can hold 20 again besides the 20 that are on the way.
     assert rest.depth <= 10
