Add the queueing model and let wants follow the offered load

They now follow the arrival rate times the service time, plus a reserve. - The queue orders workspaces by (units in use + 1) per unit granted here for the workspace.

--- a/packages/verbenaworks/src/verbenaworks/admission_queue.py
+++ b/packages/verbenaworks/src/verbenaworks/admission_queue.py
@@ -20,7 +20,7 @@
 from verbenaworks.queue_result import Shed, ShedReason, Started, Waiting
 from verbenaworks.service_time import ServiceTime
 from verbenaworks.unit_demand import UnitDemand
-from verbenaworks.unit_pool import UnitPool
+from verbenaworks.unit_pool import UnitPool, UnitShares
 
 # A workspace below its part of a full queue may still add requests.
 MAX_WAITING = 1024
@@ -28,6 +28,8 @@
 # A backlog this long is not a burst, and its rate of service is known.
 _BACKLOG_S = 1.0
 _GAIN = 0.1
+# A workspace without a share here still gets a unit now and then.
+_LEAST_SHARE = 0.5
 
 
 class _Entry:
@@ -63,7 +65,9 @@
     :param choose: calls :meth:`TargetChoice.choose` with the targets of this
         service.
     :param time: usual service time, for the test against deadlines.
-    :param weights: weight of each workspace, 1 where absent.
+    :param weights: weight of each workspace, 1 where absent. Used where
+        ``shares`` is absent.
+    :param shares: the owners' division of the units over workspaces.
     """
 
     def __init__(
@@ -74,12 +78,14 @@
         units: UnitPool,
         time: ServiceTime,
         weights: Mapping[str, float] | None = None,
+        shares: UnitShares | None = None,
     ) -> None:
         self._service = service
         self._choose = choose
         self._units = units
         self._time = time
         self._weights = weights if weights is not None else {}
+        self._shares = shares
         self._lines: dict[str, _Line] = {}
         self._entries: dict[str, _Entry] = {}
         self._demand = UnitDemand()
@@ -95,6 +101,7 @@
     ) -> Started | Waiting | Shed:
         """Start a request, let it wait, or refuse it."""
         line = self._lines.setdefault(request.workspace, _Line())
+        self._demand.arrived(now_s, request.workspace)
         if not self._entries:
             answer = self._try_start(now_s, line, request)
             if answer is not None:
@@ -137,7 +144,7 @@
             self._remove(line, entry)
             answers.append(answer)
         for workspace, line in self._lines.items():
-            self._demand.set_busy(now_s, workspace, line.in_use + line.waiting)
+            self._demand.set_busy(workspace, line.in_use, line.waiting)
         self.state_wants(now_s)
         return answers
 
@@ -165,7 +172,9 @@
 
     def state_wants(self, now_s: float) -> None:
         """State the wanted units; call it every second as well."""
-        for workspace, amount in self._demand.amounts(now_s).items():
+        for workspace, amount in self._demand.amounts(
+            now_s, self._time.mean_s
+        ).items():
             if self._stated.get(workspace, 0) != amount:
                 self._stated[workspace] = amount
                 self._units.want(self._service, workspace, amount)
@@ -269,12 +278,20 @@
         for workspace, line in self._lines.items():
             if not line.entries or workspace in skipped:
                 continue
-            weight = self._weights.get(workspace, 1.0)
-            key = (line.in_use / weight, line.served_at_s)
+            # One unit more, so that a workspace with a part of a unit does
+            # not come before one that has fewer units than its share.
+            units = (line.in_use + 1) / self._weight(workspace)
+            key = units, line.served_at_s
             if best is None or key < best_key:
                 best, best_key = workspace, key
         return best
 
+    def _weight(self, workspace: str) -> float:
+        if self._shares is None:
+            return self._weights.get(workspace, 1.0)
+        share = self._shares.share(self._service, workspace)
+        return max(share, _LEAST_SHARE)
+
     def _latest_start_s(self, entry: _Entry) -> float:
         """Return the time after which a start would be in vain.
 
@@ -286,7 +303,7 @@
         return entry.request.deadline_s - needed_s
 
     def _state(self, now_s: float, workspace: str, line: _Line) -> None:
-        self._demand.set_busy(now_s, workspace, line.in_use + line.waiting)
+        self._demand.set_busy(workspace, line.in_use, line.waiting)
         self.state_wants(now_s)
 
 
--- a/packages/verbenaworks/src/verbenaworks/target_choice.py
+++ b/packages/verbenaworks/src/verbenaworks/target_choice.py
@@ -239,6 +239,23 @@
         if state.table is not None:
             _apply_plan(state.table, plan)
 
+    def usable(self, now_s: float, target: TargetInfo) -> bool:
+        """Tell whether units of the target are of use to this instance."""
+        service = self._services[target.service]
+        row = service.table.by_name[target.name] if service.table else None
+        if row is None or row.stats.signs or row.connections == 0:
+            return False
+        if row.ejected:
+            standing = service.ejection.standing(now_s, row.name)
+            if standing is Standing.OUT:
+                return False
+        return (
+            self._slow_start.limit(
+                now_s, row.name, row.info.slots, all_cold=service.all_cold
+            )
+            > 0
+        )
+
     def stats(self, service: str, target: str) -> TargetStats:
         """Return the measurements of a target."""
         return self._services[service].stats[target]
--- a/packages/verbenaworks/src/verbenaworks/unit_pool.py
+++ b/packages/verbenaworks/src/verbenaworks/unit_pool.py
@@ -25,3 +25,15 @@
         For region load, ``service`` is the name of the region. The amount
         replaces the earlier one and includes the units in use.
         """
+
+
+class UnitShares(Protocol):
+    """How the owner divided this instance's units over workspaces.
+
+    The queue inside an instance cannot know this by itself: a workspace
+    whose callers all use one instance has its whole share there, while
+    another has only a part of its share at the same instance.
+    """
+
+    def share(self, service: str, workspace: str) -> float:
+        """Return the units that were granted here for the workspace."""
--- a/packages/verbenaworks/src/verbenaworks/unit_split.py
+++ b/packages/verbenaworks/src/verbenaworks/unit_split.py
@@ -1,10 +1,14 @@
 """Division of an instance's wanted units over the targets of a service.
 
 The owners of the slots of different targets do not know of each other, so
-the instance decides where it asks. It asks at the nearest targets first. A
-target that granted less than was asked counts as full for a while, and the
-rest is asked for at the next ones. What no target grants is asked for at all
-of them, so that each owner sees the demand and divides by max-min fairness.
+the instance decides where it asks. It asks at the targets of its own region
+first. A target that granted a workspace less than was asked counts as full
+for that workspace for a while, and the rest is asked for elsewhere. In other
+regions the amounts grow while they are granted and shrink when they are not:
+under overload everywhere, each region then serves its own callers and little
+work crosses the links. What no target grants is asked for at the targets of
+the own region, so that each owner sees the demand and divides by max-min
+fairness.
 """
 
 from collections.abc import Mapping, Sequence
@@ -14,6 +18,9 @@
 from verbenaworks.target import TargetInfo
 
 _DENIED_S = 1.0
+_ROTATE_S = 1.0
+# Time between two tries at a target of another region that granted nothing.
+_RETRY_FAR_S = 2.0
 
 
 class UnitSplit:
@@ -21,83 +28,174 @@
 
     def __init__(self, place: Place) -> None:
         self._place = place
-        self._denied_until_s: dict[str, float] = {}
-        self._asked: dict[str, int] = {}
+        self._denied_until_s: dict[tuple[str, str], float] = {}
+        self._limits: dict[tuple[str, str], int] = {}
+        self._asked: dict[str, dict[str, int]] = {}
+        self._granted: dict[str, Mapping[str, int]] = {}
+        self._ranks: dict[str, tuple[int, int]] = {}
+        self._turn = 0
+
+    def granted(
+        self, now_s: float, target: str, parts: Mapping[str, int]
+    ) -> None:
+        """Record a grant; less than was asked means that units are short.
 
-    def granted(self, now_s: float, target: str, amount: int) -> None:
-        """Record a grant; less than was asked means that units are short."""
-        if amount < self._asked.get(target, 0):
-            self._denied_until_s[target] = now_s + _DENIED_S
+        :param parts: the granted units by workspace.
+        """
+        self._granted[target] = parts
+        for workspace, asked in self._asked.get(target, {}).items():
+            key = target, workspace
+            amount = parts.get(workspace, 0)
+            if amount < asked:
+                self._denied_until_s[key] = now_s + self._hold_s(target)
+                self._limits[key] = amount + 1
+            elif key in self._limits:
+                self._limits[key] = max(self._limits[key], 2 * asked)
+            elif self._ranks[target][0] == 2:
+                self._limits[key] = 2 * asked
 
     def split(
         self,
         now_s: float,
         wants: Mapping[str, int],
         targets: Sequence[TargetInfo],
-        granted: Mapping[str, int],
     ) -> dict[str, dict[str, int]]:
         """Return the units to ask for, by target and workspace.
 
         :param wants: wanted units by workspace.
         :param targets: the targets that may be used, without those that
             leave or are ejected.
-        :param granted: units granted now, by target.
         """
+        self._turn = int(now_s / _ROTATE_S)
+        self._denied_until_s = {
+            key: until_s
+            for key, until_s in self._denied_until_s.items()
+            if until_s > now_s
+        }
         order = sorted(targets, key=self._rank)
-        left = {w: amount for w, amount in wants.items() if amount > 0}
+        left = {w: wants[w] for w in sorted(wants) if wants[w] > 0}
         result: dict[str, dict[str, int]] = {t.name: {} for t in order}
-        for target in order:
-            room = target.slots
-            if now_s < self._denied_until_s.get(target.name, 0.0):
-                room = min(room, granted.get(target.name, 0))
-            _fill(result[target.name], left, room)
-        self._ask_everywhere(order, left, result)
-        self._asked = {
-            name: sum(part.values()) for name, part in result.items()
-        }
+        near = [t for t in order if t.region == self._place.region]
+        far = [t for t in order if t.region != self._place.region]
+        self._fill(near, left, result)
+        self._fill(far, left, result)
+        self._fill_excess(near or far, left, result)
+        self._asked = result
         return result
 
-    def _ask_everywhere(
+    def _fill(
+        self,
+        targets: Sequence[TargetInfo],
+        left: dict[str, int],
+        result: Mapping[str, dict[str, int]],
+    ) -> None:
+        """Move wanted units to targets one by one, evenly over workspaces."""
+        turn = 0
+        rooms = {target.name: target.slots for target in targets}
+        moved = True
+        while left and moved:
+            moved = False
+            for target in targets:
+                if rooms[target.name] == 0:
+                    continue
+                part = result[target.name]
+                workspace = self._next(target, part, left, turn)
+                if workspace is None:
+                    continue
+                _move(part, left, workspace)
+                rooms[target.name] -= 1
+                turn += 1
+                moved = True
+
+    def _next(
         self,
-        order: Sequence[TargetInfo],
+        target: TargetInfo,
+        part: Mapping[str, int],
+        left: Mapping[str, int],
+        turn: int,
+    ) -> str | None:
+        """Return a workspace that the target may grant one more unit."""
+        names = list(left)
+        for offset in range(len(names)):
+            workspace = names[(turn + offset) % len(names)]
+            if part.get(workspace, 0) < self._room(target, workspace):
+                return workspace
+        return None
+
+    def _fill_excess(
+        self,
+        targets: Sequence[TargetInfo],
         left: dict[str, int],
-        result: dict[str, dict[str, int]],
+        result: Mapping[str, dict[str, int]],
     ) -> None:
-        """Add what no target grants, evenly and up to each one's slots."""
-        while left:
-            before = sum(left.values())
-            for target in order:
+        """Add what no target grants, up to each one's slots per workspace.
+
+        The first target changes every second, so that a small excess tries
+        all targets in turn.
+        """
+        first = self._turn % max(1, len(targets))
+        moved = True
+        while left and moved:
+            moved = False
+            for target in [*targets[first:], *targets[:first]]:
                 part = result[target.name]
                 for workspace in list(left):
                     if part.get(workspace, 0) < target.slots:
-                        _move(part, left, workspace, 1)
-            if sum(left.values()) == before:
-                return
-
-    def _rank(self, target: TargetInfo) -> tuple[int, bytes]:
+                        _move(part, left, workspace)
+                        moved = True
+
+    def _room(self, target: TargetInfo, workspace: str) -> int:
+        """Return how many units the target may grant to a workspace."""
+        key = target.name, workspace
+        granted = self._granted.get(target.name, {}).get(workspace, 0)
+        if key in self._denied_until_s:
+            return granted
+        usual = target.slots if target.region == self._place.region else 1
+        return max(self._limits.get(key, usual), granted + 1)
+
+    def _hold_s(self, target: str) -> float:
+        """Return how long a denial counts, different for each target."""
+        distance, rank = self._ranks[target]
+        if distance < 2:
+            return _DENIED_S
+        return _RETRY_FAR_S * (1.0 + (rank % 1000) / 1000)
+
+    def _rank(self, target: TargetInfo) -> tuple[int, int]:
         """Order by distance, and differently at each instance."""
-        place = self._place
-        distance = 2
-        if target.region == place.region:
-            distance = int(target.failure_domain != place.failure_domain)
-        name = f"{place.instance}/{target.name}".encode()
-        return distance, blake2b(name, digest_size=8).digest()
-
-
-def _fill(part: dict[str, int], left: dict[str, int], room: int) -> None:
-    """Move up to ``room`` units to a target, evenly over workspaces."""
-    while room > 0 and left:
-        for workspace in sorted(left):
-            if room == 0:
-                return
-            _move(part, left, workspace, 1)
-            room -= 1
-
-
-def _move(
-    part: dict[str, int], left: dict[str, int], workspace: str, amount: int
-) -> None:
-    part[workspace] = part.get(workspace, 0) + amount
-    left[workspace] -= amount
+        rank = self._ranks.get(target.name)
+        if rank is None:
+            place = self._place
+            distance = 2
+            if target.region == place.region:
+                distance = int(target.failure_domain != place.failure_domain)
+            name = f"{place.instance}/{target.name}".encode()
+            digest = blake2b(name, digest_size=8).digest()
+            rank = distance, int.from_bytes(digest)
+            self._ranks[target.name] = rank
+        return rank
+
+
+def region_wants(
+    targets: Sequence[TargetInfo],
+    granted: Mapping[str, Mapping[str, int]],
+) -> dict[str, dict[str, int]]:
+    """Return the units of region load to ask for, by region and workspace.
+
+    They match the granted slots: a unit of region load is of no use without
+    a slot in the region, nor a slot without it.
+
+    :param granted: the granted slots, by target and workspace.
+    """
+    wants: dict[str, dict[str, int]] = {}
+    for target in targets:
+        region = wants.setdefault(target.region, {})
+        for workspace, amount in granted.get(target.name, {}).items():
+            region[workspace] = region.get(workspace, 0) + amount
+    return wants
+
+
+def _move(part: dict[str, int], left: dict[str, int], workspace: str) -> None:
+    part[workspace] = part.get(workspace, 0) + 1
+    left[workspace] -= 1
     if left[workspace] == 0:
         del left[workspace]
