Keep bodies whole between attempts; share the loop; bound the drain

Cause: a body's first piece was lost when no connection opened; a fast transfer never yielded; while closing, the listener went on accepting, and steady arrivals could keep it open for ever (seen as a test that failed once).

--- a/packages/verbenad/src/verbenad/forwarder.py
+++ b/packages/verbenad/src/verbenad/forwarder.py
@@ -153,20 +153,14 @@
     ) -> UpstreamAnswer:
         request = self._request
         self._check_cancelled()
-        body = request.body
-        if isinstance(body, RequestBody) and body.replayable:
-            body.rewind()
-            # The whole body is at hand: its length is known even if the
-            # caller sent it in chunks.
-            body = body.prefix if body.exists else None
         lines = self._head_lines()
-        first = self._first_piece(body)
+        body = self._prepare_body()
         connection = self._connect(address, limit, fresh)
         connection.stream.sent_any = False
         if request.cancellation is not None:
             request.cancellation.on_cancel(connection.stream.shutdown)
         try:
-            head = self._exchange(connection, body, lines, first)
+            head = self._exchange(connection, body, lines)
             return self._answer(connection, head)
         except (OSError, MalformedAnswerError) as error:
             raise self._failure(connection, error) from error
@@ -174,13 +168,27 @@
             if not self._answered:
                 self._end(connection, False, False)
 
-    def _first_piece(self, body: RequestBody | bytes | None) -> bytes:
+    def _prepare_body(self) -> RequestBody | bytes | None:
+        """Wait for the body's start, so that a connection is not held up.
+
+        A body that fails here has not run, and one that is held stays whole
+        for the next attempt if this one cannot connect.
+        """
+        body = self._request.body
         if not isinstance(body, RequestBody):
-            return body or b""
+            return body
+        if not body.exists:
+            return None
         try:
-            return body.read_some() if body.exists else b""
+            if body.replayable:
+                body.rewind()
+            else:
+                body.hold_first_piece()
         except BodyError as error:
             raise self._body_failure(error, may_have_run=False) from error
+        # The length of a body that is held whole is known even if the
+        # caller sent it in chunks.
+        return body.prefix if body.replayable else body
 
     def _connect(
         self, address: TargetAddress, limit: int, fresh: bool
@@ -209,18 +217,13 @@
         connection: UpstreamConnection,
         body: RequestBody | bytes | None,
         lines: list[str],
-        first: bytes,
     ) -> AnswerHead:
-        chunked = (
-            isinstance(body, RequestBody)
-            and body.exists
-            and body.content_length is None
-        )
+        chunked = isinstance(body, RequestBody) and body.chunked_input
         head = self._encode_head(lines, body, chunked)
-        stream = connection.stream
-        piece = _chunk(first) if chunked and first else first
-        stream.send_all(head + piece, self._left_s())
-        if isinstance(body, RequestBody) and body.exists:
+        first = body.read_some() if isinstance(body, RequestBody) else body
+        piece = _chunk(first) if chunked and first else first or b""
+        connection.stream.send_all(head + piece, self._left_s())
+        if isinstance(body, RequestBody):
             early = self._send_rest(connection, body, chunked)
             if early is not None:
                 return early
@@ -399,7 +402,7 @@
             lines.append("Transfer-Encoding: chunked")
         elif isinstance(body, bytes):
             lines.append(f"Content-Length: {len(body)}")
-        elif body is not None and body.exists:
+        elif body is not None:
             lines.append(f"Content-Length: {body.content_length}")
         text = "\r\n".join(lines)
         if text.count("\n") != len(lines) - 1:
--- a/packages/verbenad/src/verbenad/front.py
+++ b/packages/verbenad/src/verbenad/front.py
@@ -16,7 +16,7 @@
 
 from verbenad.front_limits import FrontLimits
 from verbenad.http_protocol import HttpProtocol
-from verbenad.listener import Listener
+from verbenad.listener import BACKLOG, Listener
 from verbenad.refusal import NOT_RUN, refuse
 from verbenad.response_writer import ResponseWriter
 from verbenad.socket_stream import SocketStream
@@ -24,7 +24,6 @@
 Application = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
 
 _log = logbook.Logger("verbenad.front")
-_BACKLOG = 1024
 # Callers that are being refused for lack of connections at any one time;
 # more are closed without an answer.
 _MAX_REFUSING = 32
@@ -232,5 +231,5 @@
     # Accepted connections inherit the option.
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.bind((host, port))
-    sock.listen(_BACKLOG)
+    sock.listen(BACKLOG)
     return sock
--- a/packages/verbenad/src/verbenad/http_protocol.py
+++ b/packages/verbenad/src/verbenad/http_protocol.py
@@ -111,6 +111,9 @@
 
     def _wait_for_request(self) -> bool:
         if self.stream.buffered_bytes:
+            # A caller that pipelines without end must not keep the event
+            # loop for itself.
+            eventlet.sleep(0)
             return True
         self.idle = True
         self.front.idle[self] = None
--- a/packages/verbenad/src/verbenad/listener.py
+++ b/packages/verbenad/src/verbenad/listener.py
@@ -16,6 +16,9 @@
     {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM}
 )
 _SHORTAGE_PAUSE_S = 0.05
+# The kernel's queue is no longer than this; what comes later arrived after
+# the listener stopped.
+BACKLOG = 1024
 
 
 class ListenerClosedError(OSError):
@@ -47,6 +50,7 @@
         self._admit = admit
         self._make_room = make_room
         self._closing = False
+        self._left_in_queue = BACKLOG
         self._waiting: Any = None
 
     def accept(self) -> tuple[GreenSocket, Any]:
@@ -56,7 +60,9 @@
             that the kernel had accepted was handed on.
         """
         while True:
-            accepted = self._accept_now()
+            accepted = None
+            if not self._closing or self._take_from_queue():
+                accepted = self._accept_now()
             if accepted is None:
                 self._wait()
                 continue
@@ -72,6 +78,11 @@
                 0, self._waiting.throw, ListenerClosedError()
             )
 
+    def _take_from_queue(self) -> bool:
+        # Without a bound, steady arrivals would keep the listener open.
+        self._left_in_queue -= 1
+        return self._left_in_queue >= 0
+
     def _accept_now(self) -> tuple[socket.socket, Any] | None:
         try:
             client, address = self.fd.accept()
@@ -93,6 +104,9 @@
             # Lets the handlers of the last connections start, so that the
             # server does not take them for idle.
             eventlet.sleep(0)
+            # The server closes the socket only after its last request; until
+            # then the kernel would go on accepting connections.
+            self.close()
             raise ListenerClosedError
         self._waiting = getcurrent()
         try:
--- a/packages/verbenad/src/verbenad/request_body.py
+++ b/packages/verbenad/src/verbenad/request_body.py
@@ -97,6 +97,13 @@
         """Whether :meth:`rewind` can return to the first byte."""
         return self.received and self._read_bytes == len(self._prefix)
 
+    @property
+    def untouched(self) -> bool:
+        """Whether the next read returns the first byte."""
+        return self._prefix_position == 0 and self._read_bytes == len(
+            self._prefix
+        )
+
     @property
     def prefix(self) -> bytes:
         """The bytes that :meth:`prefetch` holds."""
@@ -105,12 +112,12 @@
     def prefetch(self, limit_bytes: int) -> bool:
         """Hold up to ``limit_bytes`` and return whether that is all.
 
-        Call it before the first read.
-
         :raises BodyError: if the body cannot be read.
+        :raises ValueError: if a part of it was read already.
         """
-        pieces: list[bytes] = []
-        held_bytes = 0
+        self._check_untouched()
+        pieces = [self._prefix]
+        held_bytes = len(self._prefix)
         while held_bytes < limit_bytes:
             piece = self._read_stream(limit_bytes - held_bytes)
             if not piece:
@@ -118,9 +125,18 @@
             pieces.append(piece)
             held_bytes += len(piece)
         self._prefix = b"".join(pieces)
-        self._prefix_position = 0
         return self.received
 
+    def hold_first_piece(self) -> None:
+        """Wait for the first bytes; they stay to be read.
+
+        :raises BodyError: if the body cannot be read.
+        :raises ValueError: if a part of it was read already.
+        """
+        self._check_untouched()
+        if not self._prefix:
+            self._prefix = self._read_stream(RECEIVE_BYTES)
+
     def rewind(self) -> None:
         """Return to the first byte.
 
@@ -184,6 +200,10 @@
     def __iter__(self) -> Iterator[bytes]:
         return iter(self.readline, b"")
 
+    def _check_untouched(self) -> None:
+        if not self.untouched:
+            raise ValueError("a part of the body was read already")
+
     def _read_stream(self, limit_bytes: int) -> bytes:
         if self.received:
             return b""
--- a/packages/verbenad/src/verbenad/socket_stream.py
+++ b/packages/verbenad/src/verbenad/socket_stream.py
@@ -9,21 +9,34 @@
 import socket
 from typing import Any
 
+import eventlet
 from eventlet.hubs import trampoline
 
 RECEIVE_BYTES = 65536
+# A fast transfer always finds data ready. Without a pause it would keep the
+# event loop from all other connections until it ends.
+_RECEIVES_PER_TURN = 8
 
 
 class SocketStream:
     """Reads and writes one socket; works on green and on plain sockets."""
 
-    __slots__ = ("_green", "_raw", "buffer", "position", "sent_any", "sock")
+    __slots__ = (
+        "_green",
+        "_raw",
+        "_receives",
+        "buffer",
+        "position",
+        "sent_any",
+        "sock",
+    )
 
     def __init__(self, sock: Any) -> None:
         self.sock = sock
         raw = getattr(sock, "fd", None)
         self._green = raw is not None
         self._raw = sock if raw is None else raw
+        self._receives = 0
         self.buffer = b""
         self.position = 0
         self.sent_any = False
@@ -44,11 +57,16 @@
         if not self._green:
             self._raw.settimeout(timeout_s)
             return self._raw.recv(RECEIVE_BYTES)
+        self._receives += 1
+        if self._receives > _RECEIVES_PER_TURN:
+            self._receives = 0
+            eventlet.sleep(0)
         while True:
             try:
                 return self._raw.recv(RECEIVE_BYTES)
             except BlockingIOError:
                 pass
+            self._receives = 0
             trampoline(
                 self._raw,
                 read=True,
--- a/tests/edge_server.py
+++ b/tests/edge_server.py
@@ -147,6 +147,16 @@
         start("200 OK", [])
         return [b"finished"]
 
+    def local_wait(
+        self, environ: dict[str, Any], start: Callable[..., Any]
+    ) -> Iterable[bytes]:
+        """Answer once the caller sends another byte."""
+        sys.stdout.write("running\n")
+        sys.stdout.flush()
+        environ["verbena.caller"].stream.refill(None)
+        start("200 OK", [])
+        return [b"finished"]
+
     def _forward(
         self, environ: dict[str, Any], start: Callable[..., Any]
     ) -> Iterable[bytes]:
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -1,5 +1,6 @@
 """One attempt to a backend server, over real sockets."""
 
+import socket
 import threading
 import time
 from collections.abc import Callable, Iterator
@@ -14,6 +15,8 @@
 from verbenad.forwarder import Forwarder, ForwarderSettings
 from verbenad.http_syntax import Headers
 from verbenad.protocol_errors import AnswerTruncatedError
+from verbenad.request_body import BodyLimits, RequestBody
+from verbenad.socket_stream import SocketStream
 from verbenad.target_address import TargetAddress
 from verbenad.upstream_answer import UpstreamAnswer
 from verbenad.upstream_pool import UpstreamPool
@@ -39,7 +42,7 @@
     method: str = "GET",
     target: str = "/x",
     headers: Headers | None = None,
-    body: bytes | None = None,
+    body: RequestBody | bytes | None = None,
     idempotent: bool = True,
     wait_s: float = 20.0,
     cancellation: Cancellation | None = None,
@@ -550,3 +553,55 @@
             recording.address,
             headers=[("X-A", "b\r\nX-Verbena-Key: c")],
         )
+
+
+def _streamed(data: bytes, *, chunked: bool) -> RequestBody:
+    left, right = socket.socketpair()
+    with left:
+        left.sendall(data)
+    return RequestBody(
+        SocketStream(right),
+        content_length=None if chunked else len(data),
+        chunked=chunked,
+        limits=BodyLimits(),
+    )
+
+
+def test_body_is_kept_when_no_connection_opens(
+    recorder: _Recorder, recording: RawBackend
+) -> None:
+    """Guards against a second attempt that sends the rest of a body only."""
+    body = _streamed(b"y" * 100_000, chunked=False)
+    forwarder = _forwarder()
+    with raw_backend(_always(_OK)) as closed:
+        pass
+    first = _attempt(forwarder, closed.address, method="PUT", body=body)
+    assert not _failed(first).may_have_run
+    second = _attempt(forwarder, recording.address, method="PUT", body=body)
+    assert _body(second) == b"hello"
+    assert recorder.requests[0][1] == b"y" * 100_000
+
+
+def test_body_that_was_read_is_not_sent_again(
+    recorder: _Recorder, recording: RawBackend
+) -> None:
+    """Guards against a second attempt without the body's start."""
+    body = _streamed(b"y" * 100_000, chunked=False)
+    _body(_attempt(_forwarder(), recording.address, method="PUT", body=body))
+    with pytest.raises(ValueError, match="read already"):
+        _attempt(_forwarder(), recording.address, method="PUT", body=body)
+    assert len(recorder.requests) == 1
+
+
+def test_body_that_is_held_whole_is_sent_again(
+    recorder: _Recorder, recording: RawBackend
+) -> None:
+    """Guards against a repeated request with an empty body."""
+    body = _streamed(b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n", chunked=True)
+    assert body.prefetch(65536)
+    for _ in range(2):
+        outcome = _attempt(
+            _forwarder(), recording.address, method="PUT", body=body
+        )
+        assert _body(outcome) == b"hello"
+    assert [sent for _, sent in recorder.requests] == [b"abcde"] * 2
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -154,12 +154,13 @@
     assert b"Connection: close" in answer
 
 
-def test_trailers_and_chunks_to_the_backend_server() -> None:
+@pytest.mark.parametrize("size", [3, 300_000])
+def test_trailers_do_not_reach_the_backend_server(size: int) -> None:
     """Guards against trailers, which may carry the key, passing through."""
-    bodies: list[bytes] = []
+    requests: list[tuple[bytes, bytes]] = []
 
     def handle(connection: BackendConnection, number: int) -> None:
-        bodies.append(connection.read_request()[1])
+        requests.append(connection.read_request())
         connection.send(b"HTTP/1.1 204 No Content\r\n\r\n")
 
     with (
@@ -169,10 +170,17 @@
         answer = server.exchange(
             b"POST /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
             b"Transfer-Encoding: chunked\r\nTrailer: X-Verbena-Key\r\n\r\n"
-            b"3;ext=1\r\nabc\r\n0\r\nX-Verbena-Key: k-0123456789abcd\r\n\r\n"
+            b"%x;ext=1\r\n%b\r\n0\r\nX-Verbena-Key: k-0123456789abcd\r\n\r\n"
+            % (size, b"y" * size)
         )
     assert answer.startswith(b"HTTP/1.1 204 ")
-    assert bodies == [b"3\r\nabc\r\n0\r\n\r\n"]
+    [(head, body)] = requests
+    assert b"Trailer" not in head
+    if b"Transfer-Encoding: chunked" in head:
+        body = re.sub(rb"[0-9a-f]+\r\n(y+)\r\n", rb"\1", body)
+        assert body.endswith(b"0\r\n\r\n")
+        body = body.removesuffix(b"0\r\n\r\n")
+    assert body == b"y" * size
 
 
 def test_closed_caller_cancels_the_attempt() -> None:
@@ -238,6 +246,24 @@
             socket.create_connection(("127.0.0.1", server.port), 1.0)
 
 
+def test_no_connection_is_accepted_while_closing() -> None:
+    """Guards against callers who wait on an instance that is leaving."""
+    with edge() as server, server.connect() as busy:
+        busy.sendall(b"GET /wait HTTP/1.1\r\nHost: a\r\n\r\n")
+        server.wait_for_text("running")
+        server.process.terminate()
+        deadline_s = time.monotonic() + WAIT_S
+        refused = False
+        while not refused and time.monotonic() < deadline_s:
+            try:
+                server.connect().close()
+            except ConnectionRefusedError:
+                refused = True
+        assert refused
+        busy.sendall(b"x")
+        assert read_to_end(busy).endswith(b"finished")
+
+
 def test_close_limit_cuts_requests_off() -> None:
     """Guards against a shutdown that a stuck request holds up for ever."""
 
--- /dev/null
+++ b/tests/test_socket_stream.py
@@ -0,0 +1,64 @@
+"""Buffered reading and writing on one socket."""
+
+import socket
+
+import eventlet
+
+from verbenad.socket_stream import SocketStream
+
+
+class _EndlessSocket:
+    """A green socket that always has data."""
+
+    class _Raw:
+        def recv(self, count: int) -> bytes:
+            return b"x"
+
+    fd = _Raw()
+
+
+def test_fast_transfer_lets_others_run() -> None:
+    """Guards against one upload that stops all other connections."""
+    turns: list[int] = []
+
+    def other() -> None:
+        while True:
+            turns.append(1)
+            eventlet.sleep(0)
+
+    thread = eventlet.spawn(other)
+    stream = SocketStream(_EndlessSocket())
+    for _ in range(100):
+        assert stream.receive(1.0) == b"x"
+    thread.kill()
+    assert len(turns) >= 10
+
+
+def test_take_never_returns_a_byte_twice() -> None:
+    """Guards against bytes that are lost or repeated between buffers."""
+    left, right = socket.socketpair()
+    with left, right:
+        stream = SocketStream(right)
+        left.sendall(b"0123456789")
+        assert stream.refill(1.0) == 10
+        assert stream.take(3) == b"012"
+        left.sendall(b"abc")
+        assert stream.refill(1.0) == 3
+        assert stream.take(4) == b"3456"
+        assert stream.take(100) == b"789abc"
+        assert stream.take(100) == b""
+        assert stream.buffered_bytes == 0
+
+
+def test_has_input_sees_data_and_the_end() -> None:
+    """Guards against reusing a connection that the peer has closed."""
+    left, right = socket.socketpair()
+    with left, right:
+        stream = SocketStream(right)
+        assert not stream.has_input()
+        left.sendall(b"x")
+        assert stream.has_input()
+        assert stream.receive(1.0) == b"x"
+        assert not stream.has_input()
+        left.close()
+        assert stream.has_input()
