--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -203,6 +203,7 @@
         [("X-Verbena-Key", _KEY)],
         [("x-verbena-key", _KEY), ("X-VERBENA-KEY", "k-second-key-0001")],
         [("X_Verbena_Key", _KEY)],
+        [("X-Verbena-Key", "k-second")],
         [("X-Verbena-Key", _KEY), ("Authorization", f"Bearer {_KEY}")],
         [("X-Verbena-Key", _KEY), ("Cookie", f"a=b; k={_KEY}")],
         [("X-Verbena-Key", _KEY), ("Referer", f"http://a/?k=%6b{_KEY[1:]}")],
@@ -361,8 +362,17 @@
 
 def test_body_closed_early_gives_the_connection_up() -> None:
     """Guards against the rest of an answer that opens the next one."""
+
+    def handle(connection: BackendConnection, number: int) -> None:
+        connection.read_request()
+        if number == 1:
+            # Nothing of the body has arrived when the reader gives up.
+            connection.send(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n")
+            connection.wait_for_close()
+        connection.send(_OK)
+
     forwarder = _forwarder()
-    with raw_backend(_always(_OK)) as backend:
+    with raw_backend(handle) as backend:
         _attempt(forwarder, backend.address).unwrap().body.close()
         assert forwarder.pool.total(backend.address) == 0
         assert _body(_attempt(forwarder, backend.address)) == b"hello"
--- /dev/null
+++ b/tests/test_request_body.py
@@ -0,0 +1,145 @@
+"""Bodies of requests."""
+
+import socket
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from verbenad.protocol_errors import (
+    BodyError,
+    BodyTooLargeError,
+    BodyTooShortError,
+    BodyTooSlowError,
+)
+from verbenad.request_body import BodyLimits, RequestBody
+from verbenad.socket_stream import SocketStream
+
+
+def _body(
+    data: bytes,
+    *,
+    length: int | None = None,
+    limits: BodyLimits | None = None,
+    keep_open: list[socket.socket] | None = None,
+) -> RequestBody:
+    left, right = socket.socketpair()
+    left.sendall(data)
+    if keep_open is None:
+        left.close()
+    else:
+        keep_open.append(left)
+    return RequestBody(
+        SocketStream(right),
+        content_length=length,
+        chunked=length is None,
+        limits=limits or BodyLimits(),
+    )
+
+
+@pytest.mark.parametrize(
+    ("data", "length"),
+    [(b"abc", 10), (b"", 1), (b"a\r\nabc", None), (b"3\r\nabc\r\n", None)],
+)
+def test_short_body_raises_and_goes_on_raising(
+    data: bytes, length: int | None
+) -> None:
+    """Guards against a cut-off body that looks whole on a second read."""
+    body = _body(data, length=length)
+    for _ in range(2):
+        with pytest.raises(BodyTooShortError):
+            body.read()
+    assert not body.received
+    assert not body.replayable
+
+
+def test_body_stops_at_its_length() -> None:
+    """Guards against bytes of the next request in a body."""
+    body = _body(b"abcGET / HTTP/1.1\r\n", length=3)
+    assert body.read() == b"abc"
+    assert body.read() == b""
+    assert body.read_some() == b""
+
+
+def test_lines_and_sizes() -> None:
+    """Guards against WSGI applications that read in another way."""
+    body = _body(b"4\r\na\nbc\r\n3\r\n\nde\r\n0\r\n\r\n")
+    assert body.readline() == b"a\n"
+    assert body.read(1) == b"b"
+    assert body.readline(5) == b"c\n"
+    assert list(body) == [b"de"]
+    assert body.received
+
+
+def test_stated_length_over_the_limit_is_refused_unread() -> None:
+    """Guards against reading what is refused in any case."""
+    body = _body(b"", length=11, limits=BodyLimits(body_bytes=10))
+    with pytest.raises(BodyTooLargeError):
+        body.read_some()
+
+
+def test_chunked_body_over_the_limit_is_refused() -> None:
+    """Guards against chunked bodies without a bound."""
+    data = b"8\r\n01234567\r\n" * 2 + b"0\r\n\r\n"
+    body = _body(data, limits=BodyLimits(body_bytes=15))
+    with pytest.raises(BodyTooLargeError):
+        body.read()
+
+
+def test_stalled_body_raises() -> None:
+    """Guards against waiting for ever."""
+    held: list[socket.socket] = []
+    body = _body(
+        b"abc", length=10, limits=BodyLimits(stall_s=0.01), keep_open=held
+    )
+    with pytest.raises(BodyTooSlowError):
+        body.read()
+
+
+def test_prefetch_keeps_the_bytes() -> None:
+    """Guards against bytes that are lost between prefetch and read."""
+    body = _body(b"0123456789", length=10)
+    assert not body.prefetch(4)
+    assert body.prefix == b"0123"
+    assert not body.replayable
+    assert body.untouched
+    assert body.read() == b"0123456789"
+    with pytest.raises(ValueError, match="not held"):
+        body.rewind()
+
+
+def test_prefetched_body_is_replayable() -> None:
+    """Guards against a second attempt without its body."""
+    body = _body(b"0123456789", length=10)
+    assert body.prefetch(64)
+    for _ in range(2):
+        assert body.read() == b"0123456789"
+        body.rewind()
+
+
+@settings(derandomize=True, max_examples=300, database=None, deadline=None)
+@given(st.binary(max_size=60), st.integers(1, 20))
+def test_arbitrary_chunked_bytes_raise_only_body_errors(
+    data: bytes, size: int
+) -> None:
+    """Guards against input that ends a handler with another error."""
+    body = _body(data)
+    try:
+        while body.read_some(size):
+            pass
+    except BodyError:
+        return
+    assert body.received
+
+
+@settings(derandomize=True, max_examples=200, database=None, deadline=None)
+@given(st.lists(st.binary(min_size=1, max_size=30)), st.integers(1, 40))
+def test_chunked_round_trip(chunks: list[bytes], size: int) -> None:
+    """Guards against bytes that are lost at the borders of chunks."""
+    data = b"".join(b"%x\r\n%b\r\n" % (len(c), c) for c in chunks)
+    body = _body(data + b"0\r\n\r\n")
+    received = b""
+    while piece := body.read_some(size):
+        assert len(piece) <= size
+        received += piece
+    assert received == b"".join(chunks)
