Check answers at the caller against random cuts and random bytes

Cause: promise 5 was tested with single examples only; a head sent in single-byte segments was searched from its start each time. Change: generated answers, cut anywhere and closed or reset, are read by a parser that shares no code with the front; each byte of a head is searched once; running out of file descriptors is tested.

--- a/packages/verbenad/src/verbenad/http_protocol.py
+++ b/packages/verbenad/src/verbenad/http_protocol.py
@@ -129,6 +129,9 @@
         stream = self.stream
         deadline_s: float | None = None
         skipped = False
+        # Bytes of the head that were searched already. Searching from the
+        # start each time would let single-byte segments cost a lot of time.
+        checked = 0
         while True:
             if not skipped and stream.buffer.startswith(
                 b"\r\n", stream.position
@@ -137,11 +140,14 @@
                 # line is ignored.
                 stream.take(2)
                 skipped = True
-            end = stream.buffer.find(b"\r\n\r\n", stream.position)
+            end = stream.buffer.find(
+                b"\r\n\r\n", stream.position + max(0, checked - 3)
+            )
             if end >= 0:
                 block = stream.take(end + 4 - stream.position)
                 return parse_request_head(block, self.limits.head)
-            self._check_partial_head()
+            self._check_partial_head(checked)
+            checked = stream.buffered_bytes
             now_s = time.monotonic()
             if deadline_s is None:
                 deadline_s = now_s + self.limits.head_s
@@ -151,7 +157,7 @@
             except TimeoutError as error:
                 raise ProtocolError("request-too-slow") from error
 
-    def _check_partial_head(self) -> None:
+    def _check_partial_head(self, checked: int) -> None:
         stream = self.stream
         held_bytes = stream.buffered_bytes
         if not held_bytes:
@@ -161,16 +167,17 @@
             raise ProtocolError("headers-too-large")
         if stream.buffer[stream.position] not in _FIRST_BYTES:
             raise ProtocolError("malformed-request-line")
-        partial = stream.buffer[stream.position :]
-        if BARE_LINE_FEED.search(partial):
+        if BARE_LINE_FEED.search(stream.buffer, stream.position + checked):
             raise ProtocolError(
                 "malformed-header", "a header line ends in a bare LF"
             )
-        if max(map(len, partial.split(b"\r\n"))) <= limits.line_bytes + 1:
-            return
-        if b"\r\n" in partial:
+        line_break = stream.buffer.rfind(b"\r\n", stream.position)
+        if line_break < 0:
+            # The CR of the next line break may have arrived.
+            if held_bytes > limits.line_bytes + 1:
+                raise ProtocolError("target-too-long")
+        elif len(stream.buffer) - line_break - 2 > limits.line_bytes + 1:
             raise ProtocolError("headers-too-large")
-        raise ProtocolError("target-too-long")
 
     def _refuse_head(self, error: ProtocolError) -> None:
         self.front.count("refused_malformed")
--- a/packages/verbenad/src/verbenad/request_body.py
+++ b/packages/verbenad/src/verbenad/request_body.py
@@ -104,6 +104,11 @@
             self._prefix
         )
 
+    @property
+    def sendable(self) -> bool:
+        """Whether an attempt can still send the body from its first byte."""
+        return self.untouched or self.replayable
+
     @property
     def prefix(self) -> bytes:
         """The bytes that :meth:`prefetch` holds."""
--- a/tests/edge_server.py
+++ b/tests/edge_server.py
@@ -7,6 +7,7 @@
 """
 
 import json
+import resource
 import secrets
 import signal
 import sys
@@ -16,13 +17,15 @@
 
 import eventlet
 import msgspec
-from result import Err, Ok
+from result import Err, Ok, Result
 
+from verbenad.attempt_failed import AttemptFailed
 from verbenad.forward_request import ForwardRequest
 from verbenad.forwarder import Forwarder, ForwarderSettings
 from verbenad.front import Front
 from verbenad.front_limits import FrontLimits
 from verbenad.refusal import NOT_RUN, OUTCOME_UNKNOWN, refuse
+from verbenad.upstream_answer import UpstreamAnswer
 from verbenad.upstream_pool import PoolSettings, UpstreamPool
 
 _SAFE = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE"})
@@ -174,13 +177,15 @@
             idempotent=head.method in _SAFE,
             cancellation=environ["verbena.caller"].cancellation,
         )
-        outcome = self.forwarder.attempt(
-            request,
-            ("127.0.0.1", self.options["backend_port"]),
-            time.monotonic() + self.options.get("deadline_s", 60.0),
-            connection_limit=self.options.get("connection_limit", 100),
-            silent_after_s=self.options.get("silent_after_s"),
-        )
+        outcome = self._attempt(request, fresh=False)
+        if (
+            outcome.is_err()
+            and outcome.unwrap_err().reused
+            and request.idempotent
+            and request.body is None
+        ):
+            # The backend server may have closed the idle connection.
+            outcome = self._attempt(request, fresh=True)
         match outcome:
             case Ok(answer):
                 start(answer.status_line, answer.headers)
@@ -196,10 +201,25 @@
                 start(refusal.status_line, refusal.headers(content))
                 return [content]
 
+    def _attempt(
+        self, request: ForwardRequest, *, fresh: bool
+    ) -> Result[UpstreamAnswer, AttemptFailed]:
+        return self.forwarder.attempt(
+            request,
+            ("127.0.0.1", self.options["backend_port"]),
+            time.monotonic() + self.options.get("deadline_s", 60.0),
+            connection_limit=self.options.get("connection_limit", 100),
+            silent_after_s=self.options.get("silent_after_s"),
+            fresh=fresh,
+        )
+
 
 def main() -> None:
     """Serve until SIGTERM."""
     options = json.loads(sys.argv[1])
+    if "open_files" in options:
+        files = options["open_files"]
+        resource.setrlimit(resource.RLIMIT_NOFILE, (files, files))
     application = EdgeApplication(options)
     limits = msgspec.convert(options.get("limits", {}), FrontLimits)
     front = Front(application, host="127.0.0.1", port=0, limits=limits)
--- /dev/null
+++ b/tests/test_answer_integrity.py
@@ -0,0 +1,170 @@
+"""Promise 5 at the edge: a caller gets a whole answer or sees a failure.
+
+The caller's side here is a small parser of its own and shares no code with
+the front.
+"""
+
+import contextlib
+from collections.abc import Iterator
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from edge_process import (
+    BackendConnection,
+    EdgeProcess,
+    edge,
+    raw_backend,
+    read_to_end,
+)
+
+_REQUEST = b"GET /x HTTP/1.%d\r\nHost: a\r\nConnection: close\r\n\r\n"
+
+
+class _Script:
+    """What the backend server sends next; then it closes or resets."""
+
+    def __init__(self) -> None:
+        self.pieces: list[bytes] = []
+        self.reset = False
+
+    def __call__(self, connection: BackendConnection, number: int) -> None:
+        connection.read_request()
+        for piece in self.pieces:
+            connection.send(piece)
+        if self.reset:
+            connection.reset()
+
+
+@pytest.fixture(scope="module")
+def script() -> _Script:
+    """Return the script of the backend server."""
+    return _Script()
+
+
+@pytest.fixture(scope="module")
+def server(script: _Script) -> Iterator[EdgeProcess]:
+    """Run a front with one backend server."""
+    with (
+        raw_backend(script) as backend,
+        edge(backend_port=backend.port) as process,
+    ):
+        yield process
+
+
+def _whole_body(answer: bytes, closed_by_reset: bool) -> bytes | None:
+    """Return the body if the caller must take the answer for whole."""
+    head, mark, rest = answer.partition(b"\r\n\r\n")
+    if not mark:
+        return None
+    fields = [line.lower() for line in head.split(b"\r\n")[1:]]
+    lengths = [f for f in fields if f.startswith(b"content-length:")]
+    if lengths:
+        length = int(lengths[0].partition(b":")[2])
+        return rest if len(rest) == length else None
+    if b"transfer-encoding: chunked" not in fields:
+        return None if closed_by_reset else rest
+    body = b""
+    while rest:
+        size, _, rest = rest.partition(b"\r\n")
+        count = int(size, 16)
+        if not count:
+            return body if rest == b"\r\n" else None
+        if len(rest) < count + 2:
+            return None
+        body, rest = body + rest[:count], rest[count + 2 :]
+    return None
+
+
+def _call(server: EdgeProcess, minor: int) -> tuple[bytes, bool]:
+    with server.connect() as sock:
+        sock.sendall(_REQUEST % minor)
+        pieces = []
+        try:
+            while piece := sock.recv(65536):
+                pieces.append(piece)
+        except ConnectionResetError:
+            return b"".join(pieces), True
+        return b"".join(pieces), False
+
+
+def _cut(data: bytes, cuts: list[int]) -> list[bytes]:
+    borders = sorted({cut % (len(data) + 1) for cut in cuts})
+    edges = [0, *borders, len(data)]
+    return [data[a:b] for a, b in zip(edges, edges[1:], strict=False)]
+
+
+@settings(derandomize=True, max_examples=150, database=None, deadline=None)
+@given(
+    chunks=st.lists(st.binary(min_size=1, max_size=50), max_size=5),
+    chunked=st.booleans(),
+    lost=st.one_of(st.just(0), st.integers(0, 400)),
+    cuts=st.lists(st.integers(0, 400), max_size=4),
+    minor=st.integers(0, 1),
+    reset=st.booleans(),
+)
+def test_caller_gets_the_whole_answer_or_sees_a_failure(
+    server: EdgeProcess,
+    script: _Script,
+    chunks: list[bytes],
+    chunked: bool,
+    lost: int,
+    cuts: list[int],
+    minor: int,
+    reset: bool,
+) -> None:
+    """Guards against any cut of an answer that reaches a caller as whole."""
+    body = b"".join(chunks)
+    if chunked:
+        coded = b"".join(b"%x\r\n%b\r\n" % (len(c), c) for c in chunks)
+        data = b"Transfer-Encoding: chunked\r\n\r\n" + coded + b"0\r\n\r\n"
+    else:
+        data = b"Content-Length: %d\r\n\r\n" % len(body) + body
+    data = b"HTTP/1.1 200 OK\r\n" + data
+    sent = data[: max(0, len(data) - lost)]
+    script.pieces = _cut(sent, cuts)
+    # A reset may destroy bytes of a whole answer on their way.
+    script.reset = reset and lost > 0
+    answer, closed_by_reset = _call(server, minor)
+    received = _whole_body(answer, closed_by_reset)
+    if lost:
+        assert not answer.startswith(b"HTTP/1.1 200 ") or received is None
+    else:
+        assert answer.startswith(b"HTTP/1.1 200 ")
+        assert received == body
+
+
+@settings(derandomize=True, max_examples=150, database=None, deadline=None)
+@given(
+    st.lists(
+        st.one_of(
+            st.binary(max_size=20),
+            st.sampled_from(
+                [
+                    b"HTTP/1.1 200 OK\r\n",
+                    b"HTTP/1.1 100 Continue\r\n\r\n",
+                    b"Content-Length: 3\r\n",
+                    b"Transfer-Encoding: chunked\r\n",
+                    b"\r\n",
+                    b"abc",
+                    b"3\r\nabc\r\n",
+                    b"0\r\n\r\n",
+                ]
+            ),
+        ),
+        max_size=9,
+    )
+)
+def test_arbitrary_answers_leave_the_server_up(
+    server: EdgeProcess, script: _Script, pieces: list[bytes]
+) -> None:
+    """Guards against backend servers that end or wedge the front."""
+    script.pieces, script.reset = pieces, False
+    answer, _ = _call(server, 1)
+    assert b"internal-error" not in answer
+    assert server.process.poll() is None
+    script.pieces = [b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"]
+    with server.connect() as sock, contextlib.suppress(OSError):
+        sock.sendall(_REQUEST % 1)
+        assert read_to_end(sock).endswith(b"\r\n\r\nhi")
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -322,6 +322,19 @@
         assert b"Retry-After: 1\r\n" in answer
 
 
+def test_running_out_of_file_descriptors_passes() -> None:
+    """Guards against a listener that ends when descriptors run out."""
+    with edge(open_files=40) as server:
+        idle = [server.connect() for _ in range(60)]
+        for sock in idle:
+            sock.close()
+        answer = server.exchange(
+            b"GET /echo HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+        )
+        assert answer.startswith(b"HTTP/1.1 200 ")
+        assert server.process.poll() is None
+
+
 def test_no_eventlet_notice_in_the_output() -> None:
     """Guards against a deprecation notice in front of operators."""
     with edge() as server:
