Bound slow readers; yield in the accept loop

Cause: callers who connect without a pause kept the event loop in the accept loop, so that neither signals nor other requests ran (the closing test failed again under load); a reader that took a little at a time held a response for ever, and an upload to such a backend server could outlast its deadline. Change: the accept loop yields after 16 connections; a send has an end, for callers with a minimum rate, for backend servers at the deadline.

--- a/packages/verbenad/src/verbenad/front.py
+++ b/packages/verbenad/src/verbenad/front.py
@@ -183,6 +183,7 @@
             method="GET",
             version=(1, 1),
             timeout_s=_REFUSE_S,
+            min_bytes_per_s=self.limits.write_min_bytes_per_s,
             decide_close=lambda: True,
         )
         try:
--- a/packages/verbenad/src/verbenad/front_limits.py
+++ b/packages/verbenad/src/verbenad/front_limits.py
@@ -15,6 +15,8 @@
     :param idle_s: how long a connection may wait for its next request.
     :param head_s: time for a whole request head, from its first byte.
     :param write_stall_s: longest wait for the caller to take bytes.
+    :param write_min_bytes_per_s: minimum rate at which the caller takes
+        bytes, beyond ``write_stall_s`` for each piece.
     :param discard_bytes: largest rest of a body that is read and dropped to
         keep the connection.
     :param linger_s: how long input is dropped after a refusal, so that the
@@ -26,6 +28,7 @@
     idle_s: float = 60.0
     head_s: float = 10.0
     write_stall_s: float = 30.0
+    write_min_bytes_per_s: int = 1024
     discard_bytes: int = 65536
     linger_s: float = 2.0
     linger_bytes: int = 1 << 20
--- a/packages/verbenad/src/verbenad/http_protocol.py
+++ b/packages/verbenad/src/verbenad/http_protocol.py
@@ -207,6 +207,7 @@
             method=method,
             version=version,
             timeout_s=self.limits.write_stall_s,
+            min_bytes_per_s=self.limits.write_min_bytes_per_s,
             decide_close=decide_close,
         )
 
--- a/packages/verbenad/src/verbenad/listener.py
+++ b/packages/verbenad/src/verbenad/listener.py
@@ -1,5 +1,6 @@
 """Listening socket that refuses, drains and survives overload."""
 
+import contextlib
 import errno
 import socket
 from collections.abc import Callable
@@ -16,6 +17,9 @@
     {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM}
 )
 _SHORTAGE_PAUSE_S = 0.05
+# Callers who connect without a pause would otherwise keep the event loop in
+# the accept loop, which never waits.
+_ACCEPTS_PER_TURN = 16
 # The kernel's queue is no longer than this; what comes later arrived after
 # the listener stopped.
 BACKLOG = 1024
@@ -51,6 +55,7 @@
         self._make_room = make_room
         self._closing = False
         self._left_in_queue = BACKLOG
+        self._accepts = 0
         self._waiting: Any = None
 
     def accept(self) -> tuple[GreenSocket, Any]:
@@ -66,6 +71,11 @@
             if accepted is None:
                 self._wait()
                 continue
+            self._accepts += 1
+            if self._accepts % _ACCEPTS_PER_TURN == 0:
+                # The exception of stop() may arrive late, here.
+                with contextlib.suppress(ListenerClosedError):
+                    eventlet.sleep(0)
             client = GreenSocket(accepted[0])
             if self._admit(client):
                 return client, accepted[1]
--- a/packages/verbenad/src/verbenad/response_writer.py
+++ b/packages/verbenad/src/verbenad/response_writer.py
@@ -49,6 +49,7 @@
     :param method: method of the request.
     :param version: version of the request.
     :param timeout_s: longest wait for the caller to take bytes.
+    :param min_bytes_per_s: minimum rate at which the caller takes a piece.
     :param decide_close: called when the head is written; returns whether
         the connection closes after this response.
     """
@@ -61,6 +62,7 @@
         "_stream",
         "_timeout_s",
         "_method",
+        "_min_bytes_per_s",
         "_version",
         "close",
         "finished",
@@ -75,12 +77,14 @@
         method: str,
         version: tuple[int, int],
         timeout_s: float,
+        min_bytes_per_s: int,
         decide_close: Callable[[], bool],
     ) -> None:
         self._stream = stream
         self._method = method
         self._version = version
         self._timeout_s = timeout_s
+        self._min_bytes_per_s = min_bytes_per_s
         self._decide_close = decide_close
         self._status = ""
         self._headers: list[tuple[str, str]] = []
@@ -150,7 +154,7 @@
 
     def _send(self, data: bytes) -> None:
         if data:
-            self._stream.send_all(data, self._timeout_s)
+            self._stream.send_all(data, self._timeout_s, self._min_bytes_per_s)
 
     def _head(self, body_bytes: int | None) -> bytes:
         if not self._status:
--- a/packages/verbenad/src/verbenad/socket_stream.py
+++ b/packages/verbenad/src/verbenad/socket_stream.py
@@ -7,6 +7,7 @@
 """
 
 import socket
+import time
 from typing import Any
 
 import eventlet
@@ -100,27 +101,43 @@
         return self.buffer[start:end]
 
     def send_all(
-        self, data: bytes | memoryview, timeout_s: float | None
+        self,
+        data: bytes,
+        timeout_s: float | None,
+        min_bytes_per_s: int | None = None,
     ) -> None:
         """Send all bytes.
 
-        :raises TimeoutError: if the peer takes nothing for ``timeout_s``.
+        :param timeout_s: time for the whole; with a minimum rate, the
+            longest wait for the peer to take more.
+        :param min_bytes_per_s: adds the time that the bytes take at this
+            rate.
+        :raises TimeoutError: if the peer is too slow.
         :raises OSError: if the connection is closed or reset.
         """
         if timeout_s is not None and timeout_s <= 0:
             raise TimeoutError("no time left to send")
-        if not self._green:
-            self._raw.settimeout(timeout_s)
         sent = self._send(data, timeout_s)
         self.sent_any = True
         if sent == len(data):
             return
         rest = memoryview(data)[sent:]
+        if timeout_s is None:
+            while rest:
+                rest = rest[self._send(rest, None) :]
+            return
+        end_s = time.monotonic() + timeout_s
+        if min_bytes_per_s is not None:
+            end_s += len(rest) / min_bytes_per_s
         while rest:
-            rest = rest[self._send(rest, timeout_s) :]
+            left_s = min(timeout_s, end_s - time.monotonic())
+            if left_s <= 0:
+                raise TimeoutError("the peer takes the data too slowly")
+            rest = rest[self._send(rest, left_s) :]
 
     def _send(self, data: bytes | memoryview, timeout_s: float | None) -> int:
         if not self._green:
+            self._raw.settimeout(timeout_s)
             return self._raw.send(data)
         while True:
             try:
--- a/tests/test_socket_stream.py
+++ b/tests/test_socket_stream.py
@@ -1,8 +1,11 @@
 """Buffered reading and writing on one socket."""
 
 import socket
+import threading
+import time
 
 import eventlet
+import pytest
 
 from verbenad.socket_stream import SocketStream
 
@@ -62,3 +65,25 @@
         assert not stream.has_input()
         left.close()
         assert stream.has_input()
+
+
+@pytest.mark.parametrize("min_bytes_per_s", [None, 1 << 24])
+def test_slow_reader_ends_a_send(min_bytes_per_s: int | None) -> None:
+    """Guards against a reader that takes a little, again and again."""
+    left, right = socket.socketpair()
+    failed = threading.Event()
+
+    def read_slowly() -> None:
+        while not failed.is_set():
+            left.recv(65536)
+            time.sleep(0.02)
+
+    reader = threading.Thread(target=read_slowly)
+    with left, right:
+        reader.start()
+        stream = SocketStream(right)
+        # The reader needs over 10 s and never waits long for one byte.
+        with pytest.raises(TimeoutError):
+            stream.send_all(b"x" * (32 << 20), 0.3, min_bytes_per_s)
+        failed.set()
+        reader.join()
