--- a/packages/verbenad/src/verbenad/socket_stream.py
+++ b/packages/verbenad/src/verbenad/socket_stream.py
@@ -7,23 +7,37 @@
 """
 
 import socket
+import time
 from typing import Any
 
+import eventlet
 from eventlet.hubs import trampoline
 
 RECEIVE_BYTES = 65536
+# A fast transfer always finds data ready. Without a pause it would keep the
+# event loop from all other connections until it ends.
+_RECEIVES_PER_TURN = 8
 
 
 class SocketStream:
     """Reads and writes one socket; works on green and on plain sockets."""
 
-    __slots__ = ("_green", "_raw", "buffer", "position", "sent_any", "sock")
+    __slots__ = (
+        "_green",
+        "_raw",
+        "_receives",
+        "buffer",
+        "position",
+        "sent_any",
+        "sock",
+    )
 
     def __init__(self, sock: Any) -> None:
         self.sock = sock
         raw = getattr(sock, "fd", None)
         self._green = raw is not None
         self._raw = sock if raw is None else raw
+        self._receives = 0
         self.buffer = b""
         self.position = 0
         self.sent_any = False
@@ -44,11 +58,16 @@
         if not self._green:
             self._raw.settimeout(timeout_s)
             return self._raw.recv(RECEIVE_BYTES)
+        self._receives += 1
+        if self._receives > _RECEIVES_PER_TURN:
+            self._receives = 0
+            eventlet.sleep(0)
         while True:
             try:
                 return self._raw.recv(RECEIVE_BYTES)
             except BlockingIOError:
                 pass
+            self._receives = 0
             trampoline(
                 self._raw,
                 read=True,
@@ -82,27 +101,43 @@
         return self.buffer[start:end]
 
     def send_all(
-        self, data: bytes | memoryview, timeout_s: float | None
+        self,
+        data: bytes,
+        timeout_s: float | None,
+        min_bytes_per_s: int | None = None,
     ) -> None:
         """Send all bytes.
 
-        :raises TimeoutError: if the peer takes nothing for ``timeout_s``.
+        :param timeout_s: time for the whole; with a minimum rate, the
+            longest wait for the peer to take more.
+        :param min_bytes_per_s: adds the time that the bytes take at this
+            rate.
+        :raises TimeoutError: if the peer is too slow.
         :raises OSError: if the connection is closed or reset.
         """
         if timeout_s is not None and timeout_s <= 0:
             raise TimeoutError("no time left to send")
-        if not self._green:
-            self._raw.settimeout(timeout_s)
         sent = self._send(data, timeout_s)
         self.sent_any = True
         if sent == len(data):
             return
         rest = memoryview(data)[sent:]
+        if timeout_s is None:
+            while rest:
+                rest = rest[self._send(rest, None) :]
+            return
+        end_s = time.monotonic() + timeout_s
+        if min_bytes_per_s is not None:
+            end_s += len(rest) / min_bytes_per_s
         while rest:
-            rest = rest[self._send(rest, timeout_s) :]
+            left_s = min(timeout_s, end_s - time.monotonic())
+            if left_s <= 0:
+                raise TimeoutError("the peer takes the data too slowly")
+            rest = rest[self._send(rest, left_s) :]
 
     def _send(self, data: bytes | memoryview, timeout_s: float | None) -> int:
         if not self._green:
+            self._raw.settimeout(timeout_s)
             return self._raw.send(data)
         while True:
             try:
