--- a/packages/verbena/src/verbena/access_commands.py
+++ b/packages/verbena/src/verbena/access_commands.py
@@ -14,6 +14,7 @@
 from verbenaworks.settings_path import names_of
 
 TOKEN_PREFIX = "vt"
+_NOT_SHOWN_AGAIN = "store it now, it cannot be shown again"
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -36,8 +37,8 @@
                 CreateBranch(path=path),
                 SetValue(path=path, field="digest", value=new.digest),
             ],
-            f"created key {new.key_id} of {self.workspace}\n{new.key}\n"
-            "store it now, it cannot be shown again",
+            f"created key {new.key_id} of {self.workspace}",
+            (new.key, _NOT_SHOWN_AGAIN),
             key_id=new.key_id,
             key=new.key,
         )
@@ -107,8 +108,8 @@
                 SetValue(path=path, field="role", value=self.role),
                 SetValue(path=path, field="token_digest", value=new.digest),
             ],
-            f"created operator {self.name}\n{new.key}\n"
-            "store it now, it cannot be shown again",
+            f"created operator {self.name}",
+            (new.key, _NOT_SHOWN_AGAIN),
             token=new.key,
         )
 
--- a/packages/verbena/src/verbena/console_output.py
+++ b/packages/verbena/src/verbena/console_output.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from verbena.cli_errors import NotEverywhere
 from verbenaworks.errors import VerbenaError
 
 
@@ -28,6 +29,9 @@
 
 def print_error(error: VerbenaError, as_json: bool) -> None:
     """Print an error: as JSON on stdout, as text on stderr."""
+    if as_json and isinstance(error, NotEverywhere):
+        # The JSON output of the accepted edit says it already.
+        return
     if as_json:
         body = {
             "code": error.code,
--- a/packages/verbena/src/verbena/edit_session.py
+++ b/packages/verbena/src/verbena/edit_session.py
@@ -11,12 +11,14 @@
 from verbena.cli_errors import NotEverywhere
 from verbena.console_output import print_json
 from verbena.options import EditOptions
-from verbenaworks.admin_messages import EditAccepted, InstanceStatus
+from verbenaworks.admin_messages import EditAccepted
 from verbenaworks.config_document import ConfigDocument
 from verbenaworks.edit import Change, Edit
+from verbenaworks.errors import VerbenaError
 
 _POLL_S = 0.2
-LIVE_STATES = ("alive", "suspect")
+# A leaving instance still serves, so it counts as live.
+LIVE_STATES = ("alive", "suspect", "leaving")
 
 
 class EditSession:
@@ -58,40 +60,66 @@
         self,
         changes: Sequence[Change],
         message: str,
+        notes: Sequence[str] = (),
         **details: Any,
     ) -> None:
         """Send an edit, wait if asked to, and print the outcome.
 
         :param message: what the accepted edit did, for readers.
+        :param notes: more lines for readers.
         :param details: more members of the JSON output.
         """
         accepted = self.submit(changes, self._options.expected_revision)
-        self.report(accepted, message, **details)
+        self.report(accepted, message, notes, **details)
 
     def report(
-        self, accepted: EditAccepted, message: str, **details: Any
+        self,
+        accepted: EditAccepted,
+        message: str,
+        notes: Sequence[str] = (),
+        **details: Any,
     ) -> None:
-        """Print an accepted edit, then wait if asked to.
-
-        The outcome is printed first, so that a wait that is interrupted does
-        not hide it.
-        """
+        """Print an accepted edit, and wait if asked to."""
+        if accepted.dry_run:
+            self._report_dry_run(accepted)
+        elif self._options.json:
+            self._report_json(accepted, details)
+        else:
+            # Printed before the wait, whose interruption must not hide it.
+            print(f"{message} (revision {accepted.config_revision})")
+            for note in notes:
+                print(note)
+            if self._options.wait:
+                self._wait(accepted.config_revision)
+                print(
+                    f"revision {accepted.config_revision} is in force on "
+                    "every live instance"
+                )
+
+    def _report_dry_run(self, accepted: EditAccepted) -> None:
         if self._options.json:
-            print_json({**msgspec.to_builtins(accepted), **details})
-        elif accepted.dry_run:
+            print_json(msgspec.to_builtins(accepted))
+        else:
             print(
                 f"dry run: would be accepted at revision "
                 f"{accepted.config_revision}; nothing was changed"
             )
-        else:
-            print(f"{message} (revision {accepted.config_revision})")
-        if self._options.wait and not accepted.dry_run:
-            self._wait(accepted.config_revision)
+
+    def _report_json(
+        self, accepted: EditAccepted, details: dict[str, Any]
+    ) -> None:
+        body = {**msgspec.to_builtins(accepted), **details}
+        if self._options.wait:
+            body["in_force"] = False
+        try:
+            if self._options.wait:
+                self._wait(accepted.config_revision)
+                body["in_force"] = True
+        finally:
+            print_json(body)
 
     def _wait(self, revision: int) -> None:
         wait_until_in_force(self._client, revision, self._options.timeout_s)
-        if not self._options.json:
-            print(f"revision {revision} is in force on every live instance")
 
 
 def read_revision_in(edit_id: str) -> int:
@@ -112,7 +140,7 @@
     """
     end_s = time.monotonic() + timeout_s
     while True:
-        behind = _behind(client.status(), revision)
+        behind = _behind(client, revision)
         if not behind:
             return
         if time.monotonic() >= end_s:
@@ -124,7 +152,12 @@
         time.sleep(_POLL_S)
 
 
-def _behind(instances: list[InstanceStatus], revision: int) -> list[str]:
+def _behind(client: AdminClient, revision: int) -> list[str]:
+    try:
+        instances = client.status()
+    except VerbenaError as error:
+        # The edit is accepted, so this is no reason to end the wait.
+        return [f"any instance that answers ({error.message})"]
     return [
         instance.name
         for instance in instances
--- a/packages/verbena/src/verbena/file_commands.py
+++ b/packages/verbena/src/verbena/file_commands.py
@@ -22,9 +22,9 @@
 )
 from verbenaworks.admin_messages import EditAccepted
 from verbenaworks.config_document import AcceptedEdit
-from verbenaworks.edit import Change
+from verbenaworks.edit import Change, DeleteBranch
 from verbenaworks.errors import EditRefused
-from verbenaworks.settings_path import is_within
+from verbenaworks.settings_path import is_within, level_of
 
 FileArgument = Annotated[
     str, cappa.Arg(help="A file of settings; - for standard input.")
@@ -73,12 +73,22 @@
 
     file: FileArgument
     replace: ReplaceOption = False
+    restore_access: Annotated[
+        bool,
+        cappa.Arg(
+            long=True,
+            help="Let the file create or change keys and operators; an old "
+            "file brings withdrawn keys back.",
+        ),
+    ] = False
 
     def run(self) -> None:
         """Run the command."""
         wanted = _read(self.file)
         session = EditSession(self)
         edits = plan_import(session.document.tree, wanted, self.replace)
+        if not self.restore_access:
+            _refuse_access_changes(edits)
         if not edits:
             self._report_nothing()
             return
@@ -184,6 +194,19 @@
         )
 
 
+def _refuse_access_changes(edits: list[list[Change]]) -> None:
+    for edit in edits:
+        for change in edit:
+            if isinstance(change, DeleteBranch):
+                continue
+            if level_of(change.path).ok() in ("key", "operator"):
+                raise UsageError(
+                    f"the import would {describe(change)}, which may bring "
+                    "a withdrawn key or operator back",
+                    "remove the branch from the file or add --restore-access",
+                )
+
+
 def _history_row(accepted: AcceptedEdit) -> tuple[object, ...]:
     edit = accepted.edit
     moment = time.gmtime(edit.sent_at_s)
--- a/tests/test_verbena.py
+++ b/tests/test_verbena.py
@@ -149,7 +149,12 @@
     late = ["--wait", "--timeout-s", "0"]
     code, out, err = shell.run("set", "/", "lookup_ttl_s=3", *late)
     assert code == 5 and "entry-1" in err and "entry-2" not in err
-    assert shell.agreement.document().config_revision == 2
+    code, out, err = shell.run("key", "create", "acme", *late, "--json")
+    body = json.loads(out)
+    assert code == 5 and body["in_force"] is False
+    keys = compile_config(shell.agreement.document()).keys
+    assert keys.find(body["key"]) is not None
+    assert shell.agreement.document().config_revision == 3
 
 
 def test_import_and_export(shell: Shell, tmp_path: Path) -> None:
@@ -166,6 +171,21 @@
     assert shell.json("import", file) == {"changes": 0, "edits": 0}
 
 
+def test_import_does_not_bring_a_key_back(
+    shell: Shell, tmp_path: Path
+) -> None:
+    """Guards against an old file that revives a withdrawn key."""
+    file = str(tmp_path / "settings.json")
+    shell.run("export", file)
+    shell.json("key", "withdraw", KEY.key_id)
+    assert shell.run("import", file)[0] == 2
+    keys = compile_config(shell.agreement.document()).keys
+    assert keys.find(KEY.key) is None
+    shell.json("import", file, "--restore-access")
+    keys = compile_config(shell.agreement.document()).keys
+    assert keys.find(KEY.key) is not None
+
+
 def test_large_import_is_split(shell: Shell, tmp_path: Path) -> None:
     """Guards against an import of many blocks exceeding the edit limit."""
     file = tmp_path / "settings.json"
