Speed up the compilation and the packing of client blocks

Cause: at 500 workspaces, 10 services, 300 targets and 120,000 blocks a compilation took 0.045 to 0.100 s and packing 0.19 to 0.21 s on a busy machine, which delays requests of the event loop. Change: workspaces without overrides share the service's policy; site indexes are packed as one array.

--- a/packages/verbenaworks/src/verbenaworks/block_table.py
+++ b/packages/verbenaworks/src/verbenaworks/block_table.py
@@ -5,6 +5,7 @@
 """
 
 import ipaddress
+import sys
 import zlib
 from array import array
 from bisect import bisect_left
@@ -149,11 +150,7 @@
                 for key in self._keys6
             ],
             lengths6=bytes(key & _LENGTH_MASK for key in self._keys6),
-            site_indexes=b"".join(
-                index.to_bytes(2, "big")
-                for indexes in (self._indexes4, self._indexes6)
-                for index in indexes
-            ),
+            site_indexes=_big_endian(self._indexes4 + self._indexes6),
         )
         return zlib.compress(msgspec.msgpack.encode(packed))
 
@@ -182,10 +179,9 @@
         ):
             start = int.from_bytes(start6, "big")
             table._keys6.append(start << _LENGTH_BITS | length)
-        indexes = [
-            int.from_bytes(packed.site_indexes[at : at + 2], "big")
-            for at in range(0, len(packed.site_indexes), 2)
-        ]
+        indexes = array("H", packed.site_indexes)
+        if sys.byteorder == "little":
+            indexes.byteswap()
         table._indexes4.extend(indexes[: len(table._keys4)])
         table._indexes6.extend(indexes[len(table._keys4) :])
         table._check()
@@ -265,6 +261,13 @@
     return raw
 
 
+def _big_endian(numbers: "array[int]") -> bytes:
+    swapped = numbers[:]
+    if sys.byteorder == "little":
+        swapped.byteswap()
+    return swapped.tobytes()
+
+
 def _deltas(numbers: Iterable[int]) -> list[int]:
     previous = 0
     deltas = []
--- a/packages/verbenaworks/src/verbenaworks/compiled_config.py
+++ b/packages/verbenaworks/src/verbenaworks/compiled_config.py
@@ -13,6 +13,8 @@
 from verbenaworks.key_index import IndexedKey, KeyIndex, KeyMatch
 from verbenaworks.settings_tree import SettingsTree
 
+_POLICY_FIELDS = ("deadline_s", "max_body_bytes", "retry_share")
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RequestPolicy:
@@ -180,9 +182,7 @@
 
 
 def _policy(tree: SettingsTree, path: str) -> RequestPolicy:
-    return RequestPolicy(
-        **_values(tree, path, "deadline_s", "max_body_bytes", "retry_share")
-    )
+    return RequestPolicy(**_values(tree, path, *_POLICY_FIELDS))
 
 
 def _service(
@@ -232,13 +232,25 @@
         name=name,
         allowed_services=frozenset(allowed),
         policies={
-            service: _policy(tree, f"{path}/services/{service}")
+            service: _workspace_policy(tree, path, services[service])
             for service in sorted(allowed)
         },
         **_values(tree, path, "rate_per_s", "burst"),
     )
 
 
+def _workspace_policy(
+    tree: SettingsTree, workspace: str, service: ServiceConfig
+) -> RequestPolicy:
+    path = f"{workspace}/services/{service.name}"
+    own = tree.own_values(workspace).keys() | tree.own_values(path).keys()
+    if own.isdisjoint(_POLICY_FIELDS):
+        # Most workspaces override nothing; at 500 workspaces this makes up
+        # most of the time of a compilation.
+        return service.policy
+    return _policy(tree, path)
+
+
 def _site(tree: SettingsTree, name: str) -> SiteConfig:
     path = f"/sites/{name}"
     return SiteConfig(name=name, **_values(tree, path, "region", "weight"))
