--- a/packages/verbenaworks/src/verbenaworks/edit.py
+++ b/packages/verbenaworks/src/verbenaworks/edit.py
@@ -5,19 +5,23 @@
 """
 
 from dataclasses import dataclass
+from typing import Annotated
 
 import msgspec
 
 from verbenaworks.block_table import parse_block
 from verbenaworks.settings_path import BLOCKS, is_within
 
+# JSON carries longer numbers than msgpack; decoders refuse them.
+WholeNumber = Annotated[int, msgspec.Meta(ge=-(2**63), le=2**63 - 1)]
+
 
 class SetValue(msgspec.Struct, frozen=True, kw_only=True, tag=True):
     """Sets a field of a branch; at ``/blocks`` the field is a block."""
 
     path: str
     field: str
-    value: bool | int | float | str | tuple[str, ...]
+    value: bool | WholeNumber | float | str | tuple[str, ...]
 
 
 class UnsetValue(msgspec.Struct, frozen=True, kw_only=True, tag=True):
@@ -56,9 +60,9 @@
 
     edit_id: str
     operator: str
-    read_revision: int
+    read_revision: WholeNumber
     changes: tuple[Change, ...]
-    expected_revision: int | None = None
+    expected_revision: WholeNumber | None = None
     sent_at_s: float = 0.0
 
     def same_request(self, other: "Edit") -> bool:
