Pass the owners' division of slots over workspaces to the queues

The queue of an instance orders workspaces by the units that the owners granted for each of them here; before, it divided evenly inside the instance, whatever the workspace held elsewhere.

--- a/packages/standins/src/standins/local_deployment.py
+++ b/packages/standins/src/standins/local_deployment.py
@@ -136,7 +136,7 @@
         """Put the deployment's settings in force with ``verbena``."""
         path = self._logs / "settings.json"
         path.write_text(json.dumps(self.settings.to_import()))
-        self.verbena("import", str(path), "--wait")
+        self.verbena("import", str(path), "--restore-access", "--wait")
 
     def verbena(self, *arguments: str) -> str:
         """Run the operators' command line and return its output.
--- a/packages/verbenad/src/verbenad/divided_units.py
+++ b/packages/verbenad/src/verbenad/divided_units.py
@@ -4,6 +4,7 @@
 are stated for a group and divided over its members.
 """
 
+from collections import Counter
 from collections.abc import Callable, Mapping, Sequence
 
 from verbenad.budget_loop import BudgetLoop
@@ -41,6 +42,7 @@
         self._groups: dict[str, Sequence[TargetInfo]] = {}
         self._splits: dict[str, UnitSplit] = {}
         self._wants: dict[str, dict[str, int]] = {}
+        self._shares: dict[str, Counter[str]] = {}
 
     def set_targets(self, service: str, targets: Sequence[TargetInfo]) -> None:
         """Set the members of a group."""
@@ -72,6 +74,11 @@
         hold = self._holds[target, workspace].pop()
         taker.release(self._now_s(), hold)
 
+    def share(self, service: str, workspace: str) -> float:
+        """Return the units that were granted here for a workspace."""
+        shares = self._shares.get(service)
+        return shares[workspace] if shares else 0
+
     def want(self, service: str, workspace: str, amount: int) -> None:
         """State how many units of a group a workspace can use."""
         wants = self._wants.setdefault(service, {})
@@ -102,16 +109,15 @@
             return
         now_s = self._now_s()
         split = self._splits[service]
-        granted = {}
+        shares: Counter[str] = Counter()
         for target in targets:
             budget, taker = self._taker(target.name)
-            granted[target.name] = taker.granted(now_s, budget)
-            split.granted(now_s, target.name, granted[target.name])
+            granted = taker.granted_parts(now_s, budget)
+            split.granted(now_s, target.name, granted)
+            shares.update(granted)
+        self._shares[service] = shares
         parts = split.split(
-            now_s,
-            self._wants.get(service, {}),
-            self._useful(targets),
-            granted,
+            now_s, self._wants.get(service, {}), self._useful(targets)
         )
         for target in targets:
             self._state(now_s, target.name, parts.get(target.name, {}))
--- a/packages/verbenad/src/verbenad/service_desk.py
+++ b/packages/verbenad/src/verbenad/service_desk.py
@@ -188,6 +188,7 @@
             choose=choose,
             units=self.units,
             time=self.choice.service_time(name),
+            shares=self.units,
         )
         self.dispatchers[name] = Dispatcher(
             queue=queue, choice=self.choice, now_s=self._now_s
--- a/packages/verbenaworks/src/verbenaworks/budget_taker.py
+++ b/packages/verbenaworks/src/verbenaworks/budget_taker.py
@@ -123,13 +123,13 @@
             case _:
                 return 0
 
-    def granted(self, now_s: float, budget: str) -> int:
-        """Return the granted units of a level budget."""
+    def granted_parts(self, now_s: float, budget: str) -> Mapping[str, int]:
+        """Return the granted units of a level budget by workspace."""
         match self._holdings.get(budget):
             case LevelHolding() as holding:
-                return holding.granted(now_s)
+                return holding.granted_parts(now_s)
             case _:
-                return 0
+                return {}
 
     def state_wants(
         self, now_s: float, budget: str, wants: Mapping[str, int]
--- a/packages/verbenaworks/src/verbenaworks/level_holding.py
+++ b/packages/verbenaworks/src/verbenaworks/level_holding.py
@@ -54,10 +54,18 @@
         self.expire(now_s)
         return max(0, self._amount - self._in_use)
 
-    def granted(self, now_s: float) -> int:
-        """Return the granted units."""
+    def granted_parts(self, now_s: float) -> Mapping[str, int]:
+        """Return the granted units by workspace.
+
+        Without a division by the owner, all belong to the only workspace
+        that wants some.
+        """
         self.expire(now_s)
-        return self._amount
+        if self._amount == 0:
+            return {}
+        if not self._parts and self._stated and len(self._stated) == 1:
+            return dict.fromkeys(self._stated, self._amount)
+        return self._parts
 
     def state_wants(self, now_s: float, wants: Mapping[str, int]) -> None:
         """Set the demand by workspace in place of the observed one."""
--- a/tests/test_service_desk.py
+++ b/tests/test_service_desk.py
@@ -17,8 +17,8 @@
     def available(self, now_s: float, budget: str) -> int:
         return 0
 
-    def granted(self, now_s: float, budget: str) -> int:
-        return 0
+    def granted_parts(self, now_s: float, budget: str) -> dict[str, int]:
+        return {}
 
     def state_wants(
         self, now_s: float, budget: str, wants: dict[str, int]
