--- a/packages/verbenaworks/src/verbenaworks/budget_taker.py
+++ b/packages/verbenaworks/src/verbenaworks/budget_taker.py
@@ -35,9 +35,19 @@
     Times are readings of one monotonic clock of the instance.
 
     :param incarnation: differs for each start of a process of this name.
+    :param exchange_s: interval of the regular requests. The change of an
+        owner goes unnoticed by callers if no grant expires during it.
     """
 
-    def __init__(self, *, shard: int, taker: str, incarnation: int) -> None:
+    def __init__(
+        self,
+        *,
+        shard: int,
+        taker: str,
+        incarnation: int,
+        exchange_s: float = EXCHANGE_S,
+    ) -> None:
+        self._exchange_s = exchange_s
         self._shard = shard
         self._taker = taker
         self._incarnation = incarnation
@@ -155,7 +165,7 @@
             return self._sent_at_s + LACK_GAP_S
         if any(holding.is_short for holding in self._holdings.values()):
             return self._sent_at_s + self._lack_gap_s
-        return self._sent_at_s + EXCHANGE_S
+        return self._sent_at_s + self._exchange_s
 
     def next_request(self, now_s: float) -> GrantRequest | None:
         """Return the request to send now, if one is due."""
--- a/packages/verbenaworks/src/verbenaworks/demand_meter.py
+++ b/packages/verbenaworks/src/verbenaworks/demand_meter.py
@@ -1,22 +1,35 @@
-"""Measures how much callers asked for in the last second."""
+"""Estimates how much callers ask for per second."""
+
+import math
 
 _SLOT_S = 0.25
 _SLOTS = 4
 
+# Time constant of the mean; the larger it is, the fewer parts move because
+# of random variation alone.
+_MEAN_S = 4.0
+
+# A second's count that is this many standard deviations from the mean is a
+# change of the demand and replaces the mean.
+_DEVIATIONS = 2.5
+
 
 class DemandMeter:
-    """Counts amounts in slots of a sliding window of one second.
+    """Averages random variation, but follows a change within a second.
 
-    Right after a pause the rate is taken over the time since the first
-    amount, so that demand that has just moved here is seen in full.
+    Amounts are counted in slots of a sliding window of one second. Right
+    after a pause the rate is taken over the time since the first amount, so
+    that demand that has just moved here is seen in full.
     """
 
-    __slots__ = ("_counts", "_slot", "_started_at_s")
+    __slots__ = ("_counts", "_mean", "_read_at_s", "_slot", "_started_at_s")
 
     def __init__(self) -> None:
         self._counts = [0] * _SLOTS
         self._slot = 0
         self._started_at_s = float("-inf")
+        self._mean: float | None = None
+        self._read_at_s = 0.0
 
     def add(self, now_s: float, amount: int) -> None:
         """Count an amount."""
@@ -26,11 +39,20 @@
         self._counts[self._slot % _SLOTS] += amount
 
     def per_s(self, now_s: float) -> float:
-        """Return the recent amount per second."""
+        """Return the estimated amount per second."""
         self._move(now_s)
         window_s = (_SLOTS - 1) * _SLOT_S + now_s % _SLOT_S
         age_s = now_s - self._started_at_s
-        return sum(self._counts) / max(_SLOT_S, min(window_s, age_s))
+        window_s = max(_SLOT_S, min(window_s, age_s))
+        count = sum(self._counts)
+        recent = count / window_s
+        passed_s, self._read_at_s = now_s - self._read_at_s, now_s
+        if self._mean is None or _is_change(count, self._mean * window_s):
+            self._mean = recent
+        else:
+            weight = 1 - math.exp(-passed_s / _MEAN_S)
+            self._mean += (recent - self._mean) * weight
+        return self._mean
 
     def _move(self, now_s: float) -> None:
         slot = int(now_s / _SLOT_S)
@@ -39,3 +61,10 @@
         if slot - self._slot >= _SLOTS:
             self._counts = [0] * _SLOTS
         self._slot = max(self._slot, slot)
+
+
+def _is_change(count: int, expected: float) -> bool:
+    if count == 0 and expected < 4:
+        return True
+    deviation = math.sqrt(max(count, expected))
+    return abs(count - expected) > _DEVIATIONS * deviation + 1
--- a/packages/verbenaworks/src/verbenaworks/demand_table.py
+++ b/packages/verbenaworks/src/verbenaworks/demand_table.py
@@ -23,8 +23,9 @@
     """Divides a total by the wants of the takers.
 
     Workspaces share by max-min fairness; the part of each workspace goes to
-    takers in proportion to their demand of it. What remains is handed out
-    as a reserve for demand that grows between two exchanges.
+    takers in proportion to their demand of it. Three quarters of what remains
+    are handed out as a reserve for demand that grows between two exchanges;
+    the owner keeps a quarter for takers that ask for more at once.
 
     :param spare: the reserve that even a small demand gets.
     """
@@ -112,7 +113,8 @@
                 self._targets[holder] += amount
                 if scarce and len(names) > 1:
                     self._parts.setdefault(holder, {})[name] = amount
-        self._add_reserve(total - sum(shares), order)
+        left = total - sum(shares)
+        self._add_reserve(left - left // 4, order)
 
     def _add_reserve(self, total: int, order: list[Holder]) -> None:
         reserves = [
--- a/tests/test_budget_machine.py
+++ b/tests/test_budget_machine.py
@@ -69,6 +69,7 @@
 
     @rule(duration_s=st.sampled_from((0.01, 0.3, 0.3, 1.0, 2.0, 4.9)))
     def advance(self, duration_s: float) -> None:
+        """Let time pass for everyone."""
         self.now_s += duration_s
         filled = Fraction(duration_s) * Fraction(_RATE.rate_per_s)
         self.tokens = min(Fraction(_RATE.burst), self.tokens + filled)
@@ -87,6 +88,7 @@
 
     @rule(index=_TAKERS, count=st.sampled_from((1, 3, 9)))
     def spend(self, index: int, count: int) -> None:
+        """Spend tokens one by one."""
         taker = self.takers[index]
         for _ in range(count):
             if taker.try_take(self.now_s, _RATE.name, "w") is not None:
@@ -95,6 +97,7 @@
 
     @rule(index=_TAKERS, count=st.sampled_from((1, 2, 4)))
     def use(self, index: int, count: int) -> None:
+        """Use units one by one."""
         taker = self.takers[index]
         for _ in range(count):
             hold = taker.try_take(self.now_s, _SLOTS.name, "w")
@@ -106,6 +109,7 @@
     @precondition(lambda self: self.used)
     @rule(data=st.data())
     def release(self, data: st.DataObject) -> None:
+        """End one use before its deadline."""
         position = data.draw(st.integers(0, len(self.used) - 1))
         _, taker, hold = self.used.pop(position)
         taker.release(self.now_s, hold)
@@ -125,6 +129,7 @@
 
     @rule(index=_TAKERS)
     def send(self, index: int) -> None:
+        """Let a taker send what is due."""
         request = self.takers[index].next_request(self.now_s)
         if request is not None:
             self.requests.append((self.owners[-1][1], request))
@@ -153,11 +158,12 @@
 
     @rule(index=_TAKERS)
     def restart(self, index: int) -> None:
+        """Replace a process by one that holds nothing."""
         self.takers[index] = self._taker(index)
 
     @rule(overlap_s=st.sampled_from((0.0, 0.5, 2.0)))
     def change_owner(self, overlap_s: float) -> None:
-        """The earlier owner stays valid for up to 2 s."""
+        """Name a new owner; the earlier one stays valid for up to 2 s."""
         lease = self.owners[-1][0]
         lease.valid_until_s = min(lease.valid_until_s, self.now_s + overlap_s)
         self._own()
