Let settle end with 'still unknown' when settling itself is refused

Cause: with a token of the role read, or an unknown token, settle ended with exit code 1, which says that the edit was not applied. Change: every refusal to settle is exit code 3. CompiledConfig gains longest_deadline_s, because a workspace may set a longer deadline than its service and units in use linger that long.

--- a/packages/verbena/src/verbena/cli_errors.py
+++ b/packages/verbena/src/verbena/cli_errors.py
@@ -27,7 +27,7 @@
     code = "not-everywhere"
 
 
-class HistoryTooShort(VerbenaError):  # noqa: N818
-    """The outcome of an old edit can no longer be determined."""
+class NotSettled(VerbenaError):  # noqa: N818
+    """The outcome of an edit could not be determined."""
 
     code = "outcome-unknown"
--- a/packages/verbena/src/verbena/exit_codes.py
+++ b/packages/verbena/src/verbena/exit_codes.py
@@ -3,9 +3,9 @@
 from enum import IntEnum
 
 from verbena.cli_errors import (
-    HistoryTooShort,
     NoInstanceReachable,
     NotEverywhere,
+    NotSettled,
     ReplaceOutcomeUnknown,
     UsageError,
 )
@@ -36,7 +36,7 @@
     match error:
         case UsageError() | SettingError():
             return ExitCode.USAGE
-        case OutcomeUnknown() | ReplaceOutcomeUnknown() | HistoryTooShort():
+        case OutcomeUnknown() | ReplaceOutcomeUnknown() | NotSettled():
             return ExitCode.OUTCOME_UNKNOWN
         case NoInstanceReachable():
             return ExitCode.NO_INSTANCE
--- a/packages/verbena/src/verbena/fleet_commands.py
+++ b/packages/verbena/src/verbena/fleet_commands.py
@@ -8,7 +8,7 @@
 from cappa.completion.shells import available_shells
 
 from verbena.admin_client import AdminClient
-from verbena.cli_errors import HistoryTooShort, UsageError
+from verbena.cli_errors import NotSettled, UsageError
 from verbena.console_output import print_json, print_table
 from verbena.edit_session import read_revision_in
 from verbena.options import ConnectionOptions
@@ -79,12 +79,14 @@
 
     def run(self) -> None:
         """Run the command."""
-        client = self.client()
-        found = client.find(self.edit_id)
-        if isinstance(found, EditNotFound):
-            found = self._cancel(client)
+        found = self._find_or_cancel(self.client())
         if found.cancelled:
-            raise _not_applied(self.edit_id)
+            raise EditRefused(
+                "not-applied",
+                f"edit {self.edit_id} was not applied, and its id is "
+                "cancelled",
+                "make the change again if it is still needed",
+            )
         if self.json:
             print_json(msgspec.to_builtins(found))
             return
@@ -93,6 +95,16 @@
             f"(revision {found.config_revision})"
         )
 
+    def _find_or_cancel(self, client: AdminClient) -> EditAccepted:
+        try:
+            found = client.find(self.edit_id)
+            if isinstance(found, EditNotFound):
+                return self._cancel(client)
+        except EditRefused as error:
+            # A refusal to settle says nothing about the edit.
+            raise _not_settled(self.edit_id, error) from error
+        return found
+
     def _cancel(self, client: AdminClient) -> EditAccepted:
         cancellation = Edit(
             edit_id=self.edit_id,
@@ -101,36 +113,25 @@
             changes=(),
         )
         try:
-            client.submit(cancellation)
+            revision = client.submit(cancellation).config_revision
         except EditRefused as error:
-            return self._settled(client, error)
-        raise _not_applied(self.edit_id)
-
-    def _settled(
-        self, client: AdminClient, error: EditRefused
-    ) -> EditAccepted:
-        match error.code:
-            case "already-accepted":
-                found = client.find(self.edit_id)
-                if isinstance(found, EditAccepted):
-                    return found
-                # The instance that was asked lags behind the writer.
-                raise OutcomeUnknown(self.edit_id) from error
-            case "revision-too-old":
-                raise HistoryTooShort(
-                    f"the history no longer reaches back to edit "
-                    f"{self.edit_id}",
-                    "compare the values with: verbena get",
-                ) from error
-            case _:
-                raise error
-
-
-def _not_applied(edit_id: str) -> EditRefused:
-    return EditRefused(
-        "not-applied",
-        f"edit {edit_id} was not applied, and its id is cancelled",
-        "make the change again if it is still needed",
+            if error.code != "already-accepted":
+                raise
+            found = client.find(self.edit_id)
+            if isinstance(found, EditAccepted):
+                return found
+            # The instance that was asked lags behind the writer.
+            raise OutcomeUnknown(self.edit_id) from error
+        return EditAccepted(config_revision=revision, cancelled=True)
+
+
+def _not_settled(edit_id: str, error: EditRefused) -> NotSettled:
+    remedy = error.remedy
+    if error.code == "revision-too-old":
+        remedy = "compare the values with: verbena get"
+    return NotSettled(
+        f"the outcome of edit {edit_id} is still unknown: {error.message}",
+        remedy,
     )
 
 
--- a/packages/verbenaworks/src/verbenaworks/compiled_config.py
+++ b/packages/verbenaworks/src/verbenaworks/compiled_config.py
@@ -132,6 +132,22 @@
         policy = known.policies.get(service) if known else None
         return policy or self.services[service].policy
 
+    def longest_deadline_s(self, service: str) -> float:
+        """Return the longest deadline that any request to it can have.
+
+        A workspace may set a longer deadline than the service, so units in
+        use of a service's budgets may stay in use for this long.
+        """
+        return max(
+            self.services[service].policy.deadline_s,
+            *(
+                workspace.policies[service].deadline_s
+                for workspace in self.workspaces.values()
+                if service in workspace.policies
+            ),
+            0.0,
+        )
+
 
 def compile_config(document: ConfigDocument) -> CompiledConfig:
     """Return the compiled form of a document."""
--- a/tests/test_config_document.py
+++ b/tests/test_config_document.py
@@ -130,8 +130,12 @@
     )
     document = document.apply_edit(edit).unwrap()
     assert document.tree.get(override, "deadline_s").origin_path == override
-    policy = compile_config(document).policy("orders", "acme")
-    assert policy.deadline_s == 3.0
+    config = compile_config(document)
+    assert config.policy("orders", "acme").deadline_s == 3.0
+    assert config.longest_deadline_s("orders") == 9.0
+    longer = set_value(override, "deadline_s", 60)
+    document = document.apply_edit(make_edit("3", longer, read=3)).unwrap()
+    assert compile_config(document).longest_deadline_s("orders") == 60.0
     assert compile_config(document).policy("orders", None).deadline_s == 9.0
 
 
--- a/tests/test_verbena.py
+++ b/tests/test_verbena.py
@@ -275,8 +275,11 @@
     assert shell.run("status")[0] == 0
     code, _, err = shell.run("set", "/", "lookup_ttl_s=3")
     assert code == 1 and "role read" in err
+    # Exit code 1 of settle would say that the edit was not applied.
+    assert shell.run("settle", "1-unknown")[0] == 3
     monkeypatch.setenv("VERBENA_TOKEN", eve["token"] + "0")
     assert shell.run("status")[0] == 1
+    assert shell.run("settle", "1-unknown")[0] == 3
 
 
 def test_history_and_writers(shell: Shell) -> None:
