Show a new key or token when its outcome is unknown

Cause: if the answer to the first operator create was lost after the edit took effect, the bootstrap token was no longer valid and the new token had not been shown, so nobody could authenticate any more. Change: key create and operator create print the secret also when the outcome is unknown, with a note that it may not be valid.

--- a/packages/verbena/src/verbena/access_commands.py
+++ b/packages/verbena/src/verbena/access_commands.py
@@ -6,15 +6,15 @@
 
 import cappa
 
-from verbena.cli_errors import UsageError
+from verbena.cli_errors import SecretOutcomeUnknown, UsageError
 from verbena.edit_session import EditSession
 from verbena.options import EditOptions
-from verbenaworks.edit import CreateBranch, DeleteBranch, SetValue
+from verbenaworks.edit import Change, CreateBranch, DeleteBranch, SetValue
+from verbenaworks.errors import OutcomeUnknown
 from verbenaworks.key_digest import create_key, create_key_with_id
 from verbenaworks.settings_path import names_of
 
 TOKEN_PREFIX = "vt"
-_NOT_SHOWN_AGAIN = "store it now, it cannot be shown again"
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -32,13 +32,14 @@
         """Run the command."""
         new = create_key(secrets.token_bytes)
         path = f"/workspaces/{self.workspace}/keys/{new.key_id}"
-        EditSession(self).run(
+        _create(
+            self,
+            new.key,
             [
                 CreateBranch(path=path),
                 SetValue(path=path, field="digest", value=new.digest),
             ],
             f"created key {new.key_id} of {self.workspace}",
-            (new.key, _NOT_SHOWN_AGAIN),
             key_id=new.key_id,
             key=new.key,
         )
@@ -102,14 +103,15 @@
         """Run the command."""
         path = f"/operators/{self.name}"
         new = create_key_with_id(secrets.token_bytes, self.name, TOKEN_PREFIX)
-        EditSession(self).run(
+        _create(
+            self,
+            new.key,
             [
                 CreateBranch(path=path),
                 SetValue(path=path, field="role", value=self.role),
                 SetValue(path=path, field="token_digest", value=new.digest),
             ],
             f"created operator {self.name}",
-            (new.key, _NOT_SHOWN_AGAIN),
             token=new.key,
         )
 
@@ -140,3 +142,17 @@
     """Create and delete operators."""
 
     command: cappa.Subcommands[OperatorCreate | OperatorDelete]
+
+
+def _create(
+    options: EditOptions,
+    secret: str,
+    changes: list[Change],
+    message: str,
+    **details: str,
+) -> None:
+    notes = (secret, "store it now, it cannot be shown again")
+    try:
+        EditSession(options).run(changes, message, notes, **details)
+    except OutcomeUnknown as error:
+        raise SecretOutcomeUnknown(error.edit_id, secret) from error
--- a/packages/verbena/src/verbena/cli_errors.py
+++ b/packages/verbena/src/verbena/cli_errors.py
@@ -1,6 +1,6 @@
 """Errors of the command line."""
 
-from verbenaworks.errors import VerbenaError
+from verbenaworks.errors import OutcomeUnknown, VerbenaError
 
 
 class UsageError(VerbenaError):
@@ -31,3 +31,17 @@
     """The outcome of an edit could not be determined."""
 
     code = "outcome-unknown"
+
+
+class SecretOutcomeUnknown(OutcomeUnknown):
+    """It is not known whether a new key or token is valid.
+
+    The secret is shown all the same: if the edit that created the first
+    operator was applied, nobody else could ever authenticate.
+
+    :param secret: the new key or token.
+    """
+
+    def __init__(self, edit_id: str, secret: str) -> None:
+        super().__init__(edit_id)
+        self.secret = secret
--- a/packages/verbena/src/verbena/console_output.py
+++ b/packages/verbena/src/verbena/console_output.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from verbena.cli_errors import NotEverywhere
+from verbena.cli_errors import NotEverywhere, SecretOutcomeUnknown
 from verbenaworks.errors import VerbenaError
 
 
@@ -38,7 +38,11 @@
             "message": error.message,
             "remedy": error.remedy,
         }
+        if isinstance(error, SecretOutcomeUnknown):
+            body["secret"] = error.secret
         print_json({"error": body})
         return
+    if isinstance(error, SecretOutcomeUnknown):
+        print(f"{error.secret}\nis valid only if the edit was applied")
     print(f"verbena: {error.message}", file=sys.stderr)
     print(f"  remedy: {error.remedy}", file=sys.stderr)
--- a/tests/test_verbena.py
+++ b/tests/test_verbena.py
@@ -217,6 +217,22 @@
     assert shell.run("settle", edit_id)[0] == (0 if loss == "after" else 1)
 
 
+def test_lost_answer_to_the_first_operator(
+    shell: Shell, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a deployment whose only token was never shown."""
+    shell.agreement.lost = ["after"]
+    create = ["operator", "create", "ana", "--role", "write"]
+    code, out, _ = shell.run(*create)
+    assert code == 3
+    assert shell.run("status")[0] == 1
+    monkeypatch.setenv("VERBENA_TOKEN", out.split()[0])
+    assert shell.run("status")[0] == 0
+    shell.agreement.lost = ["before"]
+    code, out, _ = shell.run("key", "create", "acme", "--json")
+    assert code == 3 and json.loads(out)["error"]["secret"].startswith("vk_")
+
+
 def test_settle_of_an_edit_beyond_the_history(shell: Shell) -> None:
     """Guards against the verdict "not applied" on a forgotten edit."""
     shell.json("set", "/", "lookup_ttl_s=3", "--edit-id", "1-old")
