Give pynng the locks of the standard library

Cause: pynng calls back on threads of its own, where a lock of eventlet raises 'Cannot switch to a different thread' and leaves the event loop waiting. With 11 instances under load, the first instance stopped answering. Ruled out: the HTTP side, which had no open request. Found by tools/measure_path.py, which measures a deployment of real processes.

The linger time of slots now covers the longest deadline of any workspace.

--- a/packages/standins/src/standins/local_deployment.py
+++ b/packages/standins/src/standins/local_deployment.py
@@ -171,6 +171,10 @@
         process = self._processes.get(name)
         return process is not None and process.poll() is None
 
+    def pid(self, name: str) -> int:
+        """Return the process id of a running process."""
+        return self._processes[name].pid
+
     def kill(self, name: str) -> None:
         """End a process at once, as a crash does."""
         process = self._processes.pop(name)
--- a/packages/verbenad/src/verbenad/budget_plan.py
+++ b/packages/verbenad/src/verbenad/budget_plan.py
@@ -86,13 +86,13 @@
             yield LevelBudget(
                 name=slots_budget_name(f"{service.name}/{target.name}"),
                 capacity=target.slots,
-                linger_s=service.policy.deadline_s,
+                linger_s=config.longest_deadline_s(service.name),
             )
 
 
 def _regions(config: CompiledConfig) -> Iterator[Budget]:
     linger_s = max(
-        (service.policy.deadline_s for service in config.services.values()),
+        (config.longest_deadline_s(name) for name in config.services),
         default=0.0,
     )
     for region in config.regions:
--- a/packages/verbenad/src/verbenad/bus.py
+++ b/packages/verbenad/src/verbenad/bus.py
@@ -12,9 +12,15 @@
 import eventlet
 import pynng
 from eventlet.hubs import trampoline
+from eventlet.patcher import original
 
 from verbenaworks import WireError, decode, encode, wire_message
 
+# pynng runs callbacks on threads of its own, on which the locks of eventlet
+# fail and leave the loop waiting for ever; it gets the locks of the standard
+# library.
+pynng.nng.threading = original("threading")
+
 SEND_QUEUE_LENGTH = 256
 MAX_MESSAGE_BYTES = 2_000_000
 # A peer that sent nothing for this long gets a new connection, because an
--- a/tools/measure_edge.py
+++ b/tools/measure_edge.py
@@ -263,6 +263,11 @@
         self._process.stdout.close()
 
 
+def start_bare(backend_port: int) -> _Role:
+    """Start the bare proxy; its first result holds its port."""
+    return _Role("bare", backend_port)
+
+
 def _round(
     proxy: _Role, port: int, kind: str, requests: int
 ) -> dict[str, float]:
--- /dev/null
+++ b/tools/measure_path.py
@@ -0,0 +1,393 @@
+"""Measures a whole deployment of real processes on this machine.
+
+Eleven instances, the platform's stand-ins and all backend servers run on
+127.0.0.1 without the delays of real links. The processor time of a request
+is compared with that of a bare eventlet and urllib3 proxy in the same run.
+
+Usage: measure_path.py [--deployment NAME] [--json FILE]
+"""
+
+import argparse
+import http.client
+import json
+import os
+import sys
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import asdict, dataclass
+from pathlib import Path
+
+import measure_edge
+from demo import free_base_port
+from standins.caller import Caller
+from standins.deployments import DEPLOYMENTS
+from standins.local_deployment import LocalDeployment
+
+INSTANCES = 11
+CALLERS = 8
+REQUESTS_PER_CALLER = 400
+LOOKUPS = 2000
+EDITS = 15
+WAIT_LIMIT_S = 60.0
+_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Figure:
+    """One measured figure beside its target and a baseline.
+
+    :ivar is_met: None where the figure has no target.
+    """
+
+    name: str
+    figure: float
+    unit: str
+    target: float | None = None
+    baseline: str = ""
+
+    @property
+    def is_met(self) -> bool | None:
+        """Return whether the figure is at or below its target."""
+        return None if self.target is None else self.figure <= self.target
+
+
+class PathMeasurement:
+    """The steps of the measurement, in an order that they depend on."""
+
+    def __init__(self, local: LocalDeployment) -> None:
+        self._local = local
+        self.figures: list[Figure] = []
+
+    def run(self) -> None:
+        """Run all steps."""
+        self._local.start()
+        caller = self._caller("large1")
+        service = self._local.deployment.services[0].name
+        _until(lambda: caller.call(service).status == 200)
+        self._idle()
+        self._processor_time(service)
+        self._lookup(service)
+        self._edits()
+        self._withdrawal(service)
+        self._drain(service)
+        self._death(service)
+
+    def _caller(self, workspace: str, region: int = 0) -> Caller:
+        settings = self._local.settings
+        return Caller(
+            [a.caller for a in self._local.instances.values()],
+            list(settings.addresses.values())[region],
+            settings.keys[workspace],
+        )
+
+    def _add(
+        self,
+        name: str,
+        figure: float,
+        unit: str,
+        target: float | None = None,
+        baseline: str = "",
+    ) -> None:
+        self.figures.append(
+            Figure(
+                name=name,
+                figure=round(figure, 4),
+                unit=unit,
+                target=target,
+                baseline=baseline,
+            )
+        )
+
+    def _idle(self) -> None:
+        """Measure control work with hardly any requests."""
+        calls = self._store_calls()
+        before_s = [self._processor_s(name) for name in self._local.instances]
+        time.sleep(10.0)
+        after_s = [self._processor_s(name) for name in self._local.instances]
+        shares = [(b - a) / 10 for a, b in zip(before_s, after_s, strict=True)]
+        self._add("idle processor share, worst", max(shares) * 100, "%", 2.7)
+        self._add(
+            "store calls by 11 instances",
+            (self._store_calls() - calls) / 10,
+            "/s",
+            2000.0,
+        )
+        name = next(iter(self._local.instances))
+        self._add(
+            "resident size of an instance", self._resident_mb(name), "MB"
+        )
+
+    def _processor_time(self, service: str) -> None:
+        self._local.verbena(
+            *("set", "/workspaces/large1", "rate_per_s=100000"),
+            *("burst=100000", "--wait"),
+        )
+        name = next(iter(self._local.instances))
+        instance = self._local.instances[name].caller
+        key = self._local.settings.keys["large1"]
+        target_port = self._local.target_ports[f"{service}/t1"]
+        bare = measure_edge.start_bare(target_port)
+        try:
+            bare_port = bare.result()["port"]
+            _load(f"127.0.0.1:{bare_port}", "/", key, 50)
+            _load(instance, f"/s/{service}/", key, 50)
+            before_s = bare.processor_s()
+            _load(f"127.0.0.1:{bare_port}", "/", key, REQUESTS_PER_CALLER)
+            bare_us = (bare.processor_s() - before_s) * 1e6
+            before_s = self._processor_s(name)
+            latencies = _load(
+                instance, f"/s/{service}/", key, REQUESTS_PER_CALLER
+            )
+            path_us = (self._processor_s(name) - before_s) * 1e6
+        finally:
+            bare.close()
+        total = CALLERS * REQUESTS_PER_CALLER
+        self._add(
+            "processor time per request, to bare proxy",
+            path_us / bare_us,
+            "x",
+            1.3,
+            f"path {path_us / total:.0f} us, bare {bare_us / total:.0f} us",
+        )
+        self._add("latency p50", _quantile(latencies, 0.5) * 1000, "ms")
+        self._add("latency p99", _quantile(latencies, 0.99) * 1000, "ms")
+
+    def _lookup(self, service: str) -> None:
+        name, instance = next(iter(self._local.instances.items()))
+        connection = http.client.HTTPConnection(instance.caller, timeout=10)
+        before_s = self._processor_s(name)
+        for number in range(LOOKUPS):
+            connection.request(
+                "GET",
+                f"/v1/lookup?service={service}&address=10.0.0.{number % 250}",
+            )
+            connection.getresponse().read()
+        spent_s = self._processor_s(name) - before_s
+        connection.close()
+        self._add(
+            "processor time per lookup, with HTTP and 24 blocks",
+            spent_s / LOOKUPS * 1000,
+            "ms",
+            0.25,
+        )
+
+    def _edits(self) -> None:
+        """Measure the time from acceptance until all members report it."""
+        times_s = []
+        for number in range(EDITS):
+            text = self._local.verbena(
+                *("set", "/workspaces/small4", f"rate_per_s={50 + number}"),
+                *("burst=60", "--json"),
+            )
+            began_s = time.monotonic()
+            revision = json.loads(text)["config_revision"]
+            _until(lambda r=revision: self._all_at(r))  # type: ignore[misc]
+            times_s.append(time.monotonic() - began_s)
+        self._add(
+            "edit in force on 11 instances, median",
+            _quantile(times_s, 0.5),
+            "s",
+        )
+        self._add(
+            "edit in force on 11 instances, worst of 15",
+            max(times_s),
+            "s",
+            2.0,
+        )
+
+    def _withdrawal(self, service: str) -> None:
+        settings = self._local.settings
+        key = settings.keys["small3"]
+        headers = {"X-Verbena-Key": key}
+
+        def works(address: str) -> bool:
+            connection = http.client.HTTPConnection(address, timeout=10)
+            try:
+                connection.request("GET", f"/s/{service}/", headers=headers)
+                return connection.getresponse().status != 401
+            finally:
+                connection.close()
+
+        self._local.verbena("key", "withdraw", key.split("_")[1])
+        began_s = time.monotonic()
+        for instance in self._local.instances.values():
+            _until(lambda a=instance.caller: not works(a))  # type: ignore[misc]
+        self._add(
+            "withdrawn key refused by 11 instances",
+            time.monotonic() - began_s,
+            "s",
+            5.0,
+        )
+
+    def _drain(self, service: str) -> None:
+        """Measure the time from a target's first sign to its last request."""
+        target = f"{service}/t2"
+        stop = threading.Event()
+        key = self._local.settings.keys["large1"]
+        threads = [
+            threading.Thread(
+                target=_load_until,
+                args=(instance.caller, f"/s/{service}/", key, stop),
+            )
+            for instance in self._local.instances.values()
+        ]
+        for thread in threads:
+            thread.start()
+        time.sleep(2.0)
+        self._local.set_target_faults(target, reported_healthy=False)
+        faulty_at_s = time.monotonic()
+        time.sleep(5.0)
+        stop.set()
+        for thread in threads:
+            thread.join()
+        url = f"{self._local.target_url(target)}/admin/history"
+        runs = self._local.get_json(url)
+        last_s = max(
+            (run["started_at_s"] for run in runs),  # type: ignore[attr-defined, union-attr]
+            default=faulty_at_s,
+        )
+        self._local.set_target_faults(target)
+        self._add(
+            "last new work after a health endpoint fails",
+            max(0.0, last_s - faulty_at_s),
+            "s",
+            3.0,
+        )
+
+    def _death(self, service: str) -> None:
+        caller = self._caller("large1")
+        first = caller.lookup(service)["instances"][0]  # type: ignore[index]
+        name = str(first["name"])
+        self._local.kill(name)
+        began_s = time.monotonic()
+        results = []
+        while time.monotonic() < began_s + 10.0:
+            results.append(caller.call(service))
+        failed = [r for r in results if r.status != 200]
+        self._add(
+            "calls not answered in 10 s after a kill",
+            len(failed) / len(results) * 100,
+            "%",
+            baseline=f"{len(results)} calls",
+        )
+        self._add(
+            "slowest call after a kill",
+            max(r.latency_s for r in results),
+            "s",
+            5.0,
+        )
+        self._local.start_instance(name)
+        self._add(
+            "replaced instance ready",
+            self._local.wait_until_fresh([name]),
+            "s",
+            3.0,
+        )
+
+    def _all_at(self, revision: int) -> bool:
+        status = json.loads(self._local.verbena("status", "--json"))
+        live = [i for i in status if i["state"] == "alive"]
+        return all(i["config_revision"] >= revision for i in live)
+
+    def _store_calls(self) -> int:
+        calls = self._local.get_json(f"{self._local.store_url}/admin/calls")
+        return calls["reads"] + calls["writes"]  # type: ignore[index]
+
+    def _processor_s(self, name: str) -> float:
+        pid = self._local.pid(name)
+        fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2]
+        user, system = fields.split()[11:13]
+        return (int(user) + int(system)) / _TICKS_PER_S
+
+    def _resident_mb(self, name: str) -> float:
+        pages = Path(f"/proc/{self._local.pid(name)}/statm").read_text()
+        return int(pages.split()[1]) * os.sysconf("SC_PAGE_SIZE") / 1e6
+
+
+def _load(address: str, path: str, key: str, requests: int) -> list[float]:
+    """Send requests from 8 callers; return the latencies in seconds."""
+    latencies: list[float] = []
+
+    def send() -> None:
+        connection = http.client.HTTPConnection(address, timeout=30)
+        for _ in range(requests):
+            began_s = time.monotonic()
+            connection.request("GET", path, headers={"X-Verbena-Key": key})
+            answer = connection.getresponse()
+            answer.read()
+            if answer.status != 200:
+                raise SystemExit(f"unexpected answer {answer.status}")
+            latencies.append(time.monotonic() - began_s)
+        connection.close()
+
+    threads = [threading.Thread(target=send) for _ in range(CALLERS)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    return latencies
+
+
+def _load_until(
+    address: str, path: str, key: str, stop: threading.Event
+) -> None:
+    connection = http.client.HTTPConnection(address, timeout=30)
+    while not stop.is_set():
+        connection.request("GET", path, headers={"X-Verbena-Key": key})
+        connection.getresponse().read()
+        time.sleep(0.02)
+    connection.close()
+
+
+def _quantile(values: list[float], share: float) -> float:
+    ordered = sorted(values)
+    return ordered[min(int(len(ordered) * share), len(ordered) - 1)]
+
+
+def _until(is_done: Callable[[], bool]) -> None:
+    end_s = time.monotonic() + WAIT_LIMIT_S
+    while not is_done():
+        if time.monotonic() >= end_s:
+            raise SystemExit("a state was not reached in time")
+        time.sleep(0.01)
+
+
+def _print(figures: list[Figure]) -> None:
+    for figure in figures:
+        target = "" if figure.target is None else f"target {figure.target}"
+        verdict = {None: "", True: "met", False: "MISSED"}[figure.is_met]
+        print(
+            f"{figure.name:52} {figure.figure:9.3f} {figure.unit:3} "
+            f"{target:14} {verdict:7} {figure.baseline}".rstrip()
+        )
+
+
+def main() -> int:
+    """Measure one deployment and print the table."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument(
+        "--deployment", choices=sorted(DEPLOYMENTS), default="matunda"
+    )
+    parser.add_argument("--json", type=Path)
+    options = parser.parse_args()
+    local = LocalDeployment(
+        DEPLOYMENTS[options.deployment],
+        base_port=free_base_port(),
+        instances=INSTANCES,
+        log_directory=Path("out") / f"measure-{options.deployment}",
+    )
+    measurement = PathMeasurement(local)
+    try:
+        measurement.run()
+    finally:
+        local.stop()
+    _print(measurement.figures)
+    if options.json:
+        rows = [asdict(f) | {"is_met": f.is_met} for f in measurement.figures]
+        options.json.write_text(json.dumps(rows, indent=2))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
