--- a/packages/verbenaworks/src/verbenaworks/near_table.py
+++ b/packages/verbenaworks/src/verbenaworks/near_table.py
@@ -30,10 +30,12 @@
         "connections",
         "distance",
         "ejected",
+        "expected_s",
         "info",
         "name",
         "region",
         "round_trip_s",
+        "slower",
         "stats",
     )
 
@@ -45,6 +47,9 @@
         self.region = info.region
         self.stats = stats
         self.ejected = False
+        # Set while a choice considers the row.
+        self.expected_s = 0.0
+        self.slower = Candidate(info.name, Why.SLOWER)
         self.connections = info.connections
         self.distance = 0
         self.round_trip_s = 0.0
@@ -70,6 +75,9 @@
         rows.sort(key=lambda row: (row.distance, row.region, row.name))
         self.rows = rows
         self.by_name = {row.name: row for row in rows}
+        self.regions = sorted(
+            {(row.region, row.distance == 2) for row in rows}
+        )
         self.classes = [
             [row for row in rows if row.distance == distance]
             for distance in range(3)
--- a/packages/verbenaworks/src/verbenaworks/target_choice.py
+++ b/packages/verbenaworks/src/verbenaworks/target_choice.py
@@ -117,12 +117,13 @@
             return NoTarget(
                 reason=NoTargetReason.NO_TARGETS, can_wait=False, left_out=()
             )
+        full = self._full_regions(table)
         left_out: list[Candidate] = []
         last: list[TargetRow] = []
         for distance, rows in enumerate(table.classes):
             usable: list[TargetRow] = []
             for row in rows:
-                why = self._why_not(now_s, request, service, row)
+                why = self._why_not(now_s, request, service, row, full)
                 if why is None:
                     usable.append(row)
                     continue
@@ -270,6 +271,7 @@
         request: ChoiceRequest,
         service: _Service,
         row: TargetRow,
+        full: Mapping[str, Why],
     ) -> Why | None:
         """Return why a target cannot be used, or none."""
         stats = row.stats
@@ -295,11 +297,8 @@
             return Why.NO_CONNECTION
         if self._units.available(name) < 1:
             return Why.NO_UNITS
-        if self._region_units.available(row.region) < 1:
-            return Why.REGION_FULL
-        link_units = self._link_units if row.distance == 2 else None
-        if link_units and link_units.available(row.region) < 1:
-            return Why.LINK_FULL
+        if full and row.region in full:
+            return full[row.region]
         if self._slow_start.active(name):
             limit = self._slow_start.limit(
                 now_s, name, row.info.slots, all_cold=service.all_cold
@@ -308,6 +307,20 @@
                 return Why.COLD
         return self._time_why_not(now_s, request, service, row)
 
+    def _full_regions(self, table: NearTable) -> dict[str, Why]:
+        """Return the regions without a unit of load or of the link."""
+        full: dict[str, Why] = {}
+        for region, is_far in table.regions:
+            if self._region_units.available(region) < 1:
+                full[region] = Why.REGION_FULL
+            elif (
+                self._link_units is not None
+                and is_far
+                and self._link_units.available(region) < 1
+            ):
+                full[region] = Why.LINK_FULL
+        return full
+
     def _time_why_not(
         self,
         now_s: float,
@@ -318,8 +331,10 @@
         stats = row.stats
         usual_s = service.time.mean_s
         if usual_s is None:
+            row.expected_s = row.round_trip_s
             return None
         expected_s = stats.expected_s(now_s, usual_s)
+        row.expected_s = row.round_trip_s + expected_s
         least_s = row.round_trip_s + max(
             expected_s - 2 * stats.deviation_s, expected_s / 4
         )
@@ -348,7 +363,7 @@
             if mode is Mode.SAFE:
                 row = min(usable, key=lambda r: (r.stats.in_flight, r.name))
             else:
-                row = self._pick(now_s, service, usable)
+                row = self._pick(now_s, usable)
             usable.remove(row)
             why = self._take_units(row, request.workspace)
             if why is None:
@@ -356,35 +371,24 @@
             left_out.append(Candidate(row.name, why))
         else:
             return _no_target(left_out)
-        left_out.extend(Candidate(r.name, Why.SLOWER) for r in usable)
+        left_out += [other.slower for other in usable]
         row.stats.started(now_s)
         return Choice(
             target=row.info,
             workspace=request.workspace,
             started_s=now_s,
-            expected_s=row.round_trip_s
-            + row.stats.expected_s(now_s, service.time.mean_s or 0.0),
+            expected_s=row.expected_s,
             mode=mode,
             left_out=tuple(left_out),
         )
 
-    def _pick(
-        self, now_s: float, service: _Service, usable: list[TargetRow]
-    ) -> TargetRow:
+    def _pick(self, now_s: float, usable: list[TargetRow]) -> TargetRow:
         """Return the less loaded of two random targets that tie."""
         if len(usable) == 1:
             return usable[0]
-        usual_s = service.time.mean_s or 0.0
-        expected = [
-            row.round_trip_s + row.stats.expected_s(now_s, usual_s)
-            for row in usable
-        ]
-        limit_s = min(expected) * _TIE_SHARE + _TIE_S
-        ties = [
-            row
-            for row, expected_s in zip(usable, expected, strict=True)
-            if expected_s <= limit_s
-        ]
+        least_s = min([row.expected_s for row in usable])
+        limit_s = least_s * _TIE_SHARE + _TIE_S
+        ties = [row for row in usable if row.expected_s <= limit_s]
         if len(ties) == 1:
             return ties[0]
         first = int(self._random.random() * len(ties))
--- /dev/null
+++ b/tools/mutations_choice.py
@@ -0,0 +1,58 @@
+"""One-line faults in the choice of target, and the test that finds each.
+
+Fields: name, path, old text, new text, test.
+"""
+
+_LIBRARY = "packages/verbenaworks/src/verbenaworks"
+
+MUTATIONS = [
+    (
+        "a draining target is still chosen",
+        f"{_LIBRARY}/target_choice.py",
+        "stats.set_sign(Sign.DRAIN_SETTING, info.draining)",
+        "stats.set_sign(Sign.DRAIN_SETTING, False)",
+        "tests/test_target_choice.py",
+    ),
+    (
+        "a target that refuses is still chosen",
+        f"{_LIBRARY}/target_choice.py",
+        "stats.refused(now_s)",
+        "stats.failed()",
+        "tests/test_target_choice.py",
+    ),
+    (
+        "a retry ignores that bytes were sent",
+        f"{_LIBRARY}/retry_budget.py",
+        "return idempotent or not bytes_sent",
+        "return True",
+        "tests/test_retry_budget.py",
+    ),
+    (
+        "ejection ignores the floor",
+        f"{_LIBRARY}/ejection.py",
+        "allowed = max(0, len(self._records) - out - floor)",
+        "allowed = len(self._records)",
+        "tests/test_ejection.py",
+    ),
+    (
+        "the admission queue serves first come, first served",
+        f"{_LIBRARY}/admission_queue.py",
+        "key = units, line.served_at_s",
+        "key = 0.0 * units, line.entries[0].arrived_s",
+        "tests/test_admission_queue.py",
+    ),
+    (
+        "the region's limit is ignored",
+        f"{_LIBRARY}/target_choice.py",
+        "if not self._region_units.take(row.region, workspace):",
+        "if False:",
+        "tests/test_target_choice.py",
+    ),
+    (
+        "a late request is started",
+        f"{_LIBRARY}/target_choice.py",
+        "if now_s + least_s > request.deadline_s:",
+        "if False:",
+        "tests/test_target_choice.py",
+    ),
+]
