Check recorded runs of the choice in virtual time

A run with leaving targets whose health endpoints lie, and one with a lost region and a hot workspace, are recorded and given to the checker: no new work 3 s after the first sign, no region above its limit.

--- a/tools/choice_model.py
+++ b/tools/choice_model.py
@@ -14,11 +14,19 @@
 from random import Random
 
 from exact_allocator import Share, divide, place
+from standins.check_target_choice import (
+    Event,
+    LeavingSign,
+    RegionLimit,
+    WorkEnded,
+    WorkStarted,
+)
 from verbenaworks.admission_queue import AdmissionQueue
 from verbenaworks.attempt_outcome import (
     Completed,
     Failed,
     Outcome,
+    RefusedLeaving,
     RefusedOverload,
 )
 from verbenaworks.choice_result import Choice, ChoiceRequest
@@ -131,6 +139,8 @@
     warm_up_s: float = 8.0
     lose_at_s: float = 3.0
     shares: bool = True
+    leave_at_s: float | None = None
+    record: bool = False
 
 
 @dataclass(kw_only=True)
@@ -195,6 +205,7 @@
     def __init__(self, info: TargetInfo) -> None:
         self.info = info
         self.alive = True
+        self.leaving = False
         self.running = 0
         self.served = 1000
         self.waiting: list[tuple[float, Callable[[], None]]] = []
@@ -226,6 +237,7 @@
         self.events: list[tuple[float, int, Callable[[], None]]] = []
         self.order = itertools.count()
         self.result = Result()
+        self.history: list[Event] = []
         deployment = scenario.deployment
         self.services = {s.name: s for s in deployment.services}
         domains = [(r, f"{r}-{d}") for r in deployment.regions for d in "ab"]
@@ -325,6 +337,10 @@
             self._refresh()
         if self.lost is not None:
             self.after(scenario.lose_at_s, self._lose)
+        if scenario.leave_at_s is not None:
+            self.after(scenario.leave_at_s, self._leave)
+        for region, limit in self.limits.items():
+            self.record(RegionLimit(at_s=0.0, region=region, limit=limit))
         end_s = scenario.duration_s
         while self.events and self.events[0][0] <= end_s:
             self.now_s, _, action = heapq.heappop(self.events)
@@ -410,7 +426,10 @@
         done: Callable[[Outcome], None],
     ) -> None:
         """Run a request at a target, or queue or refuse it there."""
-        if target.running < target.info.slots:
+        if target.leaving:
+            self.record(LeavingSign(at_s=self.now_s, target=target.info.name))
+            done(RefusedLeaving())
+        elif target.running < target.info.slots:
             self._execute(target, spec, done)
         elif len(target.waiting) < TARGET_QUEUE * target.info.slots:
             self.result.over_slots += 1
@@ -490,6 +509,29 @@
         self.after(LIST_LAG_S, self._list_lost)
         self.after(GRANT_LAPSE_S, self._lapse)
 
+    def _leave(self) -> None:
+        """Let the first target of each service leave.
+
+        It refuses new requests at once; its health endpoint goes on to say
+        that it serves, and the instance list lags.
+        """
+        for infos in self.lists.values():
+            self.targets[infos[0].name].leaving = True
+
+        def list_them() -> None:
+            for instance in self.instances:
+                for service, infos in self.lists.items():
+                    instance.choice.listed(
+                        self.now_s, service, infos[0].name, leaving=True
+                    )
+
+        self.after(LIST_LAG_S, list_them)
+
+    def record(self, event: Event) -> None:
+        """Add an event to the history."""
+        if self.scenario.record:
+            self.history.append(event)
+
     def _lapse(self) -> None:
         """Let the grants of the lost instances lapse."""
         for instance in self.instances:
@@ -649,6 +691,7 @@
         self.request = request
         self.spec = spec
         self.arrived_s = model.now_s
+        self.attempt = 0
 
     def offer(self) -> None:
         """Pass the request to the admission queue."""
@@ -667,6 +710,15 @@
             self.end(answer.reason.name)
             return
         choice = answer.choice
+        self.attempt += 1
+        self.model.record(
+            WorkStarted(
+                at_s=self.model.now_s,
+                attempt=f"{self.request.request_id}/{self.attempt}",
+                target=choice.target.name,
+                region=choice.target.region,
+            )
+        )
         self._send(choice.target, lambda o: self._finish(choice, o))
 
     def _send(self, info: TargetInfo, done: Callable[[Outcome], None]) -> None:
@@ -700,6 +752,8 @@
     def _finish(self, choice: Choice, outcome: Outcome) -> None:
         model = self.model
         instance = self.instance
+        attempt = f"{self.request.request_id}/{self.attempt}"
+        model.record(WorkEnded(at_s=model.now_s, attempt=attempt))
         if not instance.alive:
             return
         instance.choice.finish(model.now_s, choice, outcome)
