--- a/tools/choice_model.py
+++ b/tools/choice_model.py
@@ -792,6 +792,9 @@
             if info.name not in tried
             and not (model.listed_lost and info.region == model.lost)
         ]
+        if not infos:
+            self.end("FAILED")
+            return
         match model.scenario.policy:
             case "random":
                 info = model.random.choice(infos)
--- a/tools/measure_choice.py
+++ b/tools/measure_choice.py
@@ -197,6 +197,7 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--json", metavar="FILE")
     parser.add_argument("--quick", action="store_true")
+    parser.add_argument("--deployment", help="only this deployment")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--processes", type=int, default=4)
     arguments = parser.parse_args()
@@ -213,7 +214,11 @@
         f"{'':8}{'load':>5} {'fault':5}{'':4}{'policy':17}{'goodput':>8}"
         f"{'p50':>8}{'p99':>8}{'region':>7}{'wrongful':>9}{'worst':>6}"
     )
-    jobs = scenarios(quick=arguments.quick, seed=arguments.seed)
+    jobs = [
+        job
+        for job in scenarios(quick=arguments.quick, seed=arguments.seed)
+        if arguments.deployment in (None, job.deployment.name)
+    ]
     rows = []
     with ProcessPoolExecutor(arguments.processes) as executor:
         for row in executor.map(run, jobs):
