--- a/packages/verbenaworks/src/verbenaworks/agreement.py
+++ b/packages/verbenaworks/src/verbenaworks/agreement.py
@@ -61,6 +61,7 @@
 from verbenaworks.state_edit import (
     AlreadyInForce,
     EditAccepted,
+    EditUnknown,
     NotWriterError,
     StateEdit,
 )
@@ -87,10 +88,14 @@
 # The daemon calls tick() this often.
 TICK_S = 0.1
 WATCH_WAIT_S = 20.0
-# Writers and further relays are asked when the newest confirmation is older
-# than this, so that one lost answer costs nothing in the ordinary case.
-_ATTEST_AFTER_S = 0.6
-_FALLBACK_AFTER_S = 1.0
+# Writers are asked when the store has not confirmed for this time. With a
+# poll every 0.4 s and a round trip of 40 ms the time reaches 0.55 s without
+# any loss. A longer limit would let the last of three relays lapse at the
+# start of an outage.
+_ATTEST_AFTER_S = 0.75
+# Further instances and the store are asked when the newest confirmation is
+# older than this. Behind two relays the age reaches 1.3 s without any loss.
+_FALLBACK_AFTER_S = 1.5
 # 1,300 instances that fall back to the store make 650 reads/s.
 _FALLBACK_PERIOD_S = 2.0
 # An instance that was not fresh believes the store only after this time, in
@@ -104,6 +109,7 @@
 # confirming ours. The peer may be gone before it can send that state.
 _AHEAD_LIMIT_S = 3.0
 _RECENT_EDIT_S = 60.0
+_RESUBMIT_PERIOD_S = 1.0
 _POLL_LIMIT_S = 5.0
 
 
@@ -175,6 +181,7 @@
         self._next_peer_poll_s = now_s + rng.random() * POLL_PERIOD_S
         self._next_writer_poll_s = now_s
         self._next_release_s = now_s
+        self._next_resubmit_s = now_s
         self._next_parent = rng.randrange(2)
         self._is_resigning = False
         self._is_resigned = False
@@ -516,6 +523,7 @@
             and self.is_writer
             and state.control.takeover is None
             and self._writes.is_settled
+            and self._diverged is None
             and self._store_confirmed_at_s is not None
             and now_s < self._store_confirmed_at_s + ATTEST_LIMIT_S
         )
@@ -685,10 +693,17 @@
         for request in self._writes.step(now_s, self._basis()):
             self._call(now_s, request)
         for outcome in self._writes.take_outcomes():
-            edit = self._submitted.pop(outcome.edit_id, None)
+            edit = self._submitted.get(outcome.edit_id)
+            if not isinstance(outcome, EditUnknown):
+                self._submitted.pop(outcome.edit_id, None)
             if edit is not None and isinstance(outcome, EditAccepted):
                 self._recent_edits[edit.edit_id] = (edit, now_s)
-            self._actions.append(ReportEdit(outcome=outcome))
+                # The store may have been restored before the answer came.
+                self._resubmit_lost_edits(now_s, self._applied.state)
+            if isinstance(outcome, EditAccepted) or (
+                outcome.edit_id not in self._recent_edits
+            ):
+                self._actions.append(ReportEdit(outcome=outcome))
 
     def _basis(self) -> WriteBasis | None:
         stored = self._stored
@@ -715,11 +730,15 @@
         if 0 < self._highest_version - settled.version < _MAX_REPEATS:
             self._submit_repair()
 
-    def _resubmit_lost_edits(self, now_s: float, state: AgreedState) -> None:
+    def _resubmit_lost_edits(
+        self, now_s: float, state: AgreedState | None
+    ) -> None:
         """Apply accepted edits again that a restored store has lost.
 
         Another writer may have repaired the store without knowing them.
         """
+        if state is None:
+            return
         for edit_id, (edit, accepted_s) in list(self._recent_edits.items()):
             if now_s > accepted_s + _RECENT_EDIT_S:
                 del self._recent_edits[edit_id]
@@ -771,6 +790,9 @@
             self._release(now_s)
         if self._is_resigning:
             return
+        if self._recent_edits and now_s >= self._next_resubmit_s:
+            self._next_resubmit_s = now_s + _RESUBMIT_PERIOD_S
+            self._resubmit_lost_edits(now_s, self._applied.state)
         write = self._upkeep.due(
             now_s,
             UpkeepView(
--- a/packages/verbenaworks/src/verbenaworks/member.py
+++ b/packages/verbenaworks/src/verbenaworks/member.py
@@ -18,8 +18,10 @@
     """One instance as the others know it.
 
     :param incarnation: identifies one run; a restart has a higher one.
-    :param counter: raised by the member itself for each newer report and to
-        refute a suspicion.
+    :param counter: raised by the member itself to refute a suspicion.
+    :param report: raised by the member itself for each change of the fields
+        below ``state``. It is apart from ``counter``, because otherwise
+        members that know a newer report would ignore a suspicion.
     :param caller_address: host and port for callers.
     :param bus_address: host and port for other instances.
     :param load: share of the instance's capacity that is in use.
@@ -28,6 +30,7 @@
     name: str
     incarnation: int
     counter: int = 0
+    report: int = 0
     state: MemberState = MemberState.ALIVE
     caller_address: str = ""
     bus_address: str = ""
--- a/packages/verbenaworks/src/verbenaworks/member_updates.py
+++ b/packages/verbenaworks/src/verbenaworks/member_updates.py
@@ -17,6 +17,7 @@
     name: str
     incarnation: int
     counter: int
+    report: int
     state: MemberState
     config_revision: int
     fresh: bool
@@ -33,6 +34,7 @@
     name: str
     incarnation: int
     counter: int
+    report: int
     state: MemberState
     config_revision: int
     fresh: bool
@@ -54,6 +56,7 @@
         member.name,
         member.incarnation,
         member.counter,
+        member.report,
         member.state,
         member.config_revision,
         member.fresh,
@@ -88,6 +91,7 @@
         member.name,
         member.incarnation,
         member.counter,
+        member.report,
         member.state,
         member.config_revision,
         member.fresh,
@@ -104,6 +108,7 @@
         name=full.name,
         incarnation=full.incarnation,
         counter=full.counter,
+        report=full.report,
         state=full.state,
         config_revision=full.config_revision,
         fresh=full.fresh,
--- a/packages/verbenaworks/src/verbenaworks/membership.py
+++ b/packages/verbenaworks/src/verbenaworks/membership.py
@@ -3,7 +3,7 @@
 Every instance probes one other instance per period. Records of members ride
 on the probes, a bounded number on each, so the cost per instance does not
 grow with the fleet. Each record is ordered by incarnation, then by a counter
-that only the member itself raises, then by state.
+that only the member itself raises, then by state, then by report.
 """
 
 import heapq
@@ -50,8 +50,8 @@
 _SEED_PROBE_S = 10.0
 _DEAD_KEPT_S = 86_400.0
 _NEWS_PER_MESSAGE = 4
-# News is sent this many times the logarithm of the number of members, and
-# once less for each time that it is heard again.
+# News is sent this many times the logarithm of the number of members. News
+# of a live member is sent once less for each time that it is heard again.
 _NEWS_FACTOR = 3
 # Every message also repeats known records in turn. That makes up for lost
 # messages and spreads the reports of load and configuration revision.
@@ -147,7 +147,7 @@
             return
         self._own = replace(
             own,
-            counter=own.counter + 1,
+            report=own.report + 1,
             config_revision=config_revision,
             fresh=fresh,
             load=load,
@@ -395,7 +395,10 @@
             return
         known = self._members.get(update.name)
         if known is not None and _rank(update) <= _rank(known):
-            if isinstance(update, Member) and _rank(update) == _rank(known):
+            # Joins come in crowds; other news is rare and must reach all.
+            if update.state is MemberState.ALIVE and (
+                isinstance(update, Member) and _rank(update) == _rank(known)
+            ):
                 self._spend_news(update.name)
             return
         member = _merged(known, update)
@@ -543,8 +546,13 @@
         return out
 
 
-def _rank(record: Update) -> tuple[int, int, int]:
-    return record.incarnation, record.counter, int(record.state)
+def _rank(record: Update) -> tuple[int, int, int, int]:
+    return (
+        record.incarnation,
+        record.counter,
+        int(record.state),
+        record.report,
+    )
 
 
 def _merged(known: Member | None, update: Update) -> Member | None:
@@ -563,6 +571,7 @@
     return replace(
         known,
         counter=update.counter,
+        report=update.report,
         state=update.state,
         config_revision=update.config_revision,
         fresh=update.fresh,
