Cut the cost of probes, region load and idle work; add fuzz and measure

Cause (py-spy on one of 3 instances): probes of 52 targets through urllib3's pool took about half of the idle processor time; the load of a region was counted over its eight parts for each candidate; a writer decoded the whole document anew for each of the last edits. Change: probes go through the forwarder, the choice asks whether a region has any unit, region wants are stated only when they change by more than a little, and the last decoded document is kept. A retry is now made only if the body can be sent from its first byte; a refused streamed body ended in an internal error before.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,8 @@
 export EVENTLET_NO_GREENDNS := yes
 export PYTHONHASHSEED := 0
 
-.PHONY: demo test format lint types unit clean
+.PHONY: demo test format lint types unit measure mutants fuzz clean
+FUZZ_SECONDS ?= 300
 
 $(VENV)/ready: requirements.txt requirements-dev.txt
 	$(PYTHON) -m venv $(VENV)
@@ -36,5 +37,23 @@
 unit: $(VENV)/ready
 	$(BIN)/python -m pytest
 
+# Prints each figure beside its target and baselines; about 15 minutes.
+measure: $(VENV)/ready
+	mkdir -p out
+	$(BIN)/python tools/measure_path.py --deployment matunda --json out/measure-path-matunda.json
+	$(BIN)/python tools/measure_path.py --deployment toile --json out/measure-path-toile.json
+	$(BIN)/python tools/measure_edge.py --json out/measure-edge.json
+	$(BIN)/python tools/measure_budgets.py --json out/measure-budgets.json
+	$(BIN)/python tools/measure_agreement.py --json out/measure-agreement.json
+	$(BIN)/python tools/measure_choice.py --json out/measure-choice.json
+
+# Applies named one-line faults and tells which the tests catch.
+mutants: $(VENV)/ready
+	$(BIN)/python tools/mutants.py
+
+# Runs histories with fresh seeds for FUZZ_SECONDS; a failing seed is printed.
+fuzz: $(VENV)/ready
+	$(BIN)/python tools/fuzz.py --seconds $(FUZZ_SECONDS)
+
 clean:
 	rm -rf $(VENV) out
--- a/packages/verbenad/src/verbenad/call_runner.py
+++ b/packages/verbenad/src/verbenad/call_runner.py
@@ -252,7 +252,7 @@
             FailureKind.DEADLINE,
         ):
             return False
-        if not call.body.replayable and failed.may_have_run:
+        if not call.body.sendable:
             return False
         now_s = self._now_s()
         return now_s < call.deadline_s and retries.try_retry(
--- a/packages/verbenad/src/verbenad/daemon.py
+++ b/packages/verbenad/src/verbenad/daemon.py
@@ -84,6 +84,7 @@
         self._log = DecisionLog(self._lines)
         self._build_control()
         self._build_serving()
+        self._declare_gauges()
 
     def start(self) -> None:
         """Start all parts; returns at once."""
@@ -206,18 +207,20 @@
             now_s=self._now_s,
             random=self._random,
         )
-        self._prober = TargetProber(
-            choice=self._desk.choice,
-            now_s=self._now_s,
-            instances=self._fleet.live_count,
-            on_change=self._desk.serve_one,
-        )
         self._pool = UpstreamPool(now_s=self._now_s)
         forwarder = Forwarder(
             self._pool,
             ForwarderSettings(via_name=settings.name),
             now_s=self._now_s,
         )
+        self._prober = TargetProber(
+            choice=self._desk.choice,
+            forwarder=forwarder,
+            connection_limit=self._desk.connection_limit,
+            now_s=self._now_s,
+            instances=self._fleet.live_count,
+            on_change=self._desk.serve_one,
+        )
         runner = CallRunner(
             dispatchers=self._desk.dispatchers,
             forwarder=forwarder,
@@ -266,6 +269,44 @@
             self._gateway, host=host, port=int(port), limits=_limits(settings)
         )
 
+    def _declare_gauges(self) -> None:
+        gauge = self.metrics.gauge_source
+        gauge(
+            "verbenad_config_revision",
+            "Configuration revision in force.",
+            lambda: float(self._document.config_revision),
+        )
+        gauge(
+            "verbenad_fresh",
+            "1 while the configuration is confirmed.",
+            lambda: float(self._agreement.is_fresh(self._now_s())),
+        )
+        gauge(
+            "verbenad_requests_running",
+            "Requests of callers in progress.",
+            lambda: float(len(self._front.running)),
+        )
+        gauge(
+            "verbenad_requests_waiting",
+            "Requests that wait for a target.",
+            lambda: float(self._desk.waiting()),
+        )
+        gauge(
+            "verbenad_bus_bytes_total",
+            "Bytes sent to and received from other instances.",
+            lambda: float(self._bus.sent_bytes + self._bus.received_bytes),
+        )
+        gauge(
+            "verbenad_bus_dropped_total",
+            "Messages to other instances that could not be queued.",
+            lambda: float(self._bus.dropped),
+        )
+        gauge(
+            "verbenad_log_lines_dropped_total",
+            "Log lines lost because standard output stalled.",
+            lambda: float(self._lines.dropped_lines),
+        )
+
     def _on_state(self, state: AgreedState) -> None:
         if (
             self._config is None
--- a/packages/verbenad/src/verbenad/edit_port.py
+++ b/packages/verbenad/src/verbenad/edit_port.py
@@ -92,6 +92,7 @@
         self._loop: AgreementLoop | None = None
         self._waiting: dict[str, Event] = {}
         self._forwarders: dict[str, set[str]] = {}
+        self._decoder = _Decoder()
         bus.subscribe(ForwardEdit, self._on_forwarded)
         bus.subscribe(EditWasAccepted, self._on_answer)
         bus.subscribe(EditWasRefused, self._on_answer)
@@ -175,7 +176,7 @@
 
     def _apply(self, edit: Edit) -> None:
         if self._loop is not None:
-            self._loop.submit(_state_edit(edit))
+            self._loop.submit(_state_edit(edit, self._decoder))
 
     def _on_forwarded(self, sender: Sender, message: ForwardEdit) -> None:
         edit = edit_from_json(message.edit)
@@ -200,9 +201,24 @@
             return Err(EditRefused(answer.code, answer.message, answer.remedy))
 
 
-def _state_edit(edit: Edit) -> StateEdit:
+class _Decoder:
+    """Decodes documents; keeps the last one, which is asked for again."""
+
+    def __init__(self) -> None:
+        self._data = b""
+        self._document = ConfigDocument()
+
+    def document(self, state: AgreedState) -> ConfigDocument:
+        data = bytes(state.config)
+        if data != self._data:
+            self._document = ConfigDocument.from_bytes(data)
+            self._data = data
+        return self._document
+
+
+def _state_edit(edit: Edit, decoder: _Decoder) -> StateEdit:
     def change(state: AgreedState) -> EditResult:
-        document = ConfigDocument.from_bytes(bytes(state.config))
+        document = decoder.document(state)
         earlier = document.find_edit(edit.edit_id)
         if earlier is not None and earlier.edit.same_request(edit):
             return AlreadyInForce(config_revision=earlier.config_revision)
--- a/packages/verbenad/src/verbenad/region_units.py
+++ b/packages/verbenad/src/verbenad/region_units.py
@@ -38,6 +38,7 @@
             budget_name=region_budget_name,
         )
         self._in_use: dict[str, int] = {}
+        self._stated: dict[str, int] = {}
         self._used_parts: dict[tuple[str, str], list[str]] = {}
         self._short_since_s: dict[str, float] = {}
 
@@ -54,17 +55,18 @@
             )
 
     def available(self, target: str) -> int:
-        """Return the granted units of a region that are not in use."""
-        amount = sum(
-            self._parts.available(part.name)
-            for part in self._parts.members(target)
-        )
-        if amount > 0:
-            self._short_since_s.pop(target, None)
-        else:
-            self._short_since_s.setdefault(target, self._now_s())
-            self._state(target)
-        return amount
+        """Return whether a region has granted units that are not in use.
+
+        It returns 1 for any number of them: the choice asks this for each
+        target, and counting all parts would cost more than the choice.
+        """
+        for part in self._parts.members(target):
+            if self._parts.available(part.name) > 0:
+                self._short_since_s.pop(target, None)
+                return 1
+        self._short_since_s.setdefault(target, self._now_s())
+        self._state(target)
+        return 0
 
     def take(self, target: str, workspace: str) -> bool:
         """Put one unit of a region in use; false if none is available."""
@@ -104,9 +106,17 @@
         self._parts.restate()
 
     def _state(self, region: str) -> None:
+        """State the wants when they have changed by more than a little.
+
+        Each statement divides the wants over all parts, which costs as much
+        as the choice of a target.
+        """
         in_use = self._in_use.get(region, 0)
-        amount = in_use + max(RESERVE, in_use // 2)
-        self._parts.want(region, "", amount)
+        stated = self._stated.get(region, 0)
+        if in_use + RESERVE // 2 <= stated <= 2 * (in_use + RESERVE):
+            return
+        self._stated[region] = in_use + max(RESERVE, in_use // 2)
+        self._parts.want(region, "", self._stated[region])
 
 
 def _as_member(region: str, part: str, capacity: int) -> TargetInfo:
--- a/packages/verbenad/src/verbenad/target_prober.py
+++ b/packages/verbenad/src/verbenad/target_prober.py
@@ -7,8 +7,12 @@
 from collections.abc import Callable, Sequence
 
 import eventlet
-import urllib3
+from result import Err, Ok
 
+from verbenad.forward_request import ForwardRequest
+from verbenad.forwarder import Forwarder
+from verbenad.upstream_answer import UpstreamAnswer
+from verbenaworks.errors import VerbenaError
 from verbenaworks.load_report import (
     MAX_ANSWER_BYTES,
     Health,
@@ -38,6 +42,8 @@
         self,
         *,
         choice: TargetChoice,
+        forwarder: Forwarder,
+        connection_limit: Callable[[TargetInfo], int],
         now_s: Callable[[], float],
         instances: Callable[[], int],
         on_change: Callable[[str], None],
@@ -47,9 +53,8 @@
         self._instances = instances
         self._on_change = on_change
         self._targets: Sequence[TargetInfo] = ()
-        self._pool = urllib3.PoolManager(
-            num_pools=256, maxsize=1, retries=False
-        )
+        self._forwarder = forwarder
+        self._connection_limit = connection_limit
 
     def set_targets(self, targets: Sequence[TargetInfo]) -> None:
         """Set the targets to probe."""
@@ -94,16 +99,39 @@
         self._on_change(target.service)
 
     def _get(self, target: TargetInfo, path: str) -> tuple[int, bytes] | None:
-        try:
-            answer = self._pool.request(
-                "GET",
-                f"http://{target.address}{path}",
-                timeout=PROBE_TIMEOUT_S,
-                preload_content=False,
-            )
-            # Closed and not reused if the answer is longer than that.
-            data = answer.read(MAX_ANSWER_BYTES + 1)
-            answer.release_conn()
-        except urllib3.exceptions.HTTPError:
-            return None
-        return answer.status, data
+        host, _, port = target.address.rpartition(":")
+        request = ForwardRequest(
+            request_id="probe",
+            method="GET",
+            target=path,
+            host=target.address,
+            headers=[],
+            idempotent=True,
+        )
+        result = self._forwarder.attempt(
+            request,
+            (host, int(port)),
+            self._now_s() + PROBE_TIMEOUT_S,
+            connection_limit=max(1, self._connection_limit(target)),
+        )
+        match result:
+            case Ok(answer):
+                return _read(answer)
+            case Err(failed) if failed.refused_not_run:
+                return 503, b""
+            case _:
+                return None
+
+
+def _read(answer: UpstreamAnswer) -> tuple[int, bytes] | None:
+    data = b""
+    try:
+        for piece in answer.body:
+            data += piece
+            if len(data) > MAX_ANSWER_BYTES:
+                break
+    except VerbenaError:
+        return None
+    finally:
+        answer.body.close()
+    return answer.status, data
--- a/tools/measure_path.py
+++ b/tools/measure_path.py
@@ -11,6 +11,7 @@
 import http.client
 import json
 import os
+import re
 import sys
 import threading
 import time
@@ -22,7 +23,8 @@
 from demo import free_base_port
 from standins.caller import Caller
 from standins.deployments import DEPLOYMENTS
-from standins.local_deployment import LocalDeployment
+from standins.local_deployment import BOOTSTRAP_TOKEN, LocalDeployment
+from verbenaworks.admin_messages import REVISION_HEADER
 
 INSTANCES = 11
 CALLERS = 8
@@ -30,6 +32,7 @@
 LOOKUPS = 2000
 EDITS = 15
 WAIT_LIMIT_S = 60.0
+_BUS_BYTES = re.compile(r"^verbenad_bus_bytes_total\S* (\S+)", re.M)
 _TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 
 
@@ -103,10 +106,18 @@
         """Measure control work with hardly any requests."""
         calls = self._store_calls()
         before_s = [self._processor_s(name) for name in self._local.instances]
+        before_bytes = self._bus_bytes()
         time.sleep(10.0)
+        sent = [
+            (b - a) / 10
+            for a, b in zip(before_bytes, self._bus_bytes(), strict=True)
+        ]
         after_s = [self._processor_s(name) for name in self._local.instances]
         shares = [(b - a) / 10 for a, b in zip(before_s, after_s, strict=True)]
         self._add("idle processor share, worst", max(shares) * 100, "%", 2.7)
+        self._add(
+            "bus traffic of an instance, worst", max(sent) / 1000, "KB/s", 3.0
+        )
         self._add(
             "store calls by 11 instances",
             (self._store_calls() - calls) / 10,
@@ -285,10 +296,35 @@
             3.0,
         )
 
+    def _bus_bytes(self) -> list[float]:
+        """Return the bytes on the bus of each instance."""
+        values = []
+        for instance in self._local.instances.values():
+            connection = http.client.HTTPConnection(
+                instance.caller, timeout=10
+            )
+            connection.request("GET", "/metrics")
+            text = connection.getresponse().read().decode()
+            connection.close()
+            match = re.search(
+                r"^verbenad_bus_bytes_total\S* (\S+)", text, re.M
+            )
+            values.append(float(match[1]) if match else 0.0)
+        return values
+
     def _all_at(self, revision: int) -> bool:
-        status = json.loads(self._local.verbena("status", "--json"))
-        live = [i for i in status if i["state"] == "alive"]
-        return all(i["config_revision"] >= revision for i in live)
+        """Return whether every live instance applies a revision."""
+        url = "/v1/admin/config"
+        headers = {"Authorization": f"Bearer {BOOTSTRAP_TOKEN}"}
+        for instance in self._local.instances.values():
+            connection = http.client.HTTPConnection(instance.admin, timeout=10)
+            connection.request("GET", url, headers=headers)
+            answer = connection.getresponse()
+            answer.read()
+            connection.close()
+            if int(answer.headers[REVISION_HEADER]) < revision:
+                return False
+        return True
 
     def _store_calls(self) -> int:
         calls = self._local.get_json(f"{self._local.store_url}/admin/calls")
