--- a/tools/mutations_agreement.py
+++ b/tools/mutations_agreement.py
@@ -137,8 +137,9 @@
     Mutation(
         name="an accepted edit that a restore lost is not applied again",
         path=f"{_SRC}/agreement.py",
-        old="        self._resubmit_lost_edits(now_s, state)\n",
-        new="",
+        old="            elif not isinstance(edit.change(state), "
+        "AlreadyInForce):",
+        new="            elif False:",
         test="tests/test_agreement_histories.py::test_seeded_histories",
     ),
     Mutation(
