Find the oldest answer of a run ledger without a search

Once the kept answers reach their limit, each report searched all records for the oldest one with an answer. The ledger now lists the keys with answers.

--- a/packages/verbenaworks/src/verbenaworks/run_ledger.py
+++ b/packages/verbenaworks/src/verbenaworks/run_ledger.py
@@ -56,6 +56,9 @@
         self._started_at_s = started_at_s
         self._records: OrderedDict[str, _Record] = OrderedDict()
         self._answers_bytes = 0
+        # Keys whose answer is kept, in the order of the answers. Without
+        # it, each report would search all records for the oldest answer.
+        self._answered: OrderedDict[str, None] = OrderedDict()
 
     def __len__(self) -> int:
         return len(self._records)
@@ -124,19 +127,17 @@
         if answer is None:
             return
         self._answers_bytes += len(answer.body)
+        self._answered[key] = None
         self._drop_answers()
 
     def _drop_answers(self) -> None:
         """Drop the oldest answers; their keys stay known."""
-        if self._answers_bytes <= MAX_ANSWERS_BYTES:
-            return
-        for key, record in self._records.items():
-            if record.answer is None:
-                continue
-            self._answers_bytes -= len(record.answer.body)
+        while self._answers_bytes > MAX_ANSWERS_BYTES:
+            key, _ = self._answered.popitem(last=False)
+            record = self._records[key]
+            if record.answer is not None:
+                self._answers_bytes -= len(record.answer.body)
             self._records[key] = replace(record, answer=None)
-            if self._answers_bytes <= MAX_ANSWERS_BYTES:
-                return
 
     def _forget_older_than(self, generation: int) -> None:
         """Forget keys that are refused by their ticket's age alone."""
@@ -147,6 +148,7 @@
         ]
         for key in stale:
             answer = self._records.pop(key).answer
+            self._answered.pop(key, None)
             if answer is not None:
                 self._answers_bytes -= len(answer.body)
 
--- a/tests/test_run_ledger.py
+++ b/tests/test_run_ledger.py
@@ -1,6 +1,7 @@
 """Ledger of idempotency keys."""
 
 import random
+from dataclasses import replace
 
 import pytest
 from hypothesis import settings
@@ -16,6 +17,8 @@
 from verbenaworks.run_ledger import (
     GENERATION_S,
     KEPT_GENERATIONS,
+    MAX_ANSWER_BYTES,
+    MAX_ANSWERS_BYTES,
     MAX_RECORDS,
     RunLedger,
 )
@@ -128,6 +131,28 @@
     assert isinstance(reply, KeyReused)
 
 
+def test_oldest_answers_are_dropped_and_their_keys_never_run() -> None:
+    """Guards against answers without bound and against a second run."""
+    ledger = _ledger()
+    body = bytes(MAX_ANSWER_BYTES)
+    kept = MAX_ANSWERS_BYTES // MAX_ANSWER_BYTES
+    keys = [f"key{n}" for n in range(kept + 5)]
+    for key in keys:
+        ledger.claim(0.0, _claim(key, "a"))
+        report = replace(
+            _answered(key, "a"),
+            answer=StoredAnswer(status=200, headers=(), body=body),
+        )
+        ledger.report(report)
+    replies = [ledger.claim(0.0, _claim(key, "b")) for key in keys]
+    assert all(isinstance(r, RunUnknown) for r in replies[:5])
+    assert all(isinstance(r, AlreadyAnswered) for r in replies[5:])
+    later_s = KEPT_GENERATIONS * GENERATION_S
+    ledger.claim(later_s, _claim("new", "c", generation=KEPT_GENERATIONS))
+    assert ledger._answers_bytes == 0
+    assert not ledger._answered
+
+
 def test_full_ledger_refuses_and_keeps_what_it_has() -> None:
     """Guards against dropping records of keys that ran."""
     ledger = _ledger()
