--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 export EVENTLET_NO_GREENDNS := yes
 export PYTHONHASHSEED := 0
 
-.PHONY: demo test format lint types unit clean
+.PHONY: demo test capacity format lint types unit clean
 
 $(VENV)/ready: requirements.txt requirements-dev.txt
 	$(PYTHON) -m venv $(VENV)
@@ -22,6 +22,9 @@
 
 test: lint types unit
 
+capacity: $(VENV)/ready
+	$(BIN)/python tools/capacity.py --write
+
 lint: $(VENV)/ready
 	$(BIN)/ruff format --check --quiet $(SOURCES)
 	$(BIN)/ruff check --quiet $(SOURCES)
