--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 export EVENTLET_NO_GREENDNS := yes
 export PYTHONHASHSEED := 0
 
-.PHONY: demo test format lint types unit measure mutants fuzz clean
+.PHONY: demo test format lint types unit measure mutants fuzz capacity clean
 FUZZ_SECONDS ?= 300
 
 $(VENV)/ready: requirements.txt requirements-dev.txt
@@ -23,6 +23,9 @@
 
 test: lint types unit
 
+capacity: $(VENV)/ready
+	$(BIN)/python tools/capacity.py --write
+
 lint: $(VENV)/ready
 	$(BIN)/ruff format --check --quiet $(SOURCES)
 	$(BIN)/ruff check --quiet $(SOURCES)
--- a/packages/verbenad/src/verbenad/edit_port.py
+++ b/packages/verbenad/src/verbenad/edit_port.py
@@ -211,7 +211,7 @@
     def document(self, state: AgreedState) -> ConfigDocument:
         data = bytes(state.config)
         if data != self._data:
-            self._document = ConfigDocument.from_bytes(data)
+            self._document = ConfigDocument.from_bytes(data, self._document)
             self._data = data
         return self._document
 
