--- /dev/null
+++ b/tests/test_fault_run.py
@@ -0,0 +1,22 @@
+"""A workload over real processes under two faults, with all checkers.
+
+The faults are chosen so that no verdict depends on how fast the machine is.
+``tools/fault_runs.py`` has all faults; the limits in seconds of withdrawals
+and drains are judged there.
+"""
+
+from fault_runs import run
+from standins.history_checkers import CHECKERS
+
+SEED = 11
+FAULTS = ("kill", "store-answers-lost")
+DURATION_S = 10.0
+
+
+def test_promises_hold_while_an_instance_and_answers_are_lost() -> None:
+    """Guards against promises that hold only without failures."""
+    result = run(SEED, FAULTS, DURATION_S)
+    assert not any(result.violations.values()), result.text()
+    assert result.violations.keys() == CHECKERS.keys()
+    assert not result.notes
+    assert result.counts["answered"] > 0, result.text()
