--- a/tools/fault_runs.py
+++ b/tools/fault_runs.py
@@ -3,7 +3,8 @@
 Usage: fault_runs.py [FIRST_SEED [COUNT]]. SEED=n in the environment replays
 one seed. FAULT_RUN_LOGS names a directory that keeps the logs of the
 processes. Seeds 0 to 9 have one fault each, later seeds have two. The exit
-code is 1 if a checker finds a violation.
+code is 1 if a checker finds a violation or an instance's log shows an
+unhandled exception.
 """
 
 import hashlib
@@ -11,6 +12,7 @@
 import json
 import os
 import random
+import re
 import socket
 import sys
 import tempfile
@@ -80,7 +82,11 @@
 
 @dataclass
 class RunResult:
-    """What a run recorded and what the checkers found."""
+    """What a run recorded and what the checkers found.
+
+    :ivar notes: faults that could not be applied.
+    :ivar exceptions: unhandled exceptions in the logs of entry instances.
+    """
 
     seed: int
     faults: tuple[str, ...]
@@ -88,6 +94,12 @@
     counts: Counter[str]
     notes: list[str]
     violations: dict[str, list[str]] = field(default_factory=dict)
+    exceptions: list[str] = field(default_factory=list)
+
+    @property
+    def failed(self) -> bool:
+        """Return whether a checker or a log shows a fault."""
+        return bool(self.exceptions or any(self.violations.values()))
 
     def text(self) -> str:
         """Return the lines to print."""
@@ -98,6 +110,7 @@
             verdict = f"{len(wrong)} VIOLATIONS" if wrong else "ok"
             lines.append(f"  {name}: {verdict}")
             lines += [f"    {line}" for line in wrong[:SHOWN_VIOLATIONS]]
+        lines += [f"  unhandled: {line}" for line in self.exceptions]
         return "\n".join(lines)
 
 
@@ -195,16 +208,17 @@
         key = self._key_of_order()
         body = self._rng.randbytes(self._rng.choice((10, 300, 40_000)))
         self._old_orders.append((key, body))
-        order = {"body": body, "key": key}
         other = None
         if self._rng.random() < 0.3:
             other = threading.Thread(
-                target=self.send, args=(self._any(), "orders"), kwargs=order
+                target=self.send,
+                args=(self._any(), "orders"),
+                kwargs={"body": body, "key": key},
             )
             other.start()
-        self.send(self._near("orders"), "orders", **order)
+        self.send(self._near("orders"), "orders", body=body, key=key)
         if self._rng.random() < 0.5:
-            self.send(self._any(), "orders", **order)
+            self.send(self._any(), "orders", body=body, key=key)
         if other is not None:
             other.join()
 
@@ -399,23 +413,39 @@
         _base_port() as base_port,
     ):
         directory = os.environ.get("FAULT_RUN_LOGS", temporary)
+        logs = Path(directory) / f"seed-{seed}"
         local = LocalDeployment(
             MATUNDA,
             base_port=base_port,
             instances=INSTANCES,
-            log_directory=Path(directory) / f"seed-{seed}",
+            log_directory=logs,
         )
         try:
             local.start()
             result = _run(local, seed, faults, duration_s)
         finally:
             local.stop()
+        result.exceptions = _logged_exceptions(logs)
     result.violations = {
         name: check(result.history) for name, check in CHECKERS.items()
     }
     return result
 
 
+def _logged_exceptions(logs: Path) -> list[str]:
+    """Return the exceptions that the entry instances did not handle."""
+    lines = []
+    for name in (f"e{number}" for number in range(1, INSTANCES + 1)):
+        text = (logs / f"{name}.log").read_text(errors="replace")
+        found = Counter(
+            line
+            for line in text.splitlines()
+            if re.match(r"(\w+\.)*\w+(Error|Exception)\b", line)
+        )
+        lines += [f"{name}: {n} times {line}" for line, n in found.items()]
+    return lines
+
+
 def _run(
     local: LocalDeployment,
     seed: int,
@@ -594,17 +624,17 @@
 
 
 def main() -> int:
-    """Run the seeds; the exit code is 1 if a checker finds a violation."""
+    """Run the seeds; the exit code is 1 if one of them fails."""
     first = int(sys.argv[1]) if len(sys.argv) > 1 else 0
     count = int(sys.argv[2]) if len(sys.argv) > 2 else 10
     if "SEED" in os.environ:
         first, count = int(os.environ["SEED"]), 1
-    has_violation = False
+    has_failed = False
     with ProcessPoolExecutor(max_workers=DEPLOYMENTS_AT_ONCE) as pool:
         for result in pool.map(run, range(first, first + count)):
             print(result.text(), flush=True)
-            has_violation |= any(result.violations.values())
-    return 1 if has_violation else 0
+            has_failed |= result.failed
+    return 1 if has_failed else 0
 
 
 if __name__ == "__main__":
