--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -96,12 +96,19 @@
 def load_mutations() -> list[Mutation]:
     """Return the mutations of all lists, in the order of the files."""
     return [
-        mutation
+        _as_mutation(item)
         for path in sorted(Path(__file__).parent.glob("mutations_*.py"))
-        for mutation in importlib.import_module(path.stem).MUTATIONS
+        for item in importlib.import_module(path.stem).MUTATIONS
     ]
 
 
+def _as_mutation(item: Mutation | tuple[str, str, str, str, str]) -> Mutation:
+    if isinstance(item, Mutation):
+        return item
+    name, path, old, new, test = item
+    return Mutation(name=name, path=path, old=old, new=new, test=test)
+
+
 def main() -> int:
     """Judge the mutations and return the exit code."""
     parser = argparse.ArgumentParser(description=__doc__)
