--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -573,7 +573,7 @@
             "",
             "look-ups in its region",
             _share(load * 1.5),
-            "fits",
+            "no limit stated",
             f"{DOMAINS / REGIONS:.1f} domains a region: the others answer "
             f"1.5 x {_share(load)}",
         ],
@@ -597,14 +597,14 @@
             "",
             "bytes from the store",
             f"{watchers * document / 1e6:.1f} MB",
-            "fits",
+            "no limit stated",
             f"{watchers:.1f} watchers x {document / 1e3:.0f} KB",
         ],
         [
             "",
             "bytes over the relays",
             f"{whole_bytes / 1e6:.0f} MB",
-            "fits",
+            "no limit stated",
             f"{region:.0f} nodes x {document / 1e3:.0f} KB inside the region, "
             "8 to 10 children a parent",
         ],
