--- a/tools/fault_runs.py
+++ b/tools/fault_runs.py
@@ -106,6 +106,7 @@
         counts = ", ".join(f"{n} {k}" for k, n in sorted(self.counts.items()))
         lines = [f"SEED={self.seed} {'+'.join(self.faults)}: {counts}"]
         lines += [f"  note: {note}" for note in self.notes]
+        lines += [f"  {line}" for line in _last_runs(self.history)]
         for name, wrong in self.violations.items():
             verdict = f"{len(wrong)} VIOLATIONS" if wrong else "ok"
             lines.append(f"  {name}: {verdict}")
@@ -432,6 +433,37 @@
     return result
 
 
+def _last_runs(history: History) -> list[str]:
+    """Tell how much the limits of withdrawals and drains were used."""
+    key_of = {
+        event.request_id: event.key_id
+        for event in history
+        if isinstance(event, RequestSent)
+    }
+    lines = []
+    for event in history:
+        if isinstance(event, KeyWithdrawn):
+            what, name = "key", event.key_id
+        elif isinstance(event, DrainStarted):
+            what, name = "target", event.target
+        else:
+            continue
+        times_s = [
+            run.at_s - event.at_s
+            for run in history
+            if isinstance(run, RunStarted)
+            and name in (run.target, key_of.get(run.request_id))
+        ]
+        if times_s:
+            lines.append(
+                f"{what} {name}: {len(times_s)} runs, the last"
+                f" {max(times_s):+.3f} s after the operator's edit"
+            )
+        else:
+            lines.append(f"{what} {name}: no run at all")
+    return lines
+
+
 def _logged_exceptions(logs: Path) -> list[str]:
     """Return the exceptions that the entry instances did not handle."""
     lines = []
