--- a/packages/verbenad/src/verbenad/target_prober.py
+++ b/packages/verbenad/src/verbenad/target_prober.py
@@ -4,6 +4,7 @@
 the period, and the period grows with the number of instances.
 """
 
+import itertools
 from collections.abc import Callable, Sequence
 
 import eventlet
@@ -27,6 +28,9 @@
 PROBE_TIMEOUT_S = 1.0
 # In a large fleet the probes of all instances together keep to this rate.
 MAX_PROBES_PER_TARGET_PER_S = 10.0
+# Health must be known within seconds; reports of load lag anyway and weigh
+# less than own observations.
+HEALTH_PROBES_PER_LOAD = 4
 HEALTH_PATH = "/health"
 LOAD_PATH = "/load"
 
@@ -62,11 +66,12 @@
 
     def run(self) -> None:
         """Probe all targets in turn, for ever."""
-        while True:
+        for number in itertools.count():
             targets = self._targets
             period_s = self._period_s()
+            with_load = number % HEALTH_PROBES_PER_LOAD == 0
             for target in targets:
-                eventlet.spawn_n(self._probe, target)
+                eventlet.spawn_n(self._probe, target, with_load)
                 eventlet.sleep(period_s / len(targets))
             if not targets:
                 eventlet.sleep(PROBE_PERIOD_S)
@@ -76,15 +81,15 @@
             PROBE_PERIOD_S, self._instances() / MAX_PROBES_PER_TARGET_PER_S
         )
 
-    def _probe(self, target: TargetInfo) -> None:
+    def _probe(self, target: TargetInfo, with_load: bool) -> None:
         asked_s = self._now_s()
         health, load = Health.NO_ANSWER, None
         answer = self._get(target, HEALTH_PATH)
         if answer is not None:
             health = parse_health(*answer)
+        if answer is not None and with_load:
             answer = self._get(target, LOAD_PATH)
-        if answer is not None:
-            load = parse_load(*answer)
+            load = parse_load(*answer) if answer is not None else None
         try:
             self._choice.probed(
                 self._now_s(), asked_s, target.service, target.name, health
--- a/tests/test_bus.py
+++ b/tests/test_bus.py
@@ -5,9 +5,10 @@
 
 _CHILD = """
 import verbenad.monkey_patched
-import _thread
+import threading
 import time
 import eventlet
+from eventlet.patcher import original
 from dataclasses import dataclass
 from verbenad.bus import Bus
 from verbenaworks.wire import wire_message
@@ -23,7 +24,9 @@
     return made
 
 first, second = bus("a", 18301), bus("b", 18302)
-assert type(first._inbox._pipe_notify_lock) is _thread.LockType
+standard_lock = original("threading").Lock()
+assert isinstance(first._inbox._pipe_notify_lock, type(standard_lock))
+assert not isinstance(threading.Lock(), type(standard_lock))
 got = []
 second.subscribe(Probe, lambda sender, m: first.send(sender.address, m))
 second.subscribe(Probe, lambda sender, m: second.send(sender.address, m))
