--- a/packages/verbenaworks/src/verbenaworks/budget_spec.py
+++ b/packages/verbenaworks/src/verbenaworks/budget_spec.py
@@ -9,14 +9,11 @@
 from dataclasses import dataclass
 from fractions import Fraction
 
-SHARD_COUNT = 16
+from verbenaworks.control_record import SHARDS
+from verbenaworks.freshness import DRIFT, FENCE_S
 
-# Bounds the relative difference between the rates of any two clocks.
-DRIFT_PER_MILLE = 5
-DRIFT = DRIFT_PER_MILLE / 1000
-
-# An owner acts for at most this long after its last confirmation.
-FRESH_S = 2.0
+# Buckets count in whole thousandths.
+DRIFT_PER_MILLE = round(DRIFT * 1000)
 
 # A grant is valid for this long from the moment the taker sent its request.
 GRANT_TTL_S = 6
@@ -27,7 +24,8 @@
     return duration_s * (1 + 2 * DRIFT)
 
 
-OWNER_WAIT_S = upper_bound_s(FRESH_S)
+# The earlier owner may act for as long as it can be fresh.
+OWNER_WAIT_S = FENCE_S
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -78,4 +76,4 @@
 
 def shard_of(name: str) -> int:
     """Return the shard that a budget or a shift belongs to."""
-    return zlib.crc32(name.encode()) % SHARD_COUNT
+    return zlib.crc32(name.encode()) % SHARDS
