--- a/tools/measure_path.py
+++ b/tools/measure_path.py
@@ -115,6 +115,7 @@
         ]
         after_s = [self._processor_s(name) for name in self._local.instances]
         shares = [(b - a) / 10 for a, b in zip(before_s, after_s, strict=True)]
+        self._idle_share = shares[0]
         self._add("idle processor share, worst", max(shares) * 100, "%", 2.7)
         self._add(
             "bus traffic of an instance, worst", max(sent) / 1000, "KB/s", 3.0
