Tell requests with one id apart; judge suspects again after their wait

Found in the read-through. The queue knew a request by the id that its caller chose, so two requests with one id at the same time could get each other's slot. A suspect of crashes was judged before it waited for its turn, so copies that waited together could crash more than three servers.

--- a/packages/verbenad/src/verbenad/call_runner.py
+++ b/packages/verbenad/src/verbenad/call_runner.py
@@ -1,5 +1,6 @@
 """Runs an admitted request: target, attempts, retries, answer."""
 
+import itertools
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
@@ -100,6 +101,7 @@
         self._crashes = crashes
         self._watch = CrashWatch(crashes)
         self._suspects = SuspectLane()
+        self._serials = itertools.count()
         self._log = log
         self._usual_s = usual_s
         self._connection_limit = connection_limit
@@ -112,21 +114,26 @@
 
         :raises Refused: if there is none.
         """
+        if isinstance(self._verdict(call, digest), Clean):
+            return self._run(call, digest)
+        wait_s = (call.deadline_s - self._now_s()) / 2
+        with self._suspects.enter(call.request_id, wait_s):
+            # Another copy of the request may have crashed a server meanwhile.
+            self._verdict(call, digest)
+            running = self._run(call, digest)
+        self._crashes.completed(digest)
+        return running
+
+    def _verdict(self, call: Call, digest: str) -> Clean | Suspect:
         match self._crashes.verdict(digest):
-            case Clean():
-                return self._run(call, digest)
-            case Suspect():
-                wait_s = (call.deadline_s - self._now_s()) / 2
-                with self._suspects.enter(call.request_id, wait_s):
-                    running = self._run(call, digest)
-                self._crashes.completed(digest)
-                return running
             case CrashRefused(retry_after_s=retry_after_s):
                 raise refused(
                     "crash-suspect",
                     call.request_id,
                     retry_after_s=retry_after_s,
                 )
+            case verdict:
+                return verdict
 
     def _run(self, call: Call, digest: str) -> RunningAnswer:
         retries = self._retries(call.service.name)
@@ -170,7 +177,8 @@
         if dispatcher is None:
             raise refused("no-backend-server", call.request_id)
         request = ChoiceRequest(
-            request_id=f"{call.request_id}/{number}",
+            # Callers may use a request id twice at the same time.
+            request_id=f"{call.request_id}/{next(self._serials)}",
             service=call.service.name,
             workspace=call.workspace,
             deadline_s=call.deadline_s,
