Write all log lines as JSON

Audit lines, shift decisions and reports of failed handlers went to standard error as plain text, because no handler of the whole application was set. They now go to standard output as JSON lines, as decisions do.

--- a/packages/standins/src/standins/local_deployment.py
+++ b/packages/standins/src/standins/local_deployment.py
@@ -171,6 +171,10 @@
         process = self._processes.get(name)
         return process is not None and process.poll() is None
 
+    def log_lines(self, name: str) -> list[str]:
+        """Return what a process has written to its log so far."""
+        return (self._logs / f"{name}.log").read_text().splitlines()
+
     def pid(self, name: str) -> int:
         """Return the process id of a running process."""
         return self._processes[name].pid
--- a/packages/verbena/src/verbena/__init__.py
+++ b/packages/verbena/src/verbena/__init__.py
@@ -1,1 +1,1 @@
-"""Placeholder."""
+"""Operators' command line of verbenaworks."""
--- a/packages/verbenad/src/verbenad/daemon.py
+++ b/packages/verbenad/src/verbenad/daemon.py
@@ -6,6 +6,7 @@
 from random import Random
 
 import eventlet
+import logbook
 
 from verbenad.admin_api import AdminApi
 from verbenad.admin_server import AdminServer
@@ -25,6 +26,7 @@
 from verbenad.front import Front
 from verbenad.front_limits import FrontLimits
 from verbenad.gateway import Gateway
+from verbenad.json_lines_handler import JsonLinesHandler
 from verbenad.line_writer import LineWriter
 from verbenad.lookup_page import LookupPage
 from verbenad.lookup_table import LookupTable
@@ -84,6 +86,10 @@
         )
         self._lines = LineWriter(sys.stdout.fileno())
         self._log = DecisionLog(self._lines)
+        # Green threads see only handlers of the whole application.
+        JsonLinesHandler(
+            self._lines, level=logbook.lookup_level(settings.log_level.upper())
+        ).push_application()
         self._build_control()
         self._build_serving()
         self._declare_gauges()
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -265,3 +265,20 @@
     local.start_instance(name)
     local.wait_until_fresh([name])
     _until(lambda: caller.call("catalogue").status == 200)
+
+
+def test_logs_are_json_lines_without_keys(local: LocalDeployment) -> None:
+    """Guards against logs that tools cannot read, and against keys in them."""
+    channels = set()
+
+    def has_all() -> bool:
+        for name in local.instances:
+            for line in local.log_lines(name):
+                channels.add(json.loads(line)["channel"])
+        return {"verbenad.decision", "audit", "verbenad.shift"} <= channels
+
+    _until(has_all)
+    text = "".join(
+        line for name in local.instances for line in local.log_lines(name)
+    )
+    assert not any(key in text for key in local.settings.keys.values())
