Keep a budget's name, shard and taker in one place

The rate gate and the divided units each had their own form of the same triple, and the units hashed the name again at each division. Both now use BudgetHandle. The daemon worked out its own shards from the control record beside Agreement.leases(), which it now calls. Two tools share the list of members that they made alike.

--- a/packages/verbenad/src/verbenad/daemon.py
+++ b/packages/verbenad/src/verbenad/daemon.py
@@ -327,11 +327,8 @@
             or state.config_revision != self._config.config_revision
         ):
             self._apply_config(state)
-        epochs = {}
-        for shard, owner in enumerate(state.control.shards):
-            if owner is not None and owner.instance == self._instance:
-                epochs[shard] = owner.epoch
-        self._claims.own(epochs)
+        leases = self._agreement.leases()
+        self._claims.own({lease.shard: lease.epoch for lease in leases})
         self._claims.query_generations()
         self._report_self()
 
--- a/packages/verbenad/src/verbenad/divided_units.py
+++ b/packages/verbenad/src/verbenad/divided_units.py
@@ -7,9 +7,8 @@
 from collections import Counter
 from collections.abc import Callable, Mapping, Sequence
 
+from verbenad.budget_handle import BudgetHandle, budget_handle
 from verbenad.budget_loop import BudgetLoop
-from verbenaworks.budget_spec import shard_of
-from verbenaworks.budget_taker import BudgetTaker
 from verbenaworks.hold import Hold
 from verbenaworks.near_table import Place
 from verbenaworks.target import TargetInfo
@@ -37,7 +36,7 @@
         self._now_s = now_s
         self._budget_name = budget_name
         self._may_ask = may_ask
-        self._takers: dict[str, tuple[str, BudgetTaker]] = {}
+        self._handles: dict[str, BudgetHandle] = {}
         self._holds: dict[tuple[str, str], list[Hold]] = {}
         self._groups: dict[str, Sequence[TargetInfo]] = {}
         self._splits: dict[str, UnitSplit] = {}
@@ -56,13 +55,13 @@
 
     def available(self, target: str) -> int:
         """Return the granted units that are not in use."""
-        budget, taker = self._taker(target)
-        return taker.available(self._now_s(), budget)
+        budget = self._budget(target)
+        return budget.taker.available(self._now_s(), budget.name)
 
     def take(self, target: str, workspace: str) -> bool:
         """Put one unit in use; false if none is available."""
-        budget, taker = self._taker(target)
-        hold = taker.try_take(self._now_s(), budget, workspace)
+        budget = self._budget(target)
+        hold = budget.taker.try_take(self._now_s(), budget.name, workspace)
         if hold is None:
             return False
         self._holds.setdefault((target, workspace), []).append(hold)
@@ -70,9 +69,8 @@
 
     def release(self, target: str, workspace: str) -> None:
         """Return one unit that :meth:`take` put in use."""
-        _, taker = self._taker(target)
         hold = self._holds[target, workspace].pop()
-        taker.release(self._now_s(), hold)
+        self._budget(target).taker.release(self._now_s(), hold)
 
     def share(self, service: str, workspace: str) -> float:
         """Return the units that were granted here for a workspace."""
@@ -95,12 +93,11 @@
         for service in self._wants:
             self._restate(service)
 
-    def _taker(self, name: str) -> tuple[str, BudgetTaker]:
-        known = self._takers.get(name)
+    def _budget(self, name: str) -> BudgetHandle:
+        known = self._handles.get(name)
         if known is None:
-            budget = self._budget_name(name)
-            taker = self._loop.taker_of(shard_of(budget))
-            known = self._takers[name] = (budget, taker)
+            known = budget_handle(self._loop, self._budget_name(name))
+            self._handles[name] = known
         return known
 
     def _restate(self, service: str) -> None:
@@ -111,8 +108,8 @@
         split = self._splits[service]
         shares: Counter[str] = Counter()
         for target in targets:
-            budget, taker = self._taker(target.name)
-            granted = taker.granted_parts(now_s, budget)
+            budget = self._budget(target.name)
+            granted = budget.taker.granted_parts(now_s, budget.name)
             split.granted(now_s, target.name, granted)
             shares.update(granted)
         self._shares[service] = shares
@@ -131,6 +128,6 @@
     def _state(
         self, now_s: float, name: str, wants: Mapping[str, int]
     ) -> None:
-        budget, taker = self._taker(name)
-        taker.state_wants(now_s, budget, wants)
-        self._loop.kick(shard_of(budget))
+        budget = self._budget(name)
+        budget.taker.state_wants(now_s, budget.name, wants)
+        self._loop.kick(budget.shard)
--- a/packages/verbenad/src/verbenad/rate_gate.py
+++ b/packages/verbenad/src/verbenad/rate_gate.py
@@ -8,15 +8,13 @@
 import zlib
 from collections import Counter
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
 
 import eventlet
 from eventlet.event import Event
 
+from verbenad.budget_handle import BudgetHandle, budget_handle
 from verbenad.budget_loop import BudgetLoop
 from verbenad.budget_plan import STORE_CLAIMS_BUDGET, rate_parts
-from verbenaworks.budget_spec import shard_of
-from verbenaworks.budget_taker import BudgetTaker
 from verbenaworks.compiled_config import CompiledConfig
 
 # Longer than the two exchanges after which tokens have moved between
@@ -28,13 +26,6 @@
 _POLL_S = 0.05
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class _Part:
-    name: str
-    shard: int
-    taker: BudgetTaker
-
-
 class RateGate:
     """Takes tokens for requests.
 
@@ -48,8 +39,8 @@
         self._instance = instance
         self._loop = loop
         self._now_s = now_s
-        self._parts: dict[str, list[_Part]] = {}
-        self._claims = [self._part(STORE_CLAIMS_BUDGET)]
+        self._parts: dict[str, list[BudgetHandle]] = {}
+        self._claims = [budget_handle(loop, STORE_CLAIMS_BUDGET)]
         self._waiting: Counter[str] = Counter()
         self._granted = Event()
 
@@ -57,7 +48,10 @@
         """Take over the parts of all workspaces' rates."""
         self._parts = {
             workspace.name: self._in_order(
-                [self._part(part.name) for part in rate_parts(workspace)],
+                [
+                    budget_handle(self._loop, part.name)
+                    for part in rate_parts(workspace)
+                ],
                 workspace.name,
             )
             for workspace in config.workspaces.values()
@@ -89,7 +83,7 @@
 
     def _take(
         self,
-        parts: Sequence[_Part],
+        parts: Sequence[BudgetHandle],
         queue: str,
         workspace: str,
         until_s: float,
@@ -106,7 +100,7 @@
             self._waiting[queue] -= 1
 
     def _try(
-        self, parts: Sequence[_Part], workspace: str, is_retry: bool
+        self, parts: Sequence[BudgetHandle], workspace: str, is_retry: bool
     ) -> bool:
         now_s = self._now_s()
         for part in parts:
@@ -117,7 +111,7 @@
         return False
 
     def _wait(
-        self, parts: Sequence[_Part], workspace: str, end_s: float
+        self, parts: Sequence[BudgetHandle], workspace: str, end_s: float
     ) -> bool:
         while (now_s := self._now_s()) < end_s:
             if self._try(parts, workspace, True):
@@ -131,18 +125,16 @@
                 self._granted.wait()
         return False
 
-    def _wait_s(self, parts: Sequence[_Part]) -> float:
+    def _wait_s(self, parts: Sequence[BudgetHandle]) -> float:
         now_s = self._now_s()
         return min(
             (part.taker.wait_s(now_s, part.name) for part in parts),
             default=MAX_RETRY_AFTER_S,
         )
 
-    def _part(self, name: str) -> _Part:
-        shard = shard_of(name)
-        return _Part(name=name, shard=shard, taker=self._loop.taker_of(shard))
-
-    def _in_order(self, parts: list[_Part], workspace: str) -> list[_Part]:
+    def _in_order(
+        self, parts: list[BudgetHandle], workspace: str
+    ) -> list[BudgetHandle]:
         start = zlib.crc32(f"{self._instance}/{workspace}".encode())
         first = start % len(parts)
         return parts[first:] + parts[:first]
--- a/tools/capacity_measurements.py
+++ b/tools/capacity_measurements.py
@@ -15,7 +15,12 @@
 from types import MappingProxyType, SimpleNamespace
 from typing import Any
 
-from measure_agreement import MeasuredCluster, make_layout, measure_load
+from measure_agreement import (
+    MeasuredCluster,
+    known_members,
+    make_layout,
+    measure_load,
+)
 from membership_harness import MemberNetwork
 from verbenad.edit_port import config_bytes
 from verbenad.fleet import Fleet
@@ -396,17 +401,7 @@
     The time includes the virtual network's and is therefore an upper bound.
     """
     layout = make_layout(size)
-    known = [
-        Member(
-            name=name,
-            incarnation=1_700_000_000_000 + n,
-            caller_address=f"10.0.{n % 250}.1:8080",
-            bus_address=name,
-            region=region,
-            failure_domain=domain,
-        )
-        for n, (name, region, domain) in enumerate(layout, 1)
-    ]
+    known = known_members(layout)
 
     def one_view() -> Membership:
         membership = Membership(known[0], (), 0.0, Random(1))
--- a/tools/measure_agreement.py
+++ b/tools/measure_agreement.py
@@ -8,7 +8,7 @@
 import json
 import sys
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from concurrent.futures import ProcessPoolExecutor
 from typing import Any
 
@@ -289,11 +289,9 @@
     ]
 
 
-def measure_membership(size: int) -> list[Row]:
-    """Measure traffic and detection of the membership protocol."""
-    network = MemberNetwork(1)
-    layout = make_layout(size)
-    known = [
+def known_members(layout: Sequence[tuple[str, str, str]]) -> list[Member]:
+    """Return the records of all instances of a layout."""
+    return [
         Member(
             name=name,
             incarnation=1_700_000_000_000 + n,
@@ -304,6 +302,13 @@
         )
         for n, (name, region, domain) in enumerate(layout, 1)
     ]
+
+
+def measure_membership(size: int) -> list[Row]:
+    """Measure traffic and detection of the membership protocol."""
+    network = MemberNetwork(1)
+    layout = make_layout(size)
+    known = known_members(layout)
     for name, region, domain in layout:
         network.start(name, [layout[0][0]], known, region, domain)
     network.timers.advance(5.0)
