Accept a reset of a connection that arrives while the listener closes

The listener accepts until the kernel's queue is empty and closes the socket then; the kernel resets a connection that completes between the last accept call and the close. Sockets offer no call that does both, so the reset cannot be prevented here; no byte of a request was read, and callers see a failed connect.

Ruled out: a listener that goes on accepting. The test still requires that a connection is refused within its time, and the running request still has to finish.

Conclusion: a race of the test with the kernel, not of the product.

--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -1,5 +1,6 @@
 """Front and forwarder together, in a process of their own."""
 
+import contextlib
 import json
 import re
 import socket
@@ -255,10 +256,14 @@
         deadline_s = time.monotonic() + WAIT_S
         refused = False
         while not refused and time.monotonic() < deadline_s:
-            try:
-                server.connect().close()
-            except ConnectionRefusedError:
-                refused = True
+            # The kernel resets a connection that arrives between the last
+            # accept call and the closing of the socket; the next one must be
+            # refused.
+            with contextlib.suppress(ConnectionResetError):
+                try:
+                    server.connect().close()
+                except ConnectionRefusedError:
+                    refused = True
         assert refused
         busy.sendall(b"x")
         assert read_to_end(busy).endswith(b"finished")
