Add shutdowns, racing operators, lost regions and doubled faults to runs

Cause: the fault runs over real processes had ten faults, singly and in pairs of different ones. The same fault twice, a graceful shutdown under load, operators who race and the loss of a region were brought about in virtual time only. The checkers of withdrawals and drains took the last of two edits, so a repeated edit would have extended the limit.

New checkers "edits", "revisions" and "shutdowns" read new events; each is tested on bad histories. A backend server stand-in can be unreachable.

The stand-in listened once and gave up if the port was in use; tools that look for free ports bind them for a moment. It tries again now.

Also: audit records carry their members as fields of the JSON line in place of JSON inside the message; the reports of RunGuard share a method.

--- a/packages/standins/src/standins/backend_app.py
+++ b/packages/standins/src/standins/backend_app.py
@@ -78,6 +78,8 @@
         self._connections[peer] = connection
         while peer in self._silenced:
             eventlet.sleep(0.05)
+        if self._faults.unreachable:
+            return self._lose(environ)
         if path == "/health":
             return self._health(start_response)
         if path == "/load":
@@ -120,9 +122,18 @@
         if generation != self._generation:
             self._history[index] = replace(run, outcome="crashed")
             return abort_connection(environ)
+        if self._faults.unreachable:
+            self._history[index] = replace(run, outcome="answer lost")
+            return self._lose(environ)
         self._history[index] = replace(run, outcome="answered")
         return self._answer(start_response, run, query)
 
+    def _lose(self, environ: Environ) -> Iterable[bytes]:
+        """Keep a connection without an answer until the cut ends."""
+        while self._faults.unreachable:
+            eventlet.sleep(0.05)
+        return abort_connection(environ)
+
     def _answer(
         self, start_response: StartResponse, run: BackendRun, query: str
     ) -> Iterable[bytes]:
--- a/packages/standins/src/standins/backend_faults.py
+++ b/packages/standins/src/standins/backend_faults.py
@@ -14,6 +14,7 @@
     :ivar silent: connections open now get no answer any more.
     :ivar slow_factor: multiplies the service time.
     :ivar truncate: answers end before their stated length.
+    :ivar unreachable: requests and answers are lost, as behind a cut.
     """
 
     draining: bool = False
@@ -23,3 +24,4 @@
     silent: bool = False
     slow_factor: float = 1.0
     truncate: bool = False
+    unreachable: bool = False
--- a/packages/standins/src/standins/backend_server.py
+++ b/packages/standins/src/standins/backend_server.py
@@ -1,6 +1,7 @@
 """Serves one backend server stand-in, through crashes and restarts."""
 
 import contextlib
+import errno
 
 import eventlet
 import eventlet.wsgi
@@ -24,12 +25,23 @@
     def run(self) -> None:
         """Serve for ever."""
         while True:
-            self._listener = eventlet.listen(("127.0.0.1", self._port))
+            self._listener = self._listen()
             self._thread = eventlet.spawn(self._serve)
             with contextlib.suppress(greenlet.GreenletExit):
                 self._thread.wait()
             eventlet.sleep(CRASH_RESTART_S)
 
+    def _listen(self) -> eventlet.greenio.GreenSocket:
+        while True:
+            try:
+                return eventlet.listen(("127.0.0.1", self._port))
+            except OSError as error:
+                # While the target was down, the system may have lent the
+                # port to an outgoing connection.
+                if error.errno != errno.EADDRINUSE:
+                    raise
+            eventlet.sleep(CRASH_RESTART_S)
+
     def _serve(self) -> None:
         # A pool of its own: ending the accept loop must not wait for the
         # handlers of the crashed process.
--- a/packages/standins/src/standins/history_checkers.py
+++ b/packages/standins/src/standins/history_checkers.py
@@ -10,15 +10,27 @@
 from standins.history_event import (
     AnswerReceived,
     DrainStarted,
+    EditAccepted,
+    EditUnknown,
     History,
     KeyWithdrawn,
     RateSet,
     RequestSent,
+    RevisionSeen,
     RunStarted,
+    ShutdownEnded,
+    ShutdownStarted,
+    ValueSeen,
 )
 
 WITHDRAWAL_LIMIT_S = 5.0
 DRAIN_LIMIT_S = 3.0
+EDIT_LIMIT_S = 11.0
+# Error that urllib3 raises when its caller's time is over.
+_GAVE_UP = "ReadTimeoutError"
+_SIGKILL = 9
+# The caller may see the end of a connection shortly after the process ended.
+_CLOSING_S = 0.5
 
 
 def check_not_run(history: History) -> list[str]:
@@ -134,11 +146,10 @@
 
 def check_withdrawals(history: History) -> list[str]:
     """Check that a withdrawn key has no new run after the limit."""
-    withdrawn = {
-        event.key_id: event
-        for event in history
-        if isinstance(event, KeyWithdrawn)
-    }
+    withdrawn: dict[str, KeyWithdrawn] = {}
+    for event in history:
+        if isinstance(event, KeyWithdrawn):
+            withdrawn.setdefault(event.key_id, event)
     sent = _sent(history)
     wrong = []
     for run in _runs(history):
@@ -146,26 +157,123 @@
         if request is None:
             wrong.append(f"{run} belongs to no request that was sent")
             continue
-        event = withdrawn.get(request.key_id)
-        if event and run.at_s > event.at_s + WITHDRAWAL_LIMIT_S:
-            late_s = run.at_s - event.at_s
-            wrong.append(f"{run} of {request} is {late_s:.3f} s after {event}")
+        first = withdrawn.get(request.key_id)
+        if first and run.at_s > first.at_s + WITHDRAWAL_LIMIT_S:
+            late_s = run.at_s - first.at_s
+            wrong.append(f"{run} of {request} is {late_s:.3f} s after {first}")
     return wrong
 
 
 def check_drains(history: History) -> list[str]:
     """Check that a drained target has no new run after the limit."""
-    drained = {
-        event.target: event
-        for event in history
-        if isinstance(event, DrainStarted)
-    }
+    drained: dict[str, DrainStarted] = {}
+    for event in history:
+        if isinstance(event, DrainStarted):
+            drained.setdefault(event.target, event)
     wrong = []
     for run in _runs(history):
-        event = drained.get(run.target)
-        if event and run.at_s > event.at_s + DRAIN_LIMIT_S:
-            late_s = run.at_s - event.at_s
-            wrong.append(f"{run} is {late_s:.3f} s after {event}")
+        first = drained.get(run.target)
+        if first and run.at_s > first.at_s + DRAIN_LIMIT_S:
+            late_s = run.at_s - first.at_s
+            wrong.append(f"{run} is {late_s:.3f} s after {first}")
+    return wrong
+
+
+def check_edits(history: History) -> list[str]:
+    """Check that accepted edits have an order and that the last one counts.
+
+    Each accepted edit has a revision of its own, directly after the expected
+    one if the operator named it. The value that is read at the end is that
+    of the newest edit, or of one whose outcome the operator was not told.
+    """
+    edits = [event for event in history if isinstance(event, EditAccepted)]
+    wrong = []
+    by_revision: dict[int, EditAccepted] = {}
+    for edit in edits:
+        first = by_revision.setdefault(edit.config_revision, edit)
+        if first is not edit:
+            wrong.append(f"{edit} has the revision of {first}")
+        expected = edit.expected_revision
+        if expected and edit.config_revision != expected + 1:
+            wrong.append(f"{edit} does not follow the expected revision")
+    for seen in history:
+        if not isinstance(seen, ValueSeen):
+            continue
+        same = [e for e in edits if _place(e) == _place(seen)]
+        last = max(same, key=lambda e: e.config_revision, default=None)
+        possible = {
+            event.value
+            for event in history
+            if isinstance(event, EditUnknown) and _place(event) == _place(seen)
+        }
+        if last is not None and seen.value not in {last.value, *possible}:
+            wrong.append(f"{seen} after {last}")
+    return wrong
+
+
+def check_revisions(history: History) -> list[str]:
+    """Check that no instance goes back to an earlier configuration.
+
+    The last revision that each instance showed must include every edit that
+    was accepted, unless the instance shows nothing after the last edit.
+    """
+    highest: dict[str, RevisionSeen] = {}
+    newest = max(
+        (e for e in history if isinstance(e, EditAccepted)),
+        key=lambda e: e.config_revision,
+        default=None,
+    )
+    wrong = []
+    for seen in sorted(
+        (e for e in history if isinstance(e, RevisionSeen)),
+        key=lambda e: e.at_s,
+    ):
+        earlier = highest.get(seen.instance, seen)
+        if seen.config_revision < earlier.config_revision:
+            wrong.append(f"{seen} is older than {earlier}")
+        else:
+            highest[seen.instance] = seen
+    for seen in highest.values():
+        if (
+            newest is not None
+            and seen.at_s > newest.at_s + EDIT_LIMIT_S
+            and seen.config_revision < newest.config_revision
+        ):
+            wrong.append(f"{seen} lacks {newest}")
+    return wrong
+
+
+def check_shutdowns(history: History) -> list[str]:
+    """Check that a graceful shutdown cuts off no request.
+
+    A request that ran must be answered, unless its caller gave up waiting.
+    """
+    sent = _sent(history)
+    runs = _runs_by_request(history)
+    ends = {
+        event.instance: event
+        for event in history
+        if isinstance(event, ShutdownEnded) and event.exit_code != -_SIGKILL
+    }
+    wrong = [
+        f"{end} did not end well" for end in ends.values() if end.exit_code
+    ]
+    for start in history:
+        if not isinstance(start, ShutdownStarted):
+            continue
+        end = ends.get(start.instance)
+        if end is None:
+            continue
+        for answer in history:
+            if (
+                isinstance(answer, AnswerReceived)
+                and answer.status == 0
+                and answer.code != _GAVE_UP
+                and start.at_s <= answer.at_s <= end.at_s + _CLOSING_S
+                and sent[answer.request_id].instance == start.instance
+                and runs[answer.request_id]
+            ):
+                wrong.append(f"{answer} of a request that ran, during {start}")
     return wrong
 
 
@@ -178,9 +286,16 @@
     "rates of whole requests": check_rates_of_whole_requests,
     "withdrawals": check_withdrawals,
     "drains": check_drains,
+    "edits": check_edits,
+    "revisions": check_revisions,
+    "shutdowns": check_shutdowns,
 }
 
 
+def _place(event: EditAccepted | EditUnknown | ValueSeen) -> tuple[str, str]:
+    return event.path, event.field
+
+
 def _runs(history: History) -> list[RunStarted]:
     runs = [event for event in history if isinstance(event, RunStarted)]
     return sorted(runs, key=lambda run: run.at_s)
--- a/packages/standins/src/standins/history_event.py
+++ b/packages/standins/src/standins/history_event.py
@@ -88,6 +88,74 @@
     burst: float
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class EditAccepted:
+    """An edit of one value was accepted.
+
+    :ivar expected_revision: revision that the operator named, 0 if none.
+    """
+
+    at_s: float
+    path: str
+    field: str
+    value: float
+    config_revision: int
+    expected_revision: int = 0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class EditUnknown:
+    """An operator was told that an edit may or may not have been applied."""
+
+    at_s: float
+    path: str
+    field: str
+    value: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RevisionSeen:
+    """An instance showed its configuration revision in a lookup answer."""
+
+    at_s: float
+    instance: str
+    config_revision: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ValueSeen:
+    """An operator read a value after all faults had ended."""
+
+    at_s: float
+    path: str
+    field: str
+    value: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ShutdownStarted:
+    """An instance was asked to shut down gracefully.
+
+    :ivar instance: its caller address.
+    """
+
+    at_s: float
+    instance: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ShutdownEnded:
+    """The process of an instance that was shutting down has ended.
+
+    :ivar instance: its caller address.
+    :ivar exit_code: negative number of the signal that ended it, if any.
+    """
+
+    at_s: float
+    instance: str
+    exit_code: int
+
+
 Event = (
     RequestSent
     | AnswerReceived
@@ -95,5 +163,11 @@
     | KeyWithdrawn
     | DrainStarted
     | RateSet
+    | EditAccepted
+    | EditUnknown
+    | RevisionSeen
+    | ValueSeen
+    | ShutdownStarted
+    | ShutdownEnded
 )
 History = tuple[Event, ...]
--- a/packages/standins/src/standins/local_deployment.py
+++ b/packages/standins/src/standins/local_deployment.py
@@ -143,7 +143,17 @@
 
         :raises RuntimeError: if it fails.
         """
-        result = subprocess.run(
+        result = self.run_verbena(*arguments)
+        if result.returncode:
+            raise RuntimeError(
+                f"verbena {' '.join(arguments)} exited with "
+                f"{result.returncode}: {result.stdout}{result.stderr}"
+            )
+        return result.stdout
+
+    def run_verbena(self, *arguments: str) -> subprocess.CompletedProcess[str]:
+        """Run the operators' command line and return how it ended."""
+        return subprocess.run(
             [sys.executable, "-m", "verbena", *arguments],
             env=os.environ
             | {
@@ -159,12 +169,6 @@
             timeout=60,
             check=False,
         )
-        if result.returncode:
-            raise RuntimeError(
-                f"verbena {' '.join(arguments)} exited with "
-                f"{result.returncode}: {result.stdout}{result.stderr}"
-            )
-        return result.stdout
 
     def is_running(self, name: str) -> bool:
         """Return whether a process runs."""
@@ -217,6 +221,12 @@
         """Return the JSON of a stand-in's page."""
         return self._http.request("GET", url, timeout=5.0).json()
 
+    def region_of(self, name: str) -> str:
+        """Return the region of a target by ``service/target``."""
+        service, target = name.split("/")
+        path = f"/services/{service}/targets/{target}"
+        return str(self.settings.branches[path]["region"])
+
     def accepts(self, name: str) -> bool:
         """Return whether a target's port accepts connections."""
         return self._get(f"{self.target_url(name)}/admin/peak")
--- a/packages/verbenad/src/verbenad/admin_api.py
+++ b/packages/verbenad/src/verbenad/admin_api.py
@@ -192,7 +192,7 @@
         dry_run = query.get("dry_run") == ["1"]
         outcome = self._dry_run(edit) if dry_run else self._port.submit(edit)
         answer = _answer(edit, outcome, self._port.document(), dry_run)
-        _audit.info(_audit_line(edit, answer))
+        _audit.info("edit", extra=_audit_fields(edit, answer))
         return _answer_reply(answer)
 
     def _dry_run(
@@ -213,11 +213,11 @@
             case Err(error):
                 answer = _error_answer(error, self._port.document())
         _audit.info(
-            _json_line(
-                event="writers-replace",
-                operator=operator.name,
-                answer=msgspec.to_builtins(answer),
-            )
+            "writers replaced",
+            extra={
+                "operator": operator.name,
+                "answer": msgspec.to_builtins(answer),
+            },
         )
         return _answer_reply(answer)
 
@@ -298,15 +298,14 @@
     return _Reply(status=status, body=to_json(answer))
 
 
-def _audit_line(edit: Edit, answer: Answer) -> str:
-    return _json_line(
-        event="edit",
-        edit_id=edit.edit_id,
-        operator=edit.operator,
-        sent_at_s=edit.sent_at_s,
-        changes=[_audit_change(change) for change in edit.changes],
-        answer=msgspec.to_builtins(answer),
-    )
+def _audit_fields(edit: Edit, answer: Answer) -> dict[str, Any]:
+    return {
+        "edit_id": edit.edit_id,
+        "operator": edit.operator,
+        "sent_at_s": edit.sent_at_s,
+        "changes": [_audit_change(change) for change in edit.changes],
+        "answer": msgspec.to_builtins(answer),
+    }
 
 
 def _audit_change(change: Change) -> Any:
@@ -317,7 +316,3 @@
             )
         case _:
             return msgspec.to_builtins(change)
-
-
-def _json_line(**fields: Any) -> str:
-    return to_json(fields).decode()
--- a/packages/verbenad/src/verbenad/run_guard.py
+++ b/packages/verbenad/src/verbenad/run_guard.py
@@ -81,42 +81,35 @@
 
     def answered(self, claim: RunClaim, answer: StoredAnswer | None) -> None:
         """Record that the request ran and was answered."""
-        if claim.ticket is None:
-            return
-        self._claims.report(
-            ReportAnswered(
-                shard=claim.ticket.shard,
-                epoch=claim.ticket.epoch,
-                key=claim.key,
-                attempt_id=claim.attempt_id,
-                answer=answer,
-            )
-        )
+        if claim.ticket is not None:
+            self._report(claim, ReportAnswered, answer=answer)
 
     def not_run(self, claim: RunClaim) -> None:
         """Record that the request provably did not run."""
         if claim.ticket is None:
             self._store_claims.release(claim.key)
-            return
-        self._claims.report(
-            ReportNotRun(
-                shard=claim.ticket.shard,
-                epoch=claim.ticket.epoch,
-                key=claim.key,
-                attempt_id=claim.attempt_id,
-            )
-        )
+        else:
+            self._report(claim, ReportNotRun)
 
     def unknown(self, claim: RunClaim) -> None:
         """Record that the request may have run."""
-        if claim.ticket is None:
-            return
+        if claim.ticket is not None:
+            self._report(claim, ReportUnknown)
+
+    def _report(
+        self,
+        claim: RunClaim,
+        kind: type[ReportAnswered | ReportNotRun | ReportUnknown],
+        **content: StoredAnswer | None,
+    ) -> None:
+        assert claim.ticket is not None
         self._claims.report(
-            ReportUnknown(
+            kind(
                 shard=claim.ticket.shard,
                 epoch=claim.ticket.epoch,
                 key=claim.key,
                 attempt_id=claim.attempt_id,
+                **content,
             )
         )
 
--- a/tests/test_admin_api.py
+++ b/tests/test_admin_api.py
@@ -61,9 +61,10 @@
         status, body = request(agreement, "POST", EDITS_PATH, to_json(edit))
     assert status == "200 OK"
     assert answer_from_json(body) == EditAccepted(config_revision=2)
-    line = json.loads(handler.records[0].message)
+    line = dict(handler.records[0].extra)
     assert line["operator"] == "bootstrap" and line["sent_at_s"] == 7.0
-    assert KEY.digest not in handler.records[0].message
+    assert line["answer"]["config_revision"] == 2
+    assert KEY.digest not in json.dumps(line)
     accepted = agreement.document().find_edit("a")
     assert accepted is not None and accepted.edit.operator == "bootstrap"
 
--- a/tests/test_history_checkers.py
+++ b/tests/test_history_checkers.py
@@ -8,22 +8,31 @@
     CHECKERS,
     check_answers,
     check_drains,
+    check_edits,
     check_not_run,
     check_rates,
     check_rates_of_whole_requests,
+    check_revisions,
     check_runs_once,
     check_secrets,
+    check_shutdowns,
     check_withdrawals,
 )
 from standins.history_event import (
     AnswerReceived,
     DrainStarted,
+    EditAccepted,
+    EditUnknown,
     Event,
     History,
     KeyWithdrawn,
     RateSet,
     RequestSent,
+    RevisionSeen,
     RunStarted,
+    ShutdownEnded,
+    ShutdownStarted,
+    ValueSeen,
 )
 
 
@@ -277,3 +286,102 @@
 def test_every_checker_accepts_an_empty_history() -> None:
     """Guards against a checker that needs events of each kind."""
     assert all(not check(()) for check in CHECKERS.values())
+
+
+def _edit(
+    value: float, revision: int, *, expected: int = 0, at_s: float = 1.0
+) -> EditAccepted:
+    return EditAccepted(
+        at_s=at_s,
+        path="/workspaces/w1",
+        field="rate_per_s",
+        value=value,
+        config_revision=revision,
+        expected_revision=expected,
+    )
+
+
+def _value(value: float) -> ValueSeen:
+    return ValueSeen(
+        at_s=30.0, path="/workspaces/w1", field="rate_per_s", value=value
+    )
+
+
+def _unknown(value: float) -> EditUnknown:
+    return EditUnknown(
+        at_s=2.0, path="/workspaces/w1", field="rate_per_s", value=value
+    )
+
+
+def _revision(instance: str, at_s: float, revision: int) -> RevisionSeen:
+    return RevisionSeen(at_s=at_s, instance=instance, config_revision=revision)
+
+
+def test_accepted_edit_is_not_overwritten_unseen() -> None:
+    """Guards against two operators who lose each other's edits."""
+    good: History = (
+        _edit(1.0, 5),
+        _edit(2.0, 6, expected=5),
+        _value(2.0),
+    )
+    assert not check_edits(good)
+    assert len(check_edits((*good, _edit(3.0, 8, expected=6)))) == 2
+    assert len(check_edits((*good, _edit(3.0, 6)))) == 1
+    assert len(check_edits((*good[:-1], _value(1.0)))) == 1
+
+
+def test_value_of_an_unknown_edit_is_possible() -> None:
+    """Guards against a checker that rejects what it cannot know."""
+    good: History = (_edit(1.0, 5), _unknown(7.0), _value(7.0))
+    assert not check_edits(good)
+    assert len(check_edits((_edit(1.0, 5), _unknown(7.0), _value(8.0)))) == 1
+
+
+def test_revision_never_goes_back() -> None:
+    """Guards against an instance that shows an earlier configuration."""
+    good: History = (
+        _revision("e1", 1.0, 4),
+        _revision("e2", 1.1, 5),
+        _revision("e1", 1.2, 4),
+        _revision("e1", 1.3, 5),
+    )
+    assert not check_revisions(good)
+    assert len(check_revisions((*good, _revision("e1", 1.4, 4)))) == 1
+
+
+def test_accepted_edit_reaches_every_instance() -> None:
+    """Guards against an instance that never gets an accepted edit."""
+    good: History = (
+        _edit(1.0, 5),
+        _revision("e1", 2.0, 4),
+        _revision("e1", 20.0, 5),
+        _revision("e2", 5.0, 4),
+    )
+    assert not check_revisions(good)
+    assert len(check_revisions((*good, _revision("e2", 20.0, 4)))) == 1
+
+
+def test_graceful_shutdown_cuts_off_no_request() -> None:
+    """Guards against a shutdown that interrupts a request that runs."""
+    lost = replace(_answer("a", 2.0), status=0, code="ProtocolError")
+    start = ShutdownStarted(at_s=1.0, instance="e1")
+    end = ShutdownEnded(at_s=3.0, instance="e1", exit_code=0)
+    assert not check_shutdowns((_sent("a"), _answer("a"), start, end))
+    assert not check_shutdowns((_sent("a"), lost, start, end))
+    bad: History = (_sent("a"), _run("a"), lost, start, end)
+    assert len(check_shutdowns(bad)) == 1
+    gave_up = replace(lost, code="ReadTimeoutError")
+    assert not check_shutdowns((_sent("a"), _run("a"), gave_up, start, end))
+    killed = replace(end, exit_code=-9)
+    assert not check_shutdowns((_sent("a"), _run("a"), lost, start, killed))
+    failed = replace(end, exit_code=1)
+    assert len(check_shutdowns((start, failed))) == 1
+
+
+def test_first_withdrawal_and_drain_count() -> None:
+    """Guards against a repeated edit that extends the limit."""
+    late = _run("a", 16.0)
+    assert check_withdrawals(
+        (_sent("a"), late, WITHDRAWN, replace(WITHDRAWN, at_s=15.0))
+    )
+    assert check_drains((late, DRAINED, replace(DRAINED, at_s=15.0)))
