Let the backend server stand-in restart with silent connections

Eventlet's server waits for all handlers when its accept loop is ended; a handler of a silent connection never ended, so the target never listened again.

Change: a crash ends the silent connections.

Conclusion: a fault of the stand-in, not of the product.

--- a/packages/standins/src/standins/backend_app.py
+++ b/packages/standins/src/standins/backend_app.py
@@ -76,8 +76,8 @@
         connection = environ["eventlet.input"].get_socket()
         peer = (environ["REMOTE_ADDR"], environ["REMOTE_PORT"])
         self._connections[peer] = connection
-        while peer in self._silenced:
-            eventlet.sleep(0.05)
+        if peer in self._silenced:
+            return self._stay_silent(environ, peer)
         if self._faults.unreachable:
             return self._lose(environ)
         if path == "/health":
@@ -86,6 +86,12 @@
             return self._load(start_response)
         return self._serve(environ, start_response)
 
+    def _stay_silent(self, environ: Environ, peer: object) -> Iterable[bytes]:
+        """Give no answer until the target crashes."""
+        while peer in self._silenced:
+            eventlet.sleep(0.05)
+        return abort_connection(environ)
+
     def _serve(
         self, environ: Environ, start_response: StartResponse
     ) -> Iterable[bytes]:
@@ -201,6 +207,9 @@
             with contextlib.suppress(OSError):
                 connection.shutdown(socket.SHUT_RDWR)
         self._connections.clear()
+        # The server restarts only after the handlers of silent connections
+        # have ended.
+        self._silenced.clear()
         self.on_crash()
 
     def _health(self, start_response: StartResponse) -> Iterable[bytes]:
--- a/tools/fault_runs.py
+++ b/tools/fault_runs.py
@@ -311,7 +311,18 @@
         first, count = int(os.environ["SEED"]), 1
     has_failed = False
     with ProcessPoolExecutor(max_workers=DEPLOYMENTS_AT_ONCE) as pool:
-        for result in pool.map(run, range(first, first + count)):
+        runs = {
+            seed: pool.submit(run, seed)
+            for seed in range(first, first + count)
+        }
+        for seed, future in runs.items():
+            try:
+                result = future.result()
+            except (OSError, RuntimeError) as error:
+                # One run that cannot be completed must not end the others.
+                print(f"SEED={seed} FAILED: {error!r}", flush=True)
+                has_failed = True
+                continue
             print(result.text(), flush=True)
             has_failed |= result.failed
     return 1 if has_failed else 0
