Add an open-loop load generator and a load experiment

Cause: latency, wrongful refusals and the worst-served workspace were measured in virtual time only; the load tool of the real-process runs was closed-loop, which hides a slow system.

Change: "python -m standins load" sends Poisson arrivals by a plan and records each request. tools/measure_load.py runs eleven instances at 0.5 to 1.5 times capacity, with a workspace at five times its rate, beside callers who choose backend servers at random. Part of make measure.

--- a/Makefile
+++ b/Makefile
@@ -40,11 +40,13 @@
 unit: $(VENV)/ready
 	$(BIN)/python -m pytest
 
-# Prints each figure beside its target and baselines; about 15 minutes.
+# Prints each figure beside its target and baselines; about 25 minutes.
 measure: $(VENV)/ready
 	mkdir -p out
 	$(BIN)/python tools/measure_path.py --deployment matunda --json out/measure-path-matunda.json
 	$(BIN)/python tools/measure_path.py --deployment toile --json out/measure-path-toile.json
+	$(BIN)/python tools/measure_load.py --deployment matunda --json out/measure-load-matunda.json
+	$(BIN)/python tools/measure_load.py --deployment toile --json out/measure-load-toile.json
 	$(BIN)/python tools/measure_edge.py --json out/measure-edge.json
 	$(BIN)/python tools/measure_budgets.py --json out/measure-budgets.json
 	$(BIN)/python tools/measure_agreement.py --json out/measure-agreement.json
--- a/packages/standins/src/standins/__main__.py
+++ b/packages/standins/src/standins/__main__.py
@@ -10,16 +10,19 @@
 eventlet.monkey_patch()
 
 import eventlet.wsgi  # noqa: E402
+import msgspec  # noqa: E402
 
 from standins.backend_app import BackendApp  # noqa: E402
 from standins.backend_server import BackendServer  # noqa: E402
 from standins.instance_list_app import InstanceListApp  # noqa: E402
+from standins.load_generator import LoadGenerator  # noqa: E402
+from standins.load_plan import LoadPlan, LoadSample  # noqa: E402
 from standins.store_app import StoreApp  # noqa: E402
 from standins.wsgi_tools import Application  # noqa: E402
 
 
 def main() -> None:
-    """Start one kind of stand-in and serve until killed."""
+    """Start one kind of stand-in, or send load."""
     parser = argparse.ArgumentParser(prog="standins")
     kinds = parser.add_subparsers(dest="kind", required=True)
     store = kinds.add_parser("store")
@@ -35,12 +38,17 @@
         metavar="NAME:PORT:SLOTS:SERVICE_MS",
     )
     backends.add_argument("--cold-s", type=float, default=0.0)
+    load = kinds.add_parser("load")
+    load.add_argument("--plan", required=True, help="a JSON LoadPlan")
+    load.add_argument("--out", required=True, help="receives JSON lines")
     arguments = parser.parse_args()
     match arguments.kind:
         case "store":
             _serve(StoreApp(), arguments.port)
         case "instance-list":
             _serve(InstanceListApp(arguments.lag_s), arguments.port)
+        case "load":
+            _send_load(arguments.plan, arguments.out)
         case _:
             _serve_backends(arguments.target, arguments.cold_s)
 
@@ -56,6 +64,15 @@
         thread.wait()
 
 
+def _send_load(plan_path: str, out_path: str) -> None:
+    with open(plan_path, "rb") as file:
+        plan: LoadPlan = msgspec.json.decode(file.read(), type=LoadPlan)
+    samples: list[LoadSample] = []
+    LoadGenerator(plan, samples.append).run()
+    with open(out_path, "wb") as file:
+        file.write(msgspec.json.Encoder().encode_lines(samples))
+
+
 def _serve(app: Application, port: int) -> None:
     listener = eventlet.listen(("127.0.0.1", port))
     eventlet.wsgi.server(
