Divide only what a new owner does not withhold

Cause: during the 6.06 s in which a new owner withholds the part of a dead instance, it divided the whole rate. Takers with more than they needed kept it as reserve, and those with a queue got nothing, as nothing was free.

Change: the rate and the depth without the unknown part are divided.

--- a/packages/verbenaworks/src/verbenaworks/holding_book.py
+++ b/packages/verbenaworks/src/verbenaworks/holding_book.py
@@ -60,6 +60,10 @@
         """Return what may be issued; negative after a decrease."""
         return self.limit(now_s) - self._amount_sum - self._unknown_now(now_s)
 
+    def known(self, now_s: float) -> int:
+        """Return the part of the capacity that may be divided now."""
+        return max(0, self.limit(now_s) - self._unknown_now(now_s))
+
     def lapse(
         self, now_s: float, forget: Callable[[Holder], None] | None = None
     ) -> None:
--- a/packages/verbenaworks/src/verbenaworks/rate_pool.py
+++ b/packages/verbenaworks/src/verbenaworks/rate_pool.py
@@ -97,12 +97,12 @@
         )
 
     def _divide(self, now_s: float, holder: Holder) -> None:
-        rate = self._rates.limit(now_s)
+        rate = self._rates.known(now_s)
         if not self._demand.divide(now_s, rate, holder):
             return
         # The rate of a part that moves between takers fills the bank, which
         # needs depth for it.
-        burst = self._depths.limit(now_s)
+        burst = self._depths.known(now_s)
         burst -= burst // 8
         targets = self._demand.targets()
         # A bucket without depth for one token is of no use.
--- a/tests/test_budget_owner.py
+++ b/tests/test_budget_owner.py
@@ -288,3 +288,22 @@
             assert sum(kept.values()) <= 6
             served |= {taker} if kept[taker] else set()
     assert served == set(kept)
+
+
+def test_new_owner_divides_only_what_it_does_not_withhold() -> None:
+    """Guards against a reserve that one taker keeps and another lacks.
+
+    The part of a dead instance is unknown to its successor. While it was
+    divided all the same, nobody gave up what others waited for.
+    """
+    fleet = _Fleet(_RATE)
+    now_s = 0.1
+    held = {"a": 6000, "b": 2000}
+    wants = {"a": 5000, "b": 3000}
+    for turn in range(6):
+        taker = "ab"[turn % 2]
+        grant = fleet.ask(
+            now_s, taker, kept=held[taker], kept_depth=8, wants=wants[taker]
+        )
+        held[taker] = grant.amount
+    assert held == wants
