Count waiting calls once, and return lent depth earlier

Cause, by the traces of refused calls: - Tokens from the bank come with depth of their own. It returned to the owner two exchanges later. Until then the bank had a rate, but depth 0, and lost up to 14 tokens/s. - Each retry of a waiting call asked for a token, so that one taker took the whole bank. - A queue of 10 to 20 calls did not count as demand. A taker whose rate equals its demand kept it for seconds, and its calls were refused after 1 s. - In the daemon, calls that arrived while others waited were never counted.

Change: the taker gives up empty lent depth with its next request; a call that waits is counted once, for at most 1 s, in the wanted tokens and the demand; the daemon counts the first try of a call that found others waiting.

--- a/packages/verbenad/src/verbenad/rate_gate.py
+++ b/packages/verbenad/src/verbenad/rate_gate.py
@@ -88,14 +88,15 @@
         workspace: str,
         until_s: float,
     ) -> bool:
-        if self._waiting[queue] == 0 and self._try(parts, workspace, False):
+        is_counted = self._waiting[queue] == 0
+        if is_counted and self._try(parts, workspace, False):
             return True
         if self._waiting[queue] >= MAX_WAITING:
             return False
         self._waiting[queue] += 1
         try:
             end_s = min(until_s, self._now_s() + RATE_WAIT_S)
-            return self._wait(parts, workspace, end_s)
+            return self._wait(parts, workspace, end_s, is_counted)
         finally:
             self._waiting[queue] -= 1
 
@@ -111,11 +112,18 @@
         return False
 
     def _wait(
-        self, parts: Sequence[BudgetHandle], workspace: str, end_s: float
+        self,
+        parts: Sequence[BudgetHandle],
+        workspace: str,
+        end_s: float,
+        is_counted: bool,
     ) -> bool:
+        # A call that found others waiting has not been counted as demand.
+        is_retry = is_counted
         while (now_s := self._now_s()) < end_s:
-            if self._try(parts, workspace, True):
+            if self._try(parts, workspace, is_retry):
                 return True
+            is_retry = True
             for part in parts:
                 self._loop.kick(part.shard)
             wait_s = min(
--- a/packages/verbenaworks/src/verbenaworks/rate_holding.py
+++ b/packages/verbenaworks/src/verbenaworks/rate_holding.py
@@ -1,9 +1,14 @@
 """The taker's part of one rate budget."""
 
+from collections import Counter, deque
+
 from verbenaworks.demand_meter import DemandMeter
 from verbenaworks.grant import Grant, GrantWant, WorkspaceWant
 from verbenaworks.token_bucket import TokenBucket
 
+# Callers wait for tokens for at most this long (RATE_WAIT_S of the daemon).
+_WAIT_S = 1.0
+
 
 class RateHolding:
     """A local token bucket that ends with its grant."""
@@ -14,13 +19,18 @@
         self._expires_at_s = float("-inf")
         self._meters: dict[str, DemandMeter] = {}
         self._asked_at_s = float("-inf")
-        self._missing = 0
+        # Calls that found no token. Failed retries are not counted: a call
+        # makes many of them, and took the whole bank for itself.
+        self._waiting: deque[tuple[float, str, int]] = deque()
+        self._is_short = False
         self._returning = 0
+        # Depth that came with tokens of the newest grant.
+        self._lent_depth = 0
 
     @property
     def is_short(self) -> bool:
         """Whether a caller waits for tokens."""
-        return self._missing > 0
+        return self._is_short
 
     @property
     def asked_at_s(self) -> float:
@@ -44,8 +54,13 @@
                 meter = self._meters[workspace] = DemandMeter()
             meter.add(now_s, amount)
         if self._bucket.take(now_s, amount):
+            if retry and self._waiting:
+                self._waiting.popleft()
             return True
-        self._missing += amount
+        if not retry:
+            self._drop_refused(now_s)
+            self._waiting.append((now_s, workspace, amount))
+        self._is_short = True
         return False
 
     def wait_s(self, now_s: float, amount: int) -> float:
@@ -64,14 +79,19 @@
         self.expire(now_s)
         if is_idle:
             self._returning += self._bucket.reshape(now_s, 0, 0)
+        self._return_spent_depth(now_s)
         returned, self._returning = self._returning, 0
-        missing, self._missing = self._missing, 0
+        waiting = self._waiting_amounts(now_s)
+        missing = max(1, waiting.total()) if self._is_short else 0
+        self._is_short = False
         wants = []
         for workspace, meter in list(self._meters.items()):
             amount = int(meter.per_s(now_s) * 1000)
             if amount == 0:
                 del self._meters[workspace]
                 continue
+            # With the mean alone, a queue that has built up stays.
+            amount += 1000 * waiting[workspace]
             wants.append(WorkspaceWant(workspace=workspace, amount=amount))
         return GrantWant(
             budget=self._name,
@@ -82,6 +102,33 @@
             tokens_wanted=missing,
         )
 
+    def _waiting_amounts(self, now_s: float) -> Counter[str]:
+        """Return the amounts that callers wait for, by workspace."""
+        self._drop_refused(now_s)
+        amounts: Counter[str] = Counter()
+        for _, workspace, amount in self._waiting:
+            amounts[workspace] += amount
+        return amounts
+
+    def _drop_refused(self, now_s: float) -> None:
+        while self._waiting and now_s - self._waiting[0][0] >= _WAIT_S:
+            self._waiting.popleft()
+
+    def _return_spent_depth(self, now_s: float) -> None:
+        """Give up depth that came with tokens and is empty again.
+
+        Otherwise the owner learns of it one exchange later, and its bank
+        has no room for the rate that nobody holds.
+        """
+        lent, self._lent_depth = self._lent_depth, 0
+        if lent == 0:
+            return
+        bucket = self._bucket
+        filled = bucket.tokens(now_s) + 1
+        depth = max(filled, bucket.depth - lent)
+        if depth < bucket.depth:
+            bucket.reshape(now_s, bucket.rate_milli_per_s, depth)
+
     def accept(self, now_s: float, grant: Grant, expires_at_s: float) -> bool:
         """Put a grant in force; return whether it freed a part to return."""
         old_rate = self._bucket.rate_milli_per_s
@@ -90,4 +137,5 @@
             now_s, grant.amount, grant.depth
         )
         self._bucket.add(grant.tokens)
+        self._lent_depth = grant.tokens
         return 16 * (old_rate - grant.amount) > old_rate
--- a/tests/test_budget_taker.py
+++ b/tests/test_budget_taker.py
@@ -221,3 +221,46 @@
     request = setup.request(1.0)
     assert len(encode(request)) <= 64
     assert len(encode(setup.reply(request.seq, 10_000, depth=50))) <= 64
+
+
+def test_depth_lent_with_tokens_is_given_up_at_the_next_request() -> None:
+    """Guards against a bank that has a rate but no depth, and loses it.
+
+    Depth that came with tokens returned two exchanges later, so that at
+    times the owner had none for a taker that started to ask.
+    """
+    setup = _Setup(_RATE)
+    setup.start(1000, depth=9, tokens=7)
+    for _ in range(7):
+        assert setup.take(0.1)
+    request = setup.request(1.1)
+    assert request.entries[0].kept_depth == 2
+    assert setup.taker.held(1.1, _RATE.name) == (1000, 2)
+
+
+def test_lent_depth_is_kept_for_tokens_that_were_not_spent() -> None:
+    """Guards against tokens that are lost with their depth."""
+    setup = _Setup(_RATE)
+    setup.start(1000, depth=9, tokens=7)
+    assert setup.take(0.1)
+    request = setup.request(1.1)
+    assert request.entries[0].kept_depth == 8
+    assert request.entries[0].tokens_returned == 0
+
+
+def test_waiting_calls_are_wanted_once_and_for_a_second() -> None:
+    """Guards against retries that ask for the whole bank, and queues.
+
+    A taker whose rate equals its demand never serves a queue that has
+    built up, unless the queue counts as demand.
+    """
+    setup = _Setup(_RATE)
+    setup.start(1000, depth=1)
+    for _ in range(3):
+        assert setup.take(0.1) is None
+    for _ in range(50):
+        assert not setup.taker.try_take(0.1, _RATE.name, "acme", retry=True)
+    want = setup.request(0.2).entries[0]
+    assert want.tokens_wanted == 4
+    later = setup.request(0.2 + 0.9).entries[0]
+    assert want.wants[0].amount > 4000 > later.wants[0].amount
--- a/tools/mutations_budgets.py
+++ b/tools/mutations_budgets.py
@@ -16,6 +16,7 @@
 _HISTORIES = "tests/test_budget_histories.py"
 _OWNER = "tests/test_budget_owner.py"
 _TAKER = "tests/test_budget_taker.py"
+_METER = "tests/test_demand_meter.py"
 
 MUTATIONS = [
     _fault(
@@ -167,4 +168,47 @@
         new="if now_s >= self._expires_at_s + 2.0:",
         test=_HISTORIES,
     ),
+    _fault(
+        name="a gap in a small demand ends it",
+        module="demand_meter.py",
+        old="self._added_at_s >= _SILENCE_S:",
+        new="self._added_at_s >= _SILENCE_S / 2:",
+        test=_METER,
+    ),
+    _fault(
+        name="new owner divides what it withholds",
+        module="rate_pool.py",
+        old="rate = self._rates.known(now_s)",
+        new="rate = self._rates.limit(now_s)",
+        test=_OWNER,
+    ),
+    _fault(
+        name="depth that came with tokens is kept",
+        module="rate_holding.py",
+        old="self._lent_depth = grant.tokens",
+        new="self._lent_depth = 0",
+        test=_TAKER,
+    ),
+    _fault(
+        name="depth is given up with the tokens in it",
+        module="rate_holding.py",
+        old="depth = max(filled, bucket.depth - lent)",
+        new="depth = bucket.depth - lent",
+        test=_TAKER,
+    ),
+    _fault(
+        name="a waiting call asks for tokens at each retry",
+        module="rate_holding.py",
+        old="            self._waiting.append((now_s, workspace, amount))",
+        new="            pass\n"
+        "        self._waiting.append((now_s, workspace, amount))",
+        test=_TAKER,
+    ),
+    _fault(
+        name="waiting calls do not count as demand",
+        module="rate_holding.py",
+        old="amount += 1000 * waiting[workspace]",
+        new="amount += 0",
+        test=_TAKER,
+    ),
 ]
