--- a/tools/measure_budgets.py
+++ b/tools/measure_budgets.py
@@ -87,13 +87,9 @@
 
     def __init__(self, way: str, budgets: Iterable[Budget], seed: int) -> None:
         self.way = way
-        self._parts = {
-            budget.name: _parts(way, budget) for budget in budgets
-        }
+        self._parts = {budget.name: _parts(way, budget) for budget in budgets}
         self.budgets = {
-            part.name: part
-            for parts in self._parts.values()
-            for part in parts
+            part.name: part for parts in self._parts.values() for part in parts
         }
         self.rng = random.Random(seed)
         self.now_s = 0.0
