State only what is short in requests between the regular ones

Cause: each request because of a lack stated all budgets of its shard, about four of them in the measurement of the traffic.

Change: within 0.2 s of a regular request, a request states only the budgets with a lack or a surplus; later, it states all and replaces the regular one. All are stated if the earlier request got no reply, and first in an epoch. Histories and the state machine have callers that try again, and requests between the regular ones.

--- a/packages/verbenaworks/src/verbenaworks/budget_taker.py
+++ b/packages/verbenaworks/src/verbenaworks/budget_taker.py
@@ -20,6 +20,10 @@
 # regions (40 ms at most).
 RETRY_S = 0.25
 
+# A request that is due for another reason after this part of the interval
+# replaces the regular one.
+EARLY_SHARE = 0.2
+
 # Requests because of a lack follow each other at this interval; it doubles
 # up to the second value while callers still wait.
 LACK_GAP_S = 0.05
@@ -61,7 +65,9 @@
         self._is_waiting = False
         self._sent_at_s = float("-inf")
         self._is_immediate = False
-        self._has_surplus = False
+        # Budgets of which a part is to be returned.
+        self._surplus: set[str] = set()
+        self._full_at_s = float("-inf")
         self._lack_gap_s = LACK_GAP_S
         self._serial = 0
 
@@ -193,11 +199,12 @@
             return self._sent_at_s
         if self._is_waiting:
             return self._sent_at_s + RETRY_S
-        if self._has_surplus:
-            return self._sent_at_s + LACK_GAP_S
+        due_s = self._full_at_s + self._exchange_s
+        if self._surplus:
+            return min(due_s, self._sent_at_s + LACK_GAP_S)
         if any(holding.is_short for holding in self._holdings.values()):
-            return self._sent_at_s + self._lack_gap_s
-        return self._sent_at_s + self._exchange_s
+            return min(due_s, self._sent_at_s + self._lack_gap_s)
+        return due_s
 
     def next_request(self, now_s: float) -> GrantRequest | None:
         """Return the request to send now, if one is due."""
@@ -210,11 +217,12 @@
             self._lack_gap_s = min(2 * self._lack_gap_s, LACK_GAP_MAX_S)
         else:
             self._lack_gap_s = LACK_GAP_S
+        names = self._names_to_state(now_s)
         self._seq += 1
         self._sent_at_s = now_s
         self._is_waiting = True
         self._is_immediate = False
-        self._has_surplus = False
+        self._surplus.clear()
         return GrantRequest(
             shard=self._shard,
             epoch=self._reply_epoch,
@@ -223,10 +231,29 @@
             seq=self._seq,
             entries=tuple(
                 holding.want(now_s, _is_idle(now_s, holding))
-                for holding in self._holdings.values()
+                for holding in map(self._holdings.__getitem__, names)
             ),
         )
 
+    def _names_to_state(self, now_s: float) -> list[str]:
+        """Return the budgets that the next request is about.
+
+        Between two regular requests it is about those with a lack or a
+        surplus. It is about all if an earlier one got no reply, because the
+        reply to that does not count any more, and in a new epoch.
+        """
+        early = now_s < self._full_at_s + EARLY_SHARE * self._exchange_s
+        if early and not self._is_immediate and not self._is_waiting:
+            names = [
+                name
+                for name, holding in self._holdings.items()
+                if holding.is_short or name in self._surplus
+            ]
+            if names:
+                return names
+        self._full_at_s = now_s
+        return list(self._holdings)
+
     def accept(self, now_s: float, reply: GrantReply) -> bool:
         """Put the grants of a reply in force; false if it does not count."""
         if reply.shard != self._shard:
@@ -247,7 +274,7 @@
             if holding is None or now_s >= expires_at_s:
                 continue
             if holding.accept(now_s, grant, expires_at_s):
-                self._has_surplus = True
+                self._surplus.add(grant.budget)
         return True
 
     def _greet(self, epoch: int) -> None:
--- a/tests/budget_world.py
+++ b/tests/budget_world.py
@@ -287,12 +287,41 @@
             )
             if hold is not None:
                 self._use(process, budget, hold)
+            else:
+                self._wait(process, budget, workspace, amount, 4)
         request = process.taker.next_request(now_s)
         owner = process.owner_process
         if request is None or owner is None or self._is_cut(process, owner):
             return
         self.send(encode(request), lambda data: self._serve(owner, data))
 
+    def _wait(
+        self,
+        process: Process,
+        budget: Budget,
+        workspace: str,
+        amount: int,
+        retries: int,
+    ) -> None:
+        """Let a call without tokens or units try again."""
+        if retries == 0:
+            return
+
+        def again() -> None:
+            hold = process.taker.try_take(
+                process.local_s(self.now_s),
+                budget.name,
+                workspace,
+                amount,
+                retry=True,
+            )
+            if hold is not None:
+                self._use(process, budget, hold)
+            else:
+                self._wait(process, budget, workspace, amount, retries - 1)
+
+        self.at(0.2, again, process)
+
     def _use(self, process: Process, budget: Budget, hold) -> None:
         self._note_use(budget.name, hold.amount)
         if isinstance(budget, RateBudget):
--- a/tests/test_budget_machine.py
+++ b/tests/test_budget_machine.py
@@ -95,6 +95,26 @@
                 self.tokens -= 1
         assert self.tokens >= 0
 
+    @rule(index=_TAKERS, count=st.sampled_from((1, 3, 9)))
+    def spend_waiting(self, index: int, count: int) -> None:
+        """Let calls that wait for tokens try again."""
+        taker = self.takers[index]
+        for _ in range(count):
+            hold = taker.try_take(self.now_s, _RATE.name, "w", retry=True)
+            if hold is not None:
+                self.tokens -= 1
+        assert self.tokens >= 0
+
+    @rule(index=_TAKERS)
+    def exchange_early(self, index: int) -> None:
+        """Ask for tokens alone between two regular requests."""
+        self.exchange(index)
+        self.spend(index, 9)
+        self.advance(0.06)
+        self.send(index)
+        if self.requests:
+            self._answer(len(self.requests) - 1)
+
     @rule(index=_TAKERS, count=st.sampled_from((1, 2, 4)))
     def use(self, index: int, count: int) -> None:
         """Use units one by one."""
--- a/tests/test_budget_taker.py
+++ b/tests/test_budget_taker.py
@@ -16,6 +16,9 @@
 from verbenaworks.token_bucket import TokenBucket
 from verbenaworks.wire import encode
 
+_SHARD = 3
+_NAMES = [f"r/{k}" for k in range(200) if shard_of(f"r/{k}") == _SHARD][:2]
+
 _RATE = RateBudget(name="rate", rate_per_s=10, burst=50)
 _SLOTS = LevelBudget(name="slots", capacity=10, linger_s=2.0)
 
@@ -266,3 +269,78 @@
     # Four calls, and a quarter more while they wait.
     assert want.wants[0].amount > 5000
     assert later.wants[0].amount < 4000
+
+
+def _two_budgets(exchange_s: float = 1.0) -> BudgetTaker:
+    """Return a taker that has grants of two budgets since 0 s."""
+    taker = BudgetTaker(
+        shard=_SHARD, taker="a", incarnation=4, exchange_s=exchange_s
+    )
+    budgets = [RateBudget(name=n, rate_per_s=10, burst=50) for n in _NAMES]
+    taker.configure(0.0, budgets)
+    for name in _NAMES:
+        taker.try_take(0.0, name, "w")
+    for entries in ((), _grants(_NAMES)):
+        request = taker.next_request(0.0)
+        assert request is not None
+        taker.accept(0.0, _answer(request.seq, entries))
+    return taker
+
+
+def _grants(names: list[str]) -> tuple[Grant, ...]:
+    return tuple(
+        Grant(budget=name, amount=1000, depth=1, tokens=0, ttl_s=6)
+        for name in names
+    )
+
+
+def _answer(seq: int, entries: tuple[Grant, ...]) -> GrantReply:
+    return GrantReply(
+        shard=_SHARD, epoch=1, incarnation=4, seq=seq, entries=entries
+    )
+
+
+def _stated(taker: BudgetTaker, now_s: float) -> list[str]:
+    request = taker.next_request(now_s)
+    assert request is not None
+    return [entry.budget for entry in request.entries]
+
+
+def test_early_request_states_only_what_is_short() -> None:
+    """Guards against bytes for all budgets of a shard at each lack."""
+    taker = _two_budgets()
+    assert taker.try_take(0.1, _NAMES[1], "w") is None
+    request = taker.next_request(0.1)
+    assert request is not None
+    assert [entry.budget for entry in request.entries] == _NAMES[1:]
+    taker.accept(0.12, _answer(request.seq, _grants(_NAMES[1:])))
+    # The regular request is not put off.
+    assert taker.due_at_s() == 1.0
+    assert _stated(taker, 1.0) == _NAMES
+
+
+def test_late_request_replaces_the_regular_one() -> None:
+    """Guards against more messages than with full requests only."""
+    taker = _two_budgets()
+    assert taker.try_take(0.5, _NAMES[1], "w", amount=2) is None
+    assert _stated(taker, 0.5) == _NAMES
+
+
+def test_request_without_a_reply_is_followed_by_a_full_one() -> None:
+    """Guards against grants that end because a reply was lost.
+
+    The reply to the regular request does not count after an early one.
+    """
+    taker = _two_budgets(exchange_s=2.0)
+    assert _stated(taker, 2.0) == _NAMES
+    assert taker.try_take(2.0, _NAMES[1], "w", amount=9) is None
+    assert taker.next_request(2.1) is None
+    assert _stated(taker, 2.26) == _NAMES
+
+
+def test_first_request_in_an_epoch_is_full() -> None:
+    """Guards against grants that a new owner never learns of."""
+    taker = _two_budgets()
+    assert taker.try_take(0.1, _NAMES[1], "w") is None
+    taker.owner_changed(2)
+    assert _stated(taker, 0.1) == _NAMES
--- a/tools/mutations_budgets.py
+++ b/tools/mutations_budgets.py
@@ -211,4 +211,25 @@
         new="amount += 0",
         test=_TAKER,
     ),
+    _fault(
+        name="a request after a lost reply leaves budgets out",
+        module="budget_taker.py",
+        old="if early and not self._is_immediate and not self._is_waiting:",
+        new="if early and not self._is_immediate:",
+        test=_TAKER,
+    ),
+    _fault(
+        name="the first request in an epoch leaves budgets out",
+        module="budget_taker.py",
+        old="if early and not self._is_immediate and not self._is_waiting:",
+        new="if early and not self._is_waiting:",
+        test=_TAKER,
+    ),
+    _fault(
+        name="early requests put the regular one off",
+        module="budget_taker.py",
+        old="due_s = self._full_at_s + self._exchange_s",
+        new="due_s = self._sent_at_s + self._exchange_s",
+        test=_TAKER,
+    ),
 ]
