--- a/tools/histories_budgets.py
+++ b/tools/histories_budgets.py
@@ -1,7 +1,7 @@
 """Runs seeded histories of budgets under random faults.
 
-Usage: histories_budgets.py [COUNT]; 10,000 by default. SEED=n in the
-environment replays one seed and prints its faults.
+Usage: histories_budgets.py [COUNT [PROCESSES]]; 10,000 and 4 by default.
+SEED=n in the environment replays one seed and prints its faults.
 """
 
 import os
@@ -36,7 +36,8 @@
     count = int(sys.argv[1]) if len(sys.argv) > 1 else 10_000
     started_s = time.monotonic()
     uses = served = broken = 0
-    with ProcessPoolExecutor(max_workers=_WORKERS) as pool:
+    workers = int(sys.argv[2]) if len(sys.argv) > 2 else _WORKERS
+    with ProcessPoolExecutor(max_workers=workers) as pool:
         for seed, excess, used in pool.map(run, range(count), chunksize=25):
             uses += used
             served += used > 0
