Revert "State the lack of a call to one owner of a rate at a time"

In the tool only the first of the waiting calls tries again, and it has nearly always waited for the same number of turns, so that it asks the same owner.

Conclusion: a lack that is stated to one owner at a time needs a turn that does not depend on the wait, and a tool in which each waiting call tries again, as in the daemon.

--- a/packages/verbenad/src/verbenad/budget_plan.py
+++ b/packages/verbenad/src/verbenad/budget_plan.py
@@ -12,11 +12,6 @@
 # shards, so that the death of an owner withholds only a part of them.
 RATE_PARTS = 4
 MIN_PART_BURST = 4
-# A call without a token states its lack to one owner, and to the next one
-# after this time. With 0.05 s, calls over the rate make all instances ask all
-# owners (usable share 0.94 of 0.98); with 0.3 s, the death of an owner costs
-# 12.5 s of reduced service (6.5 s).
-TURN_S = 0.1
 REGION_PARTS = 8
 
 
--- a/packages/verbenad/src/verbenad/rate_gate.py
+++ b/packages/verbenad/src/verbenad/rate_gate.py
@@ -14,7 +14,7 @@
 
 from verbenad.budget_handle import BudgetHandle, budget_handle
 from verbenad.budget_loop import BudgetLoop
-from verbenad.budget_plan import STORE_CLAIMS_BUDGET, TURN_S, rate_parts
+from verbenad.budget_plan import STORE_CLAIMS_BUDGET, rate_parts
 from verbenaworks.compiled_config import CompiledConfig
 
 # Longer than the two exchanges after which tokens have moved between
@@ -89,55 +89,41 @@
         until_s: float,
     ) -> bool:
         is_counted = self._waiting[queue] == 0
-        if is_counted and self._try(parts, workspace, 0, False):
+        if is_counted and self._try(parts, workspace, False):
             return True
         if self._waiting[queue] >= MAX_WAITING:
             return False
         self._waiting[queue] += 1
         try:
-            return self._wait(parts, workspace, until_s, is_counted)
+            end_s = min(until_s, self._now_s() + RATE_WAIT_S)
+            return self._wait(parts, workspace, end_s, is_counted)
         finally:
             self._waiting[queue] -= 1
 
     def _try(
-        self,
-        parts: Sequence[BudgetHandle],
-        workspace: str,
-        turn: int,
-        is_retry: bool,
+        self, parts: Sequence[BudgetHandle], workspace: str, is_retry: bool
     ) -> bool:
-        """Take from any part; state a lack to the owner of one of them.
-
-        A lack that is stated to all owners counts as demand at each, so that
-        they divide the rate into parts that are too small to use.
-        """
         now_s = self._now_s()
-        if len(parts) > 1:
-            for part in parts:
-                if part.taker.take_if_held(now_s, part.name, workspace):
-                    return True
-        if not parts:
-            return False
-        part = parts[turn % len(parts)]
-        hold = part.taker.try_take(now_s, part.name, workspace, retry=is_retry)
-        return hold is not None
+        for part in parts:
+            if part.taker.try_take(
+                now_s, part.name, workspace, retry=is_retry
+            ):
+                return True
+        return False
 
     def _wait(
         self,
         parts: Sequence[BudgetHandle],
         workspace: str,
-        until_s: float,
+        end_s: float,
         is_counted: bool,
     ) -> bool:
-        started_s = self._now_s()
-        end_s = min(until_s, started_s + RATE_WAIT_S)
         # A call that found others waiting has not been counted as demand.
-        counted = int(is_counted)
+        is_retry = is_counted
         while (now_s := self._now_s()) < end_s:
-            turn = int((now_s - started_s) / TURN_S)
-            if self._try(parts, workspace, turn, turn < counted):
+            if self._try(parts, workspace, is_retry):
                 return True
-            counted = turn + 1
+            is_retry = True
             for part in parts:
                 self._loop.kick(part.shard)
             wait_s = min(
--- a/packages/verbenaworks/src/verbenaworks/budget_taker.py
+++ b/packages/verbenaworks/src/verbenaworks/budget_taker.py
@@ -123,27 +123,6 @@
                 taken = holding.try_take(now_s, hold, retry)
         return hold if taken else None
 
-    def take_if_held(
-        self, now_s: float, budget: str, workspace: str, amount: int = 1
-    ) -> Hold | None:
-        """Spend tokens of a rate budget; a lack causes no request.
-
-        For limits that are divided into several budgets: demand and lack
-        are stated to one owner, not to all.
-        """
-        holding = self._holdings.get(budget)
-        if not isinstance(holding, RateHolding):
-            return None
-        if not holding.take_if_held(now_s, workspace, amount):
-            return None
-        self._serial += 1
-        return Hold(
-            budget=budget,
-            workspace=workspace,
-            amount=amount,
-            serial=self._serial,
-        )
-
     def release(self, now_s: float, hold: Hold) -> bool:
         """End the use of units; false if it had ended by itself."""
         match self._holdings.get(hold.budget):
--- a/packages/verbenaworks/src/verbenaworks/rate_holding.py
+++ b/packages/verbenaworks/src/verbenaworks/rate_holding.py
@@ -49,7 +49,10 @@
         self.expire(now_s)
         self._asked_at_s = now_s
         if not retry:
-            self._meter(workspace).add(now_s, amount)
+            meter = self._meters.get(workspace)
+            if meter is None:
+                meter = self._meters[workspace] = DemandMeter()
+            meter.add(now_s, amount)
         if self._bucket.take(now_s, amount):
             if retry and self._waiting:
                 self._waiting.popleft()
@@ -60,21 +63,6 @@
         self._is_short = True
         return False
 
-    def take_if_held(self, now_s: float, workspace: str, amount: int) -> bool:
-        """Spend tokens if there are some; a lack is not recorded."""
-        self.expire(now_s)
-        if not self._bucket.take(now_s, amount):
-            return False
-        self._asked_at_s = now_s
-        self._meter(workspace).add(now_s, amount)
-        return True
-
-    def _meter(self, workspace: str) -> DemandMeter:
-        meter = self._meters.get(workspace)
-        if meter is None:
-            meter = self._meters[workspace] = DemandMeter()
-        return meter
-
     def wait_s(self, now_s: float, amount: int) -> float:
         """Return when the bucket alone will hold ``amount``."""
         self.expire(now_s)
--- a/tests/budget_world.py
+++ b/tests/budget_world.py
@@ -282,15 +282,9 @@
             budget = self.rng.choice(self.budgets)
             workspace = self.rng.choice(WORKSPACES)
             amount = self.rng.choice((1, 1, 1, 2, 4))
-            hold = None
-            if self.rng.random() < 0.5:
-                hold = process.taker.take_if_held(
-                    now_s, budget.name, workspace, amount
-                )
-            if hold is None:
-                hold = process.taker.try_take(
-                    now_s, budget.name, workspace, amount
-                )
+            hold = process.taker.try_take(
+                now_s, budget.name, workspace, amount
+            )
             if hold is not None:
                 self._use(process, budget, hold)
             else:
--- a/tests/test_budget_machine.py
+++ b/tests/test_budget_machine.py
@@ -103,8 +103,6 @@
             hold = taker.try_take(self.now_s, _RATE.name, "w", retry=True)
             if hold is not None:
                 self.tokens -= 1
-            if taker.take_if_held(self.now_s, _RATE.name, "w") is not None:
-                self.tokens -= 1
         assert self.tokens >= 0
 
     @rule(index=_TAKERS)
--- a/tests/test_budget_taker.py
+++ b/tests/test_budget_taker.py
@@ -344,22 +344,3 @@
     assert taker.try_take(0.1, _NAMES[1], "w") is None
     taker.owner_changed(2)
     assert _stated(taker, 0.1) == _NAMES
-
-
-def test_tokens_taken_without_a_lack_end_with_their_grant() -> None:
-    """Guards against a second way to tokens that skips the grant's end."""
-    setup = _Setup(_RATE)
-    setup.start(1000, depth=9, tokens=7)
-    taker = setup.taker
-    assert taker.take_if_held(0.1, _RATE.name, "acme")
-    # The reply of the set-up is valid for 5 s.
-    assert taker.take_if_held(5.0, _RATE.name, "acme") is None
-    assert taker.take_if_held(0.1, "unknown", "acme") is None
-
-
-def test_lack_of_an_offhand_take_causes_no_request() -> None:
-    """Guards against a lack that is stated to all owners of a limit."""
-    setup = _Setup(_RATE)
-    setup.start(0)
-    assert setup.taker.take_if_held(0.1, _RATE.name, "acme") is None
-    assert setup.taker.due_at_s() == 1.0
--- a/tools/measure_budgets.py
+++ b/tools/measure_budgets.py
@@ -19,7 +19,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from verbenad.budget_plan import TURN_S, rate_parts
+from verbenad.budget_plan import rate_parts
 from verbenaworks.budget_owner import BudgetOwner
 from verbenaworks.budget_spec import (
     Budget,
@@ -67,7 +67,6 @@
     budget: str
     outcome_s: float | None = None
     admitted: bool = False
-    turns: int = 0
 
 
 @dataclass(kw_only=True, eq=False)
@@ -198,7 +197,7 @@
 
     def _try(self, instance, call, served, *, retry: bool) -> bool:
         if self.way in GRANTED:
-            taken = self._take(instance, call, retry)
+            taken = self._take(instance, call.budget, retry)
         else:
             taken = instance.buckets[call.budget].take(self.now_s, 1)
         if not taken:
@@ -209,30 +208,20 @@
             served(self, instance, call)
         return True
 
-    def _take(self, instance: _Instance, call: _Call, retry: bool) -> bool:
-        """Take from the parts as the daemon does.
-
-        Any part that has a token will do; a lack is stated to one owner at
-        a time, first to that of the instance's first part.
-        """
-        name = call.budget
+    def _take(self, instance: _Instance, name: str, retry: bool) -> bool:
+        """Try the parts in the instance's order, as the daemon does."""
         parts = self._parts[name]
-        first = zlib.crc32(f"i{instance.index}/{name}".encode()) % len(parts)
-        parts = parts[first:] + parts[:first]
-        if len(parts) > 1:
-            for part in parts:
-                taker = instance.takers[shard_of(part.name)]
-                if taker.take_if_held(self.now_s, part.name, ""):
-                    return True
-        turn = int((self.now_s - call.at_s) / TURN_S)
-        part = parts[turn % len(parts)]
-        shard = shard_of(part.name)
-        taken = instance.takers[shard].try_take(
-            self.now_s, part.name, "", retry=turn < call.turns
-        )
-        call.turns = turn + 1
-        self._poke(instance, shard)
-        return taken is not None
+        first = zlib.crc32(f"i{instance.index}/{name}".encode())
+        for position in range(len(parts)):
+            part = parts[(first + position) % len(parts)].name
+            shard = shard_of(part)
+            taken = instance.takers[shard].try_take(
+                self.now_s, part, "", retry=retry
+            )
+            self._poke(instance, shard)
+            if taken is not None:
+                return True
+        return False
 
     def _wake(self, instance: _Instance, name: str, served) -> None:
         def again() -> None:
--- a/tools/mutations_budgets.py
+++ b/tools/mutations_budgets.py
@@ -16,7 +16,6 @@
 _HISTORIES = "tests/test_budget_histories.py"
 _OWNER = "tests/test_budget_owner.py"
 _TAKER = "tests/test_budget_taker.py"
-_GATE = "tests/test_rate_gate.py"
 _METER = "tests/test_demand_meter.py"
 
 MUTATIONS = [
@@ -233,30 +232,4 @@
         new="due_s = self._sent_at_s + self._exchange_s",
         test=_TAKER,
     ),
-    _fault(
-        name="take without a lack skips the end of the grant",
-        module="rate_holding.py",
-        old="""        self.expire(now_s)
-        if not self._bucket.take(now_s, amount):
-            return False
-""",
-        new="""        if not self._bucket.take(now_s, amount):
-            return False
-""",
-        test=_TAKER,
-    ),
-    Mutation(
-        name="a lack is stated to all owners of a rate",
-        path="packages/verbenad/src/verbenad/rate_gate.py",
-        old="if part.taker.take_if_held(now_s, part.name, workspace):",
-        new="if part.taker.try_take(now_s, part.name, workspace):",
-        test=_GATE,
-    ),
-    Mutation(
-        name="a waiting call stays with one owner",
-        path="packages/verbenad/src/verbenad/rate_gate.py",
-        old="part = parts[turn % len(parts)]",
-        new="part = parts[0]",
-        test=_GATE,
-    ),
 ]
