Count bus traffic by message type and measure idle instances

Cause: an idle instance spends more than it may, and operators see only one sum of bytes.

idle processor share mean 6.5%, worst 7.5% bus, both directions mean 8.55 KB/s, worst 13.82 KB/s without the request before mean 5.0%, worst 5.5%; 2.85 and 4.38 KB/s

sent by an instance, mean messages/s bytes/s bytes each GrantRequest 10.62 1587 149 GrantReply 10.63 1448 136 Ping 2.11 352 167 Ack 2.11 330 157 CurrentGeneration 2.91 312 107 QueryGeneration 2.91 251 86 (as many are received; without the request before, 0.77 each of GrantRequest and GrantReply)

Every frame has about 60 bytes for the sender's name and address. All 11 instances are watchers of their failure domains (6 domains, two watchers each), so relays could not take over any polls of the store at this size.

Processor time, sampled in 3 of 11 instances for 30 s each without the request before (5.3% of a core in all, 0.2% of it in pynng's threads; inclusive, so lines overlap):

probes of targets (target_prober) 2.29% event loop (hub run, poll, timers) 1.55% start of green threads for timers and calls 0.77% timer callbacks (budget tick 50/s, agreement and membership 10/s each, and slower ones) 0.65% store version polls, 2.5/s 0.24% bus receive, and send 0.22%, 0.19% list of instances, 1/s 0.10% statement of wants, 4/s 0.09%

Not a source: log lines and metrics (no samples).

--- a/packages/verbenad/src/verbenad/bus.py
+++ b/packages/verbenad/src/verbenad/bus.py
@@ -15,6 +15,7 @@
 from eventlet.hubs import trampoline
 from eventlet.patcher import original
 
+from verbenad.bus_traffic import BusTraffic
 from verbenaworks import WireError, decode, encode, wire_message
 
 _log = logbook.Logger("verbenad.bus")
@@ -26,6 +27,8 @@
 
 SEND_QUEUE_LENGTH = 256
 MAX_MESSAGE_BYTES = 2_000_000
+# Counted in place of a type's name where a message has none.
+MALFORMED = "malformed"
 # A peer that sent nothing for this long gets a new connection, because an
 # open connection can go silent while new ones work.
 REDIAL_AFTER_S = 2.0
@@ -84,8 +87,8 @@
         self.dropped = 0
         self.malformed = 0
         self.failed = 0
-        self.sent_bytes = 0
-        self.received_bytes = 0
+        self.sent = BusTraffic()
+        self.received = BusTraffic()
 
     def subscribe(self, message_type: type, handler: Handler) -> None:
         """Call ``handler(sender, message)`` for each message."""
@@ -105,7 +108,7 @@
         data = encode(BusEnvelope(sender=self._sender, body=body))
         try:
             self._peer(address).socket.send(data, block=False)
-            self.sent_bytes += len(data)
+            self.sent.add(message_type.__name__, len(data))
         except pynng.NNGException:
             self.dropped += 1
 
@@ -119,8 +122,7 @@
                 continue
             except pynng.Closed:
                 return
-            self.received_bytes += len(data)
-            self._receive(data)
+            self.received.add(self._receive(data), len(data))
 
     def close(self) -> None:
         """Close all sockets."""
@@ -129,33 +131,36 @@
             peer.socket.close()
         self._peers.clear()
 
-    def _receive(self, data: bytes) -> None:
+    def _receive(self, data: bytes) -> str:
+        """Handle received bytes and return the name of their type."""
         try:
             envelope = decode(data)
         except WireError:
             self.malformed += 1
-            return
+            return MALFORMED
         if not isinstance(envelope, BusEnvelope):
             self.malformed += 1
-            return
+            return MALFORMED
         self._heard_at_s[envelope.sender.address] = self._now_s()
-        self._deliver(envelope.sender, envelope.body)
+        return self._deliver(envelope.sender, envelope.body)
 
-    def _deliver(self, sender: Sender, body: bytes) -> None:
+    def _deliver(self, sender: Sender, body: bytes) -> str:
         try:
             message = decode(body)
         except WireError:
             self.malformed += 1
-            return
+            return MALFORMED
+        name = type(message).__name__
         handler = self._handlers.get(type(message))
         if handler is None:
-            return
+            return name
         try:
             handler(sender, message)
         except Exception:
             # One message must not end the loop that receives all others.
             self.failed += 1
-            _log.exception("a handler failed on {}", type(message).__name__)
+            _log.exception("a handler failed on {}", name)
+        return name
 
     def _peer(self, address: str) -> _Peer:
         now_s = self._now_s()
--- /dev/null
+++ b/packages/verbenad/src/verbenad/bus_traffic.py
@@ -0,0 +1,21 @@
+"""Counts of the messages on the bus by type."""
+
+from collections import Counter
+
+
+class BusTraffic:
+    """Messages and bytes in one direction."""
+
+    def __init__(self) -> None:
+        self.messages: Counter[str] = Counter()
+        self.bytes: Counter[str] = Counter()
+
+    @property
+    def total_bytes(self) -> int:
+        """The bytes of all types."""
+        return self.bytes.total()
+
+    def add(self, name: str, size_bytes: int) -> None:
+        """Count one message."""
+        self.messages[name] += 1
+        self.bytes[name] += size_bytes
--- a/packages/verbenad/src/verbenad/daemon.py
+++ b/packages/verbenad/src/verbenad/daemon.py
@@ -303,8 +303,11 @@
         gauge(
             "verbenad_bus_bytes_total",
             "Bytes sent to and received from other instances.",
-            lambda: float(self._bus.sent_bytes + self._bus.received_bytes),
+            lambda: float(
+                self._bus.sent.total_bytes + self._bus.received.total_bytes
+            ),
         )
+        self._declare_traffic()
         gauge(
             "verbenad_bus_dropped_total",
             "Messages to other instances that could not be queued.",
@@ -321,6 +324,25 @@
             lambda: float(self._lines.dropped_lines),
         )
 
+    def _declare_traffic(self) -> None:
+        source = self.metrics.counter_source
+        for direction, traffic in (
+            ("sent", self._bus.sent),
+            ("received", self._bus.received),
+        ):
+            source(
+                f"verbenad_bus_{direction}_bytes_total",
+                f"Bytes of bus messages {direction}, by type.",
+                "message",
+                lambda t=traffic: t.bytes,  # type: ignore[misc]
+            )
+            source(
+                f"verbenad_bus_{direction}_messages_total",
+                f"Bus messages {direction}, by type.",
+                "message",
+                lambda t=traffic: t.messages,  # type: ignore[misc]
+            )
+
     def _on_state(self, state: AgreedState) -> None:
         if (
             self._config is None
--- a/tests/test_bus.py
+++ b/tests/test_bus.py
@@ -50,6 +50,11 @@
 while not first.malformed and time.monotonic() < deadline:
     eventlet.sleep(0.05)
 print("malformed", first.malformed)
+eventlet.sleep(0)
+assert first.sent.messages["Probe"] >= 1
+assert first.received.messages["Probe"] >= 1
+assert first.received.bytes["malformed"] == len(b"not a message")
+assert first.sent.total_bytes == first.sent.bytes["Probe"]
 """
 
 
@@ -58,7 +63,8 @@
 
     pynng's callback threads used eventlet's locks, which cannot be released
     from another thread: instances stopped answering under load. A handler
-    that failed ended the loop that receives all messages.
+    that failed ended the loop that receives all messages. Traffic that no
+    message type accounts for would be invisible to operators.
     """
     result = subprocess.run(
         [sys.executable, "-W", "ignore", "-c", _CHILD],
--- a/tools/measure_path.py
+++ b/tools/measure_path.py
@@ -4,7 +4,10 @@
 127.0.0.1 without the delays of real links. The processor time of a request
 is compared with that of a bare eventlet and urllib3 proxy in the same run.
 
-Usage: measure_path.py [--deployment NAME] [--json FILE]
+``--idle`` measures only what idle instances spend, in about a minute, and
+prints their bus traffic by type of message.
+
+Usage: measure_path.py [--deployment NAME] [--idle] [--json FILE]
 """
 
 import argparse
@@ -15,6 +18,7 @@
 import sys
 import threading
 import time
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import asdict, dataclass
 from pathlib import Path
@@ -32,7 +36,15 @@
 LOOKUPS = 2000
 EDITS = 15
 WAIT_LIMIT_S = 60.0
+IDLE_S = 10.0
+# Grants of the requests before the measurement end in this time.
+SETTLE_S = 12.0
 _BUS_BYTES = re.compile(r"^verbenad_bus_bytes_total\S* (\S+)", re.M)
+_BUS_TYPES = re.compile(
+    r"^verbenad_bus_(sent|received)_(bytes|messages)_total"
+    r'\{message="(\w+)"\} (\S+)',
+    re.M,
+)
 _TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 
 
@@ -63,12 +75,29 @@
         self.figures: list[Figure] = []
         self._idle_share = 0.0
 
+    def run_idle(self) -> None:
+        """Measure idle instances only."""
+        service = self._start()
+        # What instances go on to spend after a request is idle work too.
+        key = self._local.settings.keys["large1"]
+        for instance in self._local.instances.values():
+            _load(instance.caller, f"/s/{service}/", key, 1)
+        time.sleep(SETTLE_S)
+        before = self._bus_types()
+        self._idle(3 * IDLE_S)
+        for row, value in sorted(self._bus_types().items()):
+            grown = value - before[row]
+            direction, unit, message = row
+            if grown:
+                self._add(
+                    f"{message}, {unit} {direction}, mean",
+                    grown / (3 * IDLE_S) / len(self._local.instances),
+                    "/s",
+                )
+
     def run(self) -> None:
         """Run all steps."""
-        self._local.start()
-        caller = self._caller("large1")
-        service = self._local.deployment.services[0].name
-        _until(lambda: caller.call(service).status == 200)
+        service = self._start()
         self._idle()
         self._processor_time(service)
         self._lookup(service)
@@ -77,6 +106,14 @@
         self._drain(service)
         self._death(service)
 
+    def _start(self) -> str:
+        """Start the deployment; return a service that answers."""
+        self._local.start()
+        caller = self._caller("large1")
+        service = self._local.deployment.services[0].name
+        _until(lambda: caller.call(service).status == 200)
+        return service
+
     def _caller(self, workspace: str, region: int = 0) -> Caller:
         settings = self._local.settings
         return Caller(
@@ -103,26 +140,36 @@
             )
         )
 
-    def _idle(self) -> None:
+    def _idle(self, duration_s: float = IDLE_S) -> None:
         """Measure control work with hardly any requests."""
         calls = self._store_calls()
         before_s = [self._processor_s(name) for name in self._local.instances]
         before_bytes = self._bus_bytes()
-        time.sleep(10.0)
+        time.sleep(duration_s)
         sent = [
-            (b - a) / 10
+            (b - a) / duration_s
             for a, b in zip(before_bytes, self._bus_bytes(), strict=True)
         ]
         after_s = [self._processor_s(name) for name in self._local.instances]
-        shares = [(b - a) / 10 for a, b in zip(before_s, after_s, strict=True)]
+        shares = [
+            (b - a) / duration_s
+            for a, b in zip(before_s, after_s, strict=True)
+        ]
         self._idle_share = shares[0]
+        count = len(shares)
         self._add("idle processor share, worst", max(shares) * 100, "%", 2.7)
+        self._add("idle processor share, mean", sum(shares) / count * 100, "%")
         self._add(
             "bus traffic of an instance, worst", max(sent) / 1000, "KB/s", 3.0
         )
+        self._add(
+            "bus traffic of an instance, mean",
+            sum(sent) / count / 1000,
+            "KB/s",
+        )
         self._add(
             "store calls by 11 instances",
-            (self._store_calls() - calls) / 10,
+            (self._store_calls() - calls) / duration_s,
             "/s",
             2000.0,
         )
@@ -314,19 +361,27 @@
 
     def _bus_bytes(self) -> list[float]:
         """Return the bytes on the bus of each instance."""
-        values = []
+        matches = [_BUS_BYTES.search(page) for page in self._metrics_pages()]
+        return [float(match[1]) if match else 0.0 for match in matches]
+
+    def _bus_types(self) -> Counter[tuple[str, str, str]]:
+        """Return bus traffic by direction, unit and type of message."""
+        totals: Counter[tuple[str, str, str]] = Counter()
+        for page in self._metrics_pages():
+            for direction, unit, message, value in _BUS_TYPES.findall(page):
+                totals[direction, unit, message] += int(float(value))
+        return totals
+
+    def _metrics_pages(self) -> list[str]:
+        pages = []
         for instance in self._local.instances.values():
             connection = http.client.HTTPConnection(
                 instance.caller, timeout=10
             )
             connection.request("GET", "/metrics")
-            text = connection.getresponse().read().decode()
+            pages.append(connection.getresponse().read().decode())
             connection.close()
-            match = re.search(
-                r"^verbenad_bus_bytes_total\S* (\S+)", text, re.M
-            )
-            values.append(float(match[1]) if match else 0.0)
-        return values
+        return pages
 
     def _all_at(self, revision: int) -> bool:
         """Return whether every live instance applies a revision."""
@@ -421,6 +476,7 @@
     parser.add_argument(
         "--deployment", choices=sorted(DEPLOYMENTS), default="matunda"
     )
+    parser.add_argument("--idle", action="store_true")
     parser.add_argument("--json", type=Path)
     options = parser.parse_args()
     local = LocalDeployment(
@@ -431,7 +487,10 @@
     )
     measurement = PathMeasurement(local)
     try:
-        measurement.run()
+        if options.idle:
+            measurement.run_idle()
+        else:
+            measurement.run()
     finally:
         local.stop()
     _print(measurement.figures)
