Shorten bus frames and find connections that go silent in one direction

Cause: each frame had 60 bytes for its sender, 40% of a ping. And the rule for a new connection was "nothing heard from the peer for 2 s". Two faults came with it, both seen with the new test on the old code: - a connection that goes silent stays for ever while the peer's own frames arrive over its own connection; - a peer that is spoken to every 6 s got a new connection for each message (5 for 5 questions). With less traffic this would become the rule.

Ruled out: introducing the sender once per connection. A frame that comes before the introduction, or after the receiver has restarted, would be undeliverable, and pynng tells of new connections on threads of its own.

Change: a frame is a msgpack array of name, packed address, number of the frame, number of the last frame from the receiver, and the message. It stands alone. A connection is opened anew when a frame from the peer, 2 s or more after one of ours, still does not acknowledge it, or when a message that is not itself an answer is followed by 2 s without a frame. Instances of the earlier format refuse the new frames as malformed, and conversely.

--- a/packages/verbenad/src/verbenad/bus.py
+++ b/packages/verbenad/src/verbenad/bus.py
@@ -5,18 +5,28 @@
 dropped and counted, since every protocol above repeats what matters.
 """
 
+import secrets
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
 import eventlet
 import logbook
+import msgspec
 import pynng
 from eventlet.hubs import trampoline
 from eventlet.patcher import original
 
+from verbenad.bus_frame import (
+    BusFrame,
+    decode_frame,
+    encode_frame,
+    pack_address,
+    unpack_address,
+)
 from verbenad.bus_traffic import BusTraffic
-from verbenaworks import WireError, decode, encode, wire_message
+from verbenad.peer_link import PeerLink
+from verbenaworks import WireError, decode, encode
 
 _log = logbook.Logger("verbenad.bus")
 
@@ -29,9 +39,9 @@
 MAX_MESSAGE_BYTES = 2_000_000
 # Counted in place of a type's name where a message has none.
 MALFORMED = "malformed"
-# A peer that sent nothing for this long gets a new connection, because an
-# open connection can go silent while new ones work.
-REDIAL_AFTER_S = 2.0
+# More links than this belong to no fleet of the intended size; the oldest
+# one without a connection is forgotten, because peers choose addresses.
+MAX_LINKS = 4096
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -48,42 +58,38 @@
 Handler = Callable[[Sender, Any], None]
 
 
-@wire_message
-@dataclass(frozen=True, kw_only=True, slots=True)
-class BusEnvelope:
-    """A message with its sender."""
-
-    sender: Sender
-    body: bytes
-
-
-@dataclass(kw_only=True, slots=True)
-class _Peer:
-    socket: pynng.Push0
-    dialed_at_s: float
-
-
 class Bus:
     """Sends and receives messages.
 
     :param name: name of this instance.
     :param address: own bus address, ``host:port``.
     :param now_s: monotonic clock.
+    :param listen_address: where to listen if not at ``address``.
     """
 
     def __init__(
-        self, name: str, address: str, now_s: Callable[[], float]
+        self,
+        name: str,
+        address: str,
+        now_s: Callable[[], float],
+        listen_address: str | None = None,
     ) -> None:
         self.name = name
         self.address = address
         self._sender = Sender(name=name, address=address)
         self._now_s = now_s
         self._handlers: dict[type, Handler] = {}
-        self._peers: dict[str, _Peer] = {}
-        self._heard_at_s: dict[str, float] = {}
+        self._packed_address = pack_address(address)
+        self._sockets: dict[str, pynng.Push0] = {}
+        self._links: dict[str, PeerLink] = {}
+        # The peer whose message is being handled; what is sent to it
+        # meanwhile is an answer.
+        self._answered: str | None = None
         self._inbox = pynng.Pull0(
-            listen=f"tcp://{address}", recv_max_size=MAX_MESSAGE_BYTES
+            listen=f"tcp://{listen_address or address}",
+            recv_max_size=MAX_MESSAGE_BYTES,
         )
+        self.redialed = 0
         self.dropped = 0
         self.malformed = 0
         self.failed = 0
@@ -105,9 +111,20 @@
         if address == self.address:
             eventlet.spawn_n(self._deliver, self._sender, body)
             return
-        data = encode(BusEnvelope(sender=self._sender, body=body))
+        link = self._link(address)
+        now_s = self._now_s()
+        socket = self._socket(address, link, now_s)
+        data = encode_frame(
+            BusFrame(
+                self.name,
+                self._packed_address,
+                link.number(now_s, is_answer=address == self._answered),
+                link.received,
+                msgspec.Raw(body),
+            )
+        )
         try:
-            self._peer(address).socket.send(data, block=False)
+            socket.send(data, block=False)
             self.sent.add(message_type.__name__, len(data))
         except pynng.NNGException:
             self.dropped += 1
@@ -127,24 +144,24 @@
     def close(self) -> None:
         """Close all sockets."""
         self._inbox.close()
-        for peer in self._peers.values():
-            peer.socket.close()
-        self._peers.clear()
+        for socket in self._sockets.values():
+            socket.close()
+        self._sockets.clear()
 
     def _receive(self, data: bytes) -> str:
         """Handle received bytes and return the name of their type."""
         try:
-            envelope = decode(data)
+            frame = decode_frame(data)
+            address = unpack_address(frame.address)
         except WireError:
             self.malformed += 1
             return MALFORMED
-        if not isinstance(envelope, BusEnvelope):
-            self.malformed += 1
-            return MALFORMED
-        self._heard_at_s[envelope.sender.address] = self._now_s()
-        return self._deliver(envelope.sender, envelope.body)
+        link = self._link(address)
+        link.heard(self._now_s(), frame.number, frame.acknowledged)
+        sender = Sender(name=frame.name, address=address)
+        return self._deliver(sender, frame.body)
 
-    def _deliver(self, sender: Sender, body: bytes) -> str:
+    def _deliver(self, sender: Sender, body: bytes | msgspec.Raw) -> str:
         try:
             message = decode(body)
         except WireError:
@@ -154,24 +171,42 @@
         handler = self._handlers.get(type(message))
         if handler is None:
             return name
+        self._answered = sender.address
         try:
             handler(sender, message)
         except Exception:
             # One message must not end the loop that receives all others.
             self.failed += 1
             _log.exception("a handler failed on {}", name)
+        finally:
+            self._answered = None
         return name
 
-    def _peer(self, address: str) -> _Peer:
-        now_s = self._now_s()
-        peer = self._peers.get(address)
-        if peer is not None:
-            heard_at_s = self._heard_at_s.get(address, 0.0)
-            if now_s - max(heard_at_s, peer.dialed_at_s) <= REDIAL_AFTER_S:
-                return peer
-            peer.socket.close()
+    def _link(self, address: str) -> PeerLink:
+        link = self._links.get(address)
+        if link is None:
+            if len(self._links) >= MAX_LINKS:
+                self._forget_link()
+            link = self._links[address] = PeerLink(secrets.randbits(16))
+        return link
+
+    def _forget_link(self) -> None:
+        for address in self._links:
+            if address not in self._sockets:
+                del self._links[address]
+                return
+
+    def _socket(
+        self, address: str, link: PeerLink, now_s: float
+    ) -> pynng.Push0:
+        socket = self._sockets.get(address)
+        if socket is not None:
+            if not link.needs_redial(now_s):
+                return socket
+            socket.close()
+            link.redialed()
+            self.redialed += 1
         socket = pynng.Push0(send_buffer_size=SEND_QUEUE_LENGTH)
         socket.dial(f"tcp://{address}", block=False)
-        peer = _Peer(socket=socket, dialed_at_s=now_s)
-        self._peers[address] = peer
-        return peer
+        self._sockets[address] = socket
+        return socket
--- a/tests/test_bus.py
+++ b/tests/test_bus.py
@@ -3,6 +3,8 @@
 import subprocess
 import sys
 
+import pytest
+
 _CHILD = """
 import verbenad.monkey_patched
 import threading
@@ -75,3 +77,126 @@
     )
     assert result.returncode == 0, result.stderr
     assert result.stdout.split() == ["received", "failed", "malformed", "1"]
+
+
+_SILENT_CHILD = """
+import verbenad.monkey_patched
+import socket
+import sys
+import time
+import eventlet
+from dataclasses import dataclass
+from verbenad.bus import Bus
+from verbenad.peer_link import REDIAL_AFTER_S
+from verbenaworks.wire import wire_message
+
+@wire_message
+@dataclass(frozen=True, kw_only=True)
+class Ask:
+    number: int
+
+@wire_message
+@dataclass(frozen=True, kw_only=True)
+class Answer:
+    number: int
+
+def free_ports(count):
+    held = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    ports = [each.getsockname()[1] for each in held]
+    for each in held:
+        each.close()
+    return ports
+
+first_port, proxy_port, second_port = free_ports(3)
+clock = [0.0]
+opened, silent = [], set()
+
+def copy(source, target, connection):
+    while data := source.recv(65536):
+        if connection not in silent:
+            target.sendall(data)
+
+def forward(client, _address):
+    connection = len(opened)
+    opened.append(connection)
+    server = eventlet.connect(("127.0.0.1", second_port))
+    eventlet.spawn(copy, server, client, connection)
+    copy(client, server, connection)
+
+eventlet.spawn(
+    eventlet.serve, eventlet.listen(("127.0.0.1", proxy_port)), forward
+)
+def bus(name, port, listen_port=None):
+    return Bus(
+        name,
+        f"127.0.0.1:{port}",
+        lambda: clock[0],
+        listen_port and f"127.0.0.1:{listen_port}",
+    )
+first, second = bus("a", first_port), bus("b", proxy_port, second_port)
+for bus in (first, second):
+    eventlet.spawn(bus.serve)
+
+asked, answered = [], []
+def answer(sender, message):
+    asked.append(message.number)
+    second.send(sender.address, Answer(number=message.number))
+second.subscribe(Ask, answer)
+first.subscribe(Answer, lambda sender, m: answered.append(m.number))
+second_talks = sys.argv[1] == "talks"
+
+def until(done):
+    end_s = time.monotonic() + 60
+    while not done() and time.monotonic() < end_s:
+        eventlet.sleep(0.01)
+    return done()
+
+def say():
+    # The peer speaks by itself and does not ask for anything.
+    before = first.received.messages["Answer"]
+    second.send(first.address, Answer(number=-1))
+    assert until(lambda: first.received.messages["Answer"] > before)
+
+def ask(number):
+    first.send(second.address, Ask(number=number))
+
+# A quiet connection stays open however rarely it is used.
+for number in range(5):
+    ask(number)
+    assert until(lambda: number in answered)
+    clock[0] += 3 * REDIAL_AFTER_S
+assert opened == [0], opened
+silent.add(0)
+for number in range(100, 104):
+    ask(number)
+    if second_talks:
+        say()
+    eventlet.sleep(0.05)
+    clock[0] += REDIAL_AFTER_S / 4
+assert not any(number in asked for number in range(100, 104))
+clock[0] += 0.1
+if second_talks:
+    say()
+ask(200)
+assert until(lambda: 200 in answered)
+assert opened == [0, 1], opened
+print(first.redialed)
+"""
+
+
+@pytest.mark.parametrize("peer", ["talks", "is-quiet"])
+def test_silent_connection_is_opened_anew(peer: str) -> None:
+    """Guards against peers that are cut off while new connections work.
+
+    A proxy swallows all bytes of the first connection. When the peer went
+    on sending over its own connection, the bus kept the silent one for ever.
+    """
+    result = subprocess.run(
+        [sys.executable, "-W", "ignore", "-c", _SILENT_CHILD, peer],
+        capture_output=True,
+        text=True,
+        timeout=200,
+        check=False,
+    )
+    assert result.returncode == 0, result.stderr
+    assert result.stdout.split() == ["1"]
