Stop asking for regions' load that an instance no longer uses

Cause: after its first request an instance stated a reserve of 4 units of region load for ever. It held units of 8 parts of each region without use and exchanged 10.6 requests a second with their owners: 71% of its bytes. Slots and rates were already returned after 3 s without use.

Ruled out: one message per owner in place of one per shard.

Change: the wants for a region end 3 s (IDLE_S) after the last question, unless a unit is in use; the holding then ends as any other. Groups without wants and without units are not divided anew every 0.25 s. The first request after a pause waits for one exchange, as it already does for slots and rate.

--- a/packages/verbenad/src/verbenad/divided_units.py
+++ b/packages/verbenad/src/verbenad/divided_units.py
@@ -90,8 +90,9 @@
 
     def restate(self) -> None:
         """Divide the wants anew after grants have changed."""
-        for service in self._wants:
-            self._restate(service)
+        for service, wants in self._wants.items():
+            if wants or self._shares.get(service):
+                self._restate(service)
 
     def _budget(self, name: str) -> BudgetHandle:
         known = self._handles.get(name)
--- a/packages/verbenad/src/verbenad/region_units.py
+++ b/packages/verbenad/src/verbenad/region_units.py
@@ -9,6 +9,7 @@
 from verbenad.budget_loop import BudgetLoop
 from verbenad.budget_plan import region_budget_name, region_parts
 from verbenad.divided_units import DividedUnits
+from verbenaworks.budget_taker import IDLE_S
 from verbenaworks.compiled_config import CompiledConfig
 from verbenaworks.near_table import Place
 from verbenaworks.target import TargetInfo
@@ -41,6 +42,10 @@
         self._stated: dict[str, int] = {}
         self._used_parts: dict[tuple[str, str], list[str]] = {}
         self._short_since_s: dict[str, float] = {}
+        # Regions asked for since the last restatement, and when earlier ones
+        # were; reading the clock for each question would cost more.
+        self._asked: set[str] = set()
+        self._asked_at_s: dict[str, float] = {}
 
     def set_config(self, config: CompiledConfig) -> None:
         """Take over the parts of all regions."""
@@ -60,6 +65,7 @@
         It returns 1 for any number of them: the choice asks this for each
         target, and counting all parts would cost more than the choice.
         """
+        self._asked.add(target)
         for part in self._parts.members(target):
             if self._parts.available(part.name) > 0:
                 self._short_since_s.pop(target, None)
@@ -70,6 +76,7 @@
 
     def take(self, target: str, workspace: str) -> bool:
         """Put one unit of a region in use; false if none is available."""
+        self._asked.add(target)
         for part in self._parts.members(target):
             if self._parts.available(part.name) and self._parts.take(
                 part.name, workspace
@@ -100,11 +107,26 @@
         )
 
     def restate(self) -> None:
-        """State the wants anew after grants have changed."""
-        for region in self._in_use:
-            self._state(region)
+        """State the wants anew after grants have changed.
+
+        A region that nobody uses is not asked for any more.
+        """
+        now_s = self._now_s()
+        for region in list(self._stated):
+            if region in self._asked or self._in_use.get(region, 0):
+                self._asked_at_s[region] = now_s
+            if now_s - self._asked_at_s[region] >= IDLE_S:
+                self._drop(region)
+            else:
+                self._state(region)
+        self._asked.clear()
         self._parts.restate()
 
+    def _drop(self, region: str) -> None:
+        del self._stated[region]
+        self._short_since_s.pop(region, None)
+        self._parts.want(region, "", 0)
+
     def _state(self, region: str) -> None:
         """State the wants when they have changed by more than a little.
 
--- a/tests/test_region_units.py
+++ b/tests/test_region_units.py
@@ -1,5 +1,6 @@
 """Division of wanted units when a region grants nothing."""
 
+from collections.abc import Callable
 from random import Random
 
 from result import Ok
@@ -8,7 +9,7 @@
 from verbenad.region_units import RegionUnits
 from verbenaworks.budget_owner import BudgetOwner
 from verbenaworks.budget_spec import Budget, LevelBudget
-from verbenaworks.budget_taker import BudgetTaker
+from verbenaworks.budget_taker import IDLE_S, BudgetTaker
 from verbenaworks.compiled_config import CompiledConfig, compile_config
 from verbenaworks.config_document import ConfigDocument
 from verbenaworks.control_record import SHARDS
@@ -16,6 +17,14 @@
 from verbenaworks.near_table import Place
 from verbenaworks.target import TargetInfo
 
+_PLACE = Place(
+    instance="e1",
+    region="near",
+    failure_domain="near-1",
+    domain_delay_s=0.001,
+    region_delay_s=0.01,
+)
+
 
 class _Lease:
     epoch = 1
@@ -31,6 +40,7 @@
         self._now_s = now_s
         self._takers = []
         self._owners = []
+        self._requests = 0
         for shard in range(SHARDS):
             taker = BudgetTaker(shard=shard, taker="e1", incarnation=1)
             taker.configure(0.0, budgets)
@@ -48,6 +58,14 @@
     def kick(self, shard: int) -> None:
         """Do nothing: the test exchanges when it advances the time."""
 
+    def requests_in(
+        self, duration_s: float, wait: Callable[[float], None]
+    ) -> int:
+        """Return how many requests are sent in a time."""
+        before = self._requests
+        wait(duration_s)
+        return self._requests - before
+
     def advance(self, duration_s: float) -> None:
         self._now_s[0] += duration_s
         now_s = self._now_s[0]
@@ -55,6 +73,7 @@
             for _ in range(4):
                 request = taker.next_request(now_s)
                 reply = request and owner.handle(now_s, request)
+                self._requests += request is not None
                 if reply:
                     taker.accept(now_s, reply)
 
@@ -104,22 +123,15 @@
     ]
     clock = [0.0]
     loop = _Loop(budgets, clock)
-    place = Place(
-        instance="e1",
-        region="near",
-        failure_domain="near-1",
-        domain_delay_s=0.001,
-        region_delay_s=0.01,
-    )
     regions = RegionUnits(
         loop=loop,  # type: ignore[arg-type]
-        place=place,
+        place=_PLACE,
         now_s=lambda: clock[0],
     )
     regions.set_config(config)
     slots = DividedUnits(
         loop=loop,  # type: ignore[arg-type]
-        place=place,
+        place=_PLACE,
         now_s=lambda: clock[0],
         budget_name=lambda name: f"slots/{name}",
         may_ask=lambda target: not regions.is_full(target.region),
@@ -151,3 +163,40 @@
     assert regions.take("far", "w")
     regions.release("far", "w")
     slots.release("s/far", "w")
+
+
+def test_an_unused_region_is_not_asked_for() -> None:
+    """Guards against instances that ask for load for ever after one request.
+
+    Each of them exchanged ten messages a second with the owners, and held
+    units of every region.
+    """
+    budgets: list[Budget] = [
+        LevelBudget(name=f"region/{region}/{part}", capacity=10)
+        for region in ("near", "far")
+        for part in range(8)
+    ]
+    clock = [0.0]
+    loop = _Loop(budgets, clock)
+    regions = RegionUnits(
+        loop=loop,  # type: ignore[arg-type]
+        place=_PLACE,
+        now_s=lambda: clock[0],
+    )
+    regions.set_config(_config())
+
+    def wait(duration_s: float) -> None:
+        for _ in range(round(duration_s / 0.25)):
+            regions.restate()
+            loop.advance(0.25)
+
+    for _ in range(2):
+        regions.available("near")
+        wait(1.0)
+        assert regions.take("near", "w")
+        wait(30.0)
+        # A request that runs keeps the reserve for others.
+        assert regions.available("near")
+        regions.release("near", "w")
+        wait(2 * IDLE_S)
+        assert loop.requests_in(10.0, wait) == 0
