Let periodic timers share wake-ups and cancel timers without a switch

Cause: nine periodic timers woke the idle loop about 31 times a second besides the budget loop's 50. And cancelling a timer let other green threads run, because eventlet ends a thread that has not started by a switch to its hub. Cancelling the budget loop's wake-up in the middle of AdmissionQueue.offer let another thread start the request before its event was registered.

Ruled out: one timer for all periodic work; a fault or a wait in one task would hold up the others.

Change: a periodic timer starts at a whole multiple of its period, counted from the start of the process, and stays on that grid after a late call. Timers are plain hub timers, cancelled without a switch. The first call now comes within one period instead of after one.

Both new tests fail on the old code.

--- a/packages/verbenad/src/verbenad/loop_timers.py
+++ b/packages/verbenad/src/verbenad/loop_timers.py
@@ -4,8 +4,9 @@
 from collections.abc import Callable
 from typing import Any
 
-import eventlet
 import logbook
+from eventlet.hubs import get_hub
+from greenlet import greenlet
 
 _log = logbook.Logger("verbenad.timers")
 
@@ -19,22 +20,27 @@
         self._callback = callback
         self._period_s = period_s
         self._due_s = 0.0
-        self._thread: Any = None
+        self._timer: Any = None
         self._cancelled = False
 
     def cancel(self) -> None:
-        """Stop the timer; does nothing if it already ended."""
+        """Stop the timer; does nothing if it already ended.
+
+        Other green threads do not run meanwhile, which a caller in the
+        middle of a change relies on. Cancelling a thread of eventlet's
+        ``spawn_after`` lets them run.
+        """
         self._cancelled = True
-        if self._thread is not None:
-            # Only a thread that has not started is stopped: a callback may
-            # cancel its own timer.
-            self._thread.cancel()
+        if self._timer is not None:
+            self._timer.cancel()
 
     def schedule(self, due_s: float) -> None:
         """Set the next call to the monotonic time ``due_s``."""
         self._due_s = due_s
         delay_s = max(0.0, due_s - time.monotonic())
-        self._thread = eventlet.spawn_after(delay_s, self._run)
+        hub = get_hub()
+        thread = greenlet(self._run, parent=hub.greenlet)
+        self._timer = hub.schedule_call_global(delay_s, thread.switch)
 
     def _run(self) -> None:
         if self._cancelled:
@@ -42,7 +48,9 @@
         if self._period_s is not None:
             # Calls that were missed while the process was stopped are
             # dropped, not made up for in a burst.
-            self.schedule(max(self._due_s + self._period_s, time.monotonic()))
+            late_s = max(0.0, time.monotonic() - self._due_s)
+            periods = late_s // self._period_s + 1
+            self.schedule(self._due_s + periods * self._period_s)
         try:
             self._callback()
         except Exception:
@@ -50,7 +58,16 @@
 
 
 class LoopTimers:
-    """Timers on eventlet's loop; each callback runs in a green thread."""
+    """Timers on eventlet's loop; each callback runs in a green thread.
+
+    Periodic timers start at whole periods of the service's own time. Those
+    with multiples of one period then share a wake-up of the loop, which
+    costs as much as a small callback.
+    """
+
+    def __init__(self) -> None:
+        # Differs between processes, so that they do not all wake together.
+        self._origin_s = time.monotonic()
 
     def now_s(self) -> float:
         """Return the monotonic time in seconds."""
@@ -67,12 +84,13 @@
     def every(
         self, period_s: float, callback: Callable[[], None]
     ) -> LoopSubscription:
-        """Call ``callback`` each ``period_s`` seconds, first after one.
+        """Call ``callback`` each ``period_s`` seconds, first within one.
 
         :raises ValueError: if the period is not positive.
         """
         if period_s <= 0:
             raise ValueError(f"period_s must be positive, got {period_s}")
         subscription = LoopSubscription(callback, period_s)
-        subscription.schedule(time.monotonic() + period_s)
+        periods = (time.monotonic() - self._origin_s) // period_s + 1
+        subscription.schedule(self._origin_s + periods * period_s)
         return subscription
--- a/packages/verbenaworks/src/verbenaworks/timers.py
+++ b/packages/verbenaworks/src/verbenaworks/timers.py
@@ -29,4 +29,4 @@
     def every(
         self, period_s: float, callback: Callable[[], None]
     ) -> Subscription:
-        """Call ``callback`` each ``period_s`` seconds, first after one."""
+        """Call ``callback`` each ``period_s`` seconds, first within one."""
--- a/tests/test_loop_timers.py
+++ b/tests/test_loop_timers.py
@@ -2,8 +2,9 @@
 
 import eventlet
 import logbook
+import pytest
 
-from verbenad.loop_timers import LoopTimers
+from verbenad.loop_timers import LoopSubscription, LoopTimers
 
 
 def test_callbacks_run_in_order_of_their_time() -> None:
@@ -33,6 +34,22 @@
     assert fired == []
 
 
+def test_cancelling_does_not_let_others_run() -> None:
+    """Guards against changes that another green thread sees half made.
+
+    Requests waited without end: a lack of units cancelled the wake-up of
+    the budget loop in the middle of the admission queue's work, and other
+    requests entered the queue meanwhile.
+    """
+    timers = LoopTimers()
+    ran: list[int] = []
+    eventlet.spawn_n(ran.append, 1)
+    timers.after(0.005, lambda: ran.append(2)).cancel()
+    assert ran == []
+    eventlet.sleep(0.01)
+    assert ran == [1]
+
+
 def test_failing_callback_does_not_end_the_timer() -> None:
     """Guards against one fault that silences a periodic task for ever."""
     timers = LoopTimers()
@@ -64,3 +81,29 @@
     timers.after(0.005, done.send)
     done.wait()
     waiting.send()
+
+
+def test_periodic_timers_share_wake_ups(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a wake-up of the idle loop for each timer.
+
+    A late call must neither be made up for nor move the later ones.
+    """
+    clock = [100.0]
+    dues: list[float] = []
+    monkeypatch.setattr("time.monotonic", lambda: clock[0])
+    monkeypatch.setattr(
+        LoopSubscription, "schedule", lambda _self, due_s: dues.append(due_s)
+    )
+    timers = LoopTimers()
+    clock[0] += 0.3
+    timers.every(0.5, list)
+    clock[0] += 0.4
+    timers.every(0.25, list)
+    assert dues == [100.5, 100.75]
+    late = LoopSubscription(list, 0.25)
+    late._due_s = 100.75
+    clock[0] = 103.3
+    late._run()
+    assert dues[2:] == [103.5]
