Wake the budget loop when a request is due instead of 50 times a second

Cause: the loop asked for all 16 leases and takers 50 times a second, although an idle instance has nothing to send. Ruled out: waking only when something is due. A change of a taker without a kick would then wait for the next request; the loop wakes after 0.25 s at most. Change: the loop sleeps until the earliest due time, and a kick brings that forward. Sendings stay at least 0.02 s apart, as before. An owner object is made at the first request as well, so a new owner does not answer later than before, and a lease that has gone is noticed at each request.

--- a/packages/verbenad/src/verbenad/budget_loop.py
+++ b/packages/verbenad/src/verbenad/budget_loop.py
@@ -12,8 +12,12 @@
 from verbenaworks.compiled_config import CompiledConfig
 from verbenaworks.control_record import SHARDS, InstanceId
 from verbenaworks.grant import GrantReply, GrantRequest
+from verbenaworks.timers import Subscription, Timers
 
+# Two sendings are at least so far apart, and at most as far as the second
+# value when nothing is due: every way to lack something ends in a kick.
 TICK_S = 0.02
+IDLE_TICK_S = 0.25
 # Longer than any grant with its linger time.
 _LONG_AGO_S = 1e6
 
@@ -31,13 +35,16 @@
         agreement: Agreement,
         bus: Bus,
         directory: Directory,
-        now_s: Callable[[], float],
+        timers: Timers,
         on_granted: Callable[[], None],
     ) -> None:
         self._agreement = agreement
         self._bus = bus
         self._directory = directory
-        self._now_s = now_s
+        self._timers = timers
+        self._now_s = timers.now_s
+        self._wake: Subscription | None = None
+        self._wake_at_s = float("inf")
         self._on_granted = on_granted
         self._budgets: list[Budget] = []
         self._owners: dict[int, BudgetOwner] = {}
@@ -65,20 +72,52 @@
         for owner in self._owners.values():
             owner.configure(now_s, self._budgets)
 
-    def tick(self) -> None:
-        """Send what is due; call it every ``TICK_S`` seconds."""
-        self._update_owners()
-        now_s = self._now_s()
-        for shard, taker in enumerate(self.takers):
-            if taker.due_at_s() <= now_s:
-                self._send(shard, taker, now_s)
+    def start(self) -> None:
+        """Send requests when they are due, from now on."""
+        self._wake_by(self._now_s())
 
     def kick(self, shard: int) -> None:
-        """Send a shard's request at once if one is due."""
+        """Send a shard's request at once if one is due, else in time.
+
+        To be called after each change at the shard's taker.
+        """
         now_s = self._now_s()
         taker = self.takers[shard]
-        if taker.due_at_s() <= now_s:
+        due_at_s = taker.due_at_s()
+        if due_at_s <= now_s:
             self._send(shard, taker, now_s)
+            due_at_s = taker.due_at_s()
+        if due_at_s < self._wake_at_s and self._wake is not None:
+            self._wake_by(max(due_at_s, now_s + TICK_S))
+
+    def _tick(self) -> None:
+        self._wake_at_s = float("inf")
+        try:
+            self._send_due()
+        finally:
+            # A fault at one taker must not end the exchange with all others.
+            now_s = self._now_s()
+            due_at_s = min(taker.due_at_s() for taker in self.takers)
+            due_at_s = max(due_at_s, now_s + TICK_S)
+            self._wake_by(min(due_at_s, now_s + IDLE_TICK_S))
+
+    def _wake_by(self, at_s: float) -> None:
+        if at_s >= self._wake_at_s:
+            return
+        if self._wake is not None:
+            self._wake.cancel()
+        self._wake_at_s = at_s
+        self._wake = self._timers.after(
+            max(0.0, at_s - self._now_s()), self._tick
+        )
+
+    def _send_due(self) -> None:
+        now_s = self._now_s()
+        for shard in range(SHARDS):
+            self._update_owner(shard, now_s)
+        for shard, taker in enumerate(self.takers):
+            if taker.due_at_s() <= now_s:
+                self._send(shard, taker, now_s)
 
     def _send(self, shard: int, taker: BudgetTaker, now_s: float) -> None:
         owner = self._directory.owner(shard)
@@ -89,27 +128,30 @@
         if request is not None:
             self._bus.send(owner.bus_address, request)
 
-    def _update_owners(self) -> None:
-        now_s = self._now_s()
-        for shard in range(SHARDS):
-            lease = self._agreement.lease(shard)
-            known = self._owners.get(shard)
-            if lease is None or not lease.is_valid(now_s):
-                if lease is None or (known and known.epoch != lease.epoch):
-                    self._owners.pop(shard, None)
-                continue
-            if known is None or known.epoch != lease.epoch:
-                # The lease is valid only once no earlier owner can act. The
-                # first epoch has no earlier owner whose grants may be left.
-                since_s = now_s if lease.epoch > 1 else now_s - _LONG_AGO_S
-                owner = BudgetOwner(
-                    shard=shard, lease=lease, started_at_s=since_s, wait_s=0.0
-                )
-                owner.configure(now_s, self._budgets)
-                self._owners[shard] = owner
+    def _update_owner(self, shard: int, now_s: float) -> BudgetOwner | None:
+        """Return the owner object of a shard that this instance owns."""
+        lease = self._agreement.lease(shard)
+        known = self._owners.get(shard)
+        if lease is None or not lease.is_valid(now_s):
+            if lease is None or (known and known.epoch != lease.epoch):
+                self._owners.pop(shard, None)
+            return None
+        if known is None or known.epoch != lease.epoch:
+            # The lease is valid only once no earlier owner can act. The
+            # first epoch has no earlier owner whose grants may be left.
+            since_s = now_s if lease.epoch > 1 else now_s - _LONG_AGO_S
+            known = BudgetOwner(
+                shard=shard, lease=lease, started_at_s=since_s, wait_s=0.0
+            )
+            known.configure(now_s, self._budgets)
+            self._owners[shard] = known
+        return known
 
     def _on_request(self, sender: Sender, request: GrantRequest) -> None:
-        owner = self._owners.get(request.shard)
+        if not 0 <= request.shard < SHARDS:
+            return
+        # A new owner need not wait for its next tick.
+        owner = self._update_owner(request.shard, self._now_s())
         if owner is None:
             return
         reply = owner.handle(self._now_s(), request)
--- a/packages/verbenad/src/verbenad/daemon.py
+++ b/packages/verbenad/src/verbenad/daemon.py
@@ -12,7 +12,6 @@
 from verbenad.admin_server import AdminServer
 from verbenad.agreement_loop import AgreementLoop
 from verbenad.authentication import check_again
-from verbenad.budget_loop import TICK_S as BUDGET_TICK_S
 from verbenad.budget_loop import BudgetLoop
 from verbenad.bus import Bus
 from verbenad.call import Call
@@ -98,7 +97,7 @@
         eventlet.spawn_n(self._bus.serve)
         every = self._timers.every
         every(TICK_S, self._agreement_loop.tick)
-        every(BUDGET_TICK_S, self._budgets.tick)
+        self._budgets.start()
         every(WANTS_PERIOD_S, self._desk.state_wants)
         every(POOL_PERIOD_S, self._pool.close_expired)
         every(GENERATION_RETRY_S, self._claims.query_generations)
@@ -180,7 +179,7 @@
             agreement=self._agreement,
             bus=self._bus,
             directory=self._fleet,
-            now_s=self._now_s,
+            timers=self._timers,
             on_granted=self._on_granted,
         )
         self._claims = RunClaims(
--- /dev/null
+++ b/tests/test_budget_loop.py
@@ -0,0 +1,150 @@
+"""When an instance exchanges grants with the owners of budgets."""
+
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from verbenad.budget_loop import IDLE_TICK_S, TICK_S, BudgetLoop
+from verbenad.bus import Sender
+from verbenad.directory import OwnerView
+from verbenaworks.budget_spec import Budget, LevelBudget, shard_of
+from verbenaworks.budget_taker import EXCHANGE_S, LACK_GAP_S
+from verbenaworks.control_record import InstanceId
+from verbenaworks.grant import GrantReply, GrantRequest, GrantWant
+from verbenaworks.owner_lease import OwnerLease
+from verbenaworks.virtual_timers import VirtualTimers
+
+_BUDGET = "slots/s/t"
+_SHARD = shard_of(_BUDGET)
+
+
+class _World:
+    """A loop whose messages to other instances stay unanswered."""
+
+    def __init__(self, monkeypatch: Any) -> None:
+        self.timers = VirtualTimers()
+        self.sent: list[tuple[float, Any]] = []
+        self.looks = 0
+        self.epoch: int | None = None
+        self._handlers: dict[type, Callable[[Sender, Any], None]] = {}
+        budgets: list[Budget] = [LevelBudget(name=_BUDGET, capacity=4)]
+        monkeypatch.setattr(
+            "verbenad.budget_loop.plan_budgets", lambda _config: budgets
+        )
+        self.loop = BudgetLoop(
+            instance=InstanceId(name="e1", incarnation=1),
+            agreement=self,  # type: ignore[arg-type]
+            bus=self,  # type: ignore[arg-type]
+            directory=self,  # type: ignore[arg-type]
+            timers=self.timers,
+            on_granted=lambda: None,
+        )
+        self.loop.set_config(None)  # type: ignore[arg-type]
+
+    def subscribe(
+        self, message_type: type, handler: Callable[[Sender, Any], None]
+    ) -> None:
+        self._handlers[message_type] = handler
+
+    def send(self, _address: str, message: Any) -> None:
+        self.sent.append((self.timers.now_s(), message))
+
+    def receive(self, message: Any) -> None:
+        sender = Sender(name="e2", address="e2")
+        self._handlers[type(message)](sender, message)
+
+    def owner(self, _shard: int) -> OwnerView:
+        return OwnerView(bus_address="e2", epoch=1, is_self=False)
+
+    def lease(self, shard: int) -> OwnerLease | None:
+        self.looks += shard == _SHARD
+        if self.epoch is None:
+            return None
+        return OwnerLease(
+            shard=shard, epoch=self.epoch, is_valid=lambda _now_s: True
+        )
+
+    def answer(self) -> None:
+        """Answer the newest request, and forget all."""
+        request = self.sent[-1][1]
+        self.sent.clear()
+        self.receive(
+            GrantReply(
+                shard=_SHARD,
+                epoch=1,
+                incarnation=1,
+                seq=request.seq,
+                entries=(),
+            )
+        )
+
+    def want(self, amount: int) -> None:
+        taker = self.loop.taker_of(_SHARD)
+        taker.state_wants(self.timers.now_s(), _BUDGET, {"w": amount})
+        self.loop.kick(_SHARD)
+
+
+def test_an_idle_loop_sleeps(monkeypatch: Any) -> None:
+    """Guards against 50 ticks a second without anything to send."""
+    world = _World(monkeypatch)
+    world.loop.start()
+    world.timers.advance(10.0)
+    assert world.looks <= 10.0 / IDLE_TICK_S + 1
+    assert world.sent == []
+
+
+def test_requests_are_sent_when_they_are_due(monkeypatch: Any) -> None:
+    """Guards against callers who wait until the loop wakes by itself."""
+    world = _World(monkeypatch)
+    world.loop.start()
+    world.timers.advance(10 * IDLE_TICK_S + 0.1)
+    world.want(1)
+    assert [at_s for at_s, _ in world.sent] == [world.timers.now_s()]
+    # The first reply only tells the epoch of the owner.
+    world.answer()
+    world.answer()
+    assert world.sent == []
+    # The lack that is left makes a request due after the shortest gap.
+    asked_s = world.timers.now_s()
+    world.want(2)
+    assert world.sent == []
+    world.timers.advance(LACK_GAP_S + TICK_S)
+    assert len(world.sent) == 1
+    assert world.sent[0][0] <= asked_s + LACK_GAP_S + TICK_S
+
+
+def test_regular_requests_go_on(monkeypatch: Any) -> None:
+    """Guards against grants that end because the loop fell asleep."""
+    world = _World(monkeypatch)
+    world.loop.start()
+    world.want(1)
+    for _ in range(20):
+        world.answer()
+        world.want(1)
+        world.timers.advance(EXCHANGE_S + TICK_S)
+        assert world.sent
+
+
+def test_a_new_owner_answers_at_once(monkeypatch: Any) -> None:
+    """Guards against requests that are lost until the new owner's tick."""
+    world = _World(monkeypatch)
+    world.loop.start()
+    world.timers.advance(1.0)
+    request = GrantRequest(
+        shard=_SHARD,
+        epoch=1,
+        taker="e2",
+        incarnation=1,
+        seq=1,
+        entries=(GrantWant(budget=_BUDGET, kept=0),),
+    )
+    world.receive(request)
+    assert world.sent == []
+    world.epoch = 1
+    world.receive(request)
+    assert [type(message) for _, message in world.sent] == [GrantReply]
+    # The ownership has moved on: the earlier state must not answer.
+    world.epoch = None
+    world.receive(msgspec.structs.replace(request, seq=2))
+    assert len(world.sent) == 1
--- a/tools/mutations_bus.py
+++ b/tools/mutations_bus.py
@@ -1,10 +1,12 @@
-"""Faults of the messages between instances, and the tests for them."""
+"""Faults of messages and of what idle instances send, and their tests."""
 
 from mutants import Mutation
 
 _SRC = "packages/verbenad/src/verbenad"
 _SILENT = "tests/test_bus.py::test_silent_connection_is_opened_anew"
 _LINK = "tests/test_peer_link.py"
+_BUDGETS = "tests/test_budget_loop.py"
+_REGIONS = "tests/test_region_units.py"
 
 MUTATIONS = [
     Mutation(
@@ -35,4 +37,39 @@
         new="                link.number(now_s, is_answer=True),\n",
         test=f"{_SILENT}[talks]",
     ),
+    Mutation(
+        name="an unused region is asked for without end",
+        path=f"{_SRC}/region_units.py",
+        old="if now_s - self._asked_at_s[region] >= IDLE_S:",
+        new="if now_s < 0:",
+        test=f"{_REGIONS}::test_an_unused_region_is_not_asked_for",
+    ),
+    Mutation(
+        name="a region in use is not asked for after a while",
+        path=f"{_SRC}/region_units.py",
+        old="if region in self._asked or self._in_use.get(region, 0):",
+        new="if region in self._asked:",
+        test=f"{_REGIONS}::test_an_unused_region_is_not_asked_for",
+    ),
+    Mutation(
+        name="a lack does not wake the budget loop",
+        path=f"{_SRC}/budget_loop.py",
+        old="if due_at_s < self._wake_at_s and self._wake is not None:",
+        new="if due_at_s < 0 and self._wake is not None:",
+        test=f"{_BUDGETS}::test_requests_are_sent_when_they_are_due",
+    ),
+    Mutation(
+        name="an instance answers for a shard that it has lost",
+        path=f"{_SRC}/budget_loop.py",
+        old="self._owners.pop(shard, None)\n            return None",
+        new="pass\n            return known",
+        test=f"{_BUDGETS}::test_a_new_owner_answers_at_once",
+    ),
+    Mutation(
+        name="periodic calls missed in a pause are made up for",
+        path=f"{_SRC}/loop_timers.py",
+        old="periods = late_s // self._period_s + 1",
+        new="periods = 1.0 + 0.0 * late_s",
+        test="tests/test_loop_timers.py::test_periodic_timers_share_wake_ups",
+    ),
 ]
