--- a/packages/verbenad/src/verbenad/daemon.py
+++ b/packages/verbenad/src/verbenad/daemon.py
@@ -12,7 +12,6 @@
 from verbenad.admin_server import AdminServer
 from verbenad.agreement_loop import AgreementLoop
 from verbenad.authentication import check_again
-from verbenad.budget_loop import TICK_S as BUDGET_TICK_S
 from verbenad.budget_loop import BudgetLoop
 from verbenad.bus import Bus
 from verbenad.call import Call
@@ -36,7 +35,7 @@
 from verbenad.rate_gate import RateGate
 from verbenad.request_body import BodyLimits
 from verbenad.request_head import HeadLimits
-from verbenad.run_claims import RunClaims
+from verbenad.run_claims import GENERATION_RETRY_S, RunClaims
 from verbenad.run_guard import RunGuard
 from verbenad.service_desk import WANTS_PERIOD_S, ServiceDesk
 from verbenad.service_pages import ServicePages
@@ -55,7 +54,6 @@
 
 LIST_PERIOD_S = 1.0
 POOL_PERIOD_S = 1.0
-GENERATION_PERIOD_S = 5.0
 REPORT_PERIOD_S = 0.5
 FLUSH_PERIOD_S = 0.5
 # Longest wait for messages that only save others from waiting.
@@ -99,10 +97,10 @@
         eventlet.spawn_n(self._bus.serve)
         every = self._timers.every
         every(TICK_S, self._agreement_loop.tick)
-        every(BUDGET_TICK_S, self._budgets.tick)
+        self._budgets.start()
         every(WANTS_PERIOD_S, self._desk.state_wants)
         every(POOL_PERIOD_S, self._pool.close_expired)
-        every(GENERATION_PERIOD_S, self._claims.query_generations)
+        every(GENERATION_RETRY_S, self._claims.query_generations)
         every(LIST_PERIOD_S, self._read_list)
         every(SHIFT_PERIOD_S, self._shifts.tick)
         every(REPORT_PERIOD_S, self._report_self)
@@ -181,7 +179,7 @@
             agreement=self._agreement,
             bus=self._bus,
             directory=self._fleet,
-            now_s=self._now_s,
+            timers=self._timers,
             on_granted=self._on_granted,
         )
         self._claims = RunClaims(
@@ -303,8 +301,11 @@
         gauge(
             "verbenad_bus_bytes_total",
             "Bytes sent to and received from other instances.",
-            lambda: float(self._bus.sent_bytes + self._bus.received_bytes),
+            lambda: float(
+                self._bus.sent.total_bytes + self._bus.received.total_bytes
+            ),
         )
+        self._declare_traffic()
         gauge(
             "verbenad_bus_dropped_total",
             "Messages to other instances that could not be queued.",
@@ -321,6 +322,25 @@
             lambda: float(self._lines.dropped_lines),
         )
 
+    def _declare_traffic(self) -> None:
+        source = self.metrics.counter_source
+        for direction, traffic in (
+            ("sent", self._bus.sent),
+            ("received", self._bus.received),
+        ):
+            source(
+                f"verbenad_bus_{direction}_bytes_total",
+                f"Bytes of bus messages {direction}, by type.",
+                "message",
+                lambda t=traffic: t.bytes,  # type: ignore[misc]
+            )
+            source(
+                f"verbenad_bus_{direction}_messages_total",
+                f"Bus messages {direction}, by type.",
+                "message",
+                lambda t=traffic: t.messages,  # type: ignore[misc]
+            )
+
     def _on_state(self, state: AgreedState) -> None:
         if (
             self._config is None
