Add rate budgets for the links between regions

Cause: the links between regions were not limited by anything.

Change: plan_budgets has link/<from>/<to>/<part> for each ordered pair of regions, at the lower link_bytes_per_s of the two. The burst is 0.1 s of the rate, and at least 64 tokens.

Ruled out: a token for each body (30,500 bodies/s would fill a link of 4 Gbit/s whatever their size); wants by workspace (as many entries as workspaces in each exchange); all four parts at once (four entries).

--- a/packages/verbenad/src/verbenad/budget_plan.py
+++ b/packages/verbenad/src/verbenad/budget_plan.py
@@ -1,10 +1,12 @@
 """The budgets that a configuration sets."""
 
 from collections.abc import Iterator
+from itertools import permutations
 from math import floor
 
 from verbenaworks.budget_spec import Budget, LevelBudget, RateBudget
 from verbenaworks.compiled_config import CompiledConfig, WorkspaceConfig
+from verbenaworks.link_meter import TOKEN_BYTES
 
 STORE_CLAIMS_BUDGET = "runs/store-claims"
 STORE_CLAIMS_PER_S = 100
@@ -13,6 +15,12 @@
 RATE_PARTS = 4
 MIN_PART_BURST = 4
 REGION_PARTS = 8
+LINK_PARTS = 4
+# Routers queue about this much of a link's traffic; a longer burst would be
+# lost or delayed there.
+LINK_BURST_S = 0.1
+# On a slow link, a body must still find the tokens of one read in each part.
+MIN_LINK_BURST = 16 * LINK_PARTS
 
 
 def rate_parts(workspace: WorkspaceConfig) -> list[RateBudget]:
@@ -61,12 +69,47 @@
     }
 
 
+def link_name(source: str, target: str) -> str:
+    """Return the name of the link from one region to another."""
+    return f"link/{source}/{target}"
+
+
+def link_bytes_per_s(config: CompiledConfig, source: str, target: str) -> int:
+    """Return the rate of a link: the lower of what its regions set."""
+    return min(
+        config.regions[source].link_bytes_per_s,
+        config.regions[target].link_bytes_per_s,
+    )
+
+
+def link_burst(bytes_per_s: int) -> int:
+    """Return the burst of a whole link in tokens."""
+    return max(MIN_LINK_BURST, floor(bytes_per_s * LINK_BURST_S / TOKEN_BYTES))
+
+
+def link_parts(
+    config: CompiledConfig, source: str, target: str
+) -> list[RateBudget]:
+    """Return the parts of a link's rate; they add up to the whole."""
+    bytes_per_s = link_bytes_per_s(config, source, target)
+    whole, rest = divmod(link_burst(bytes_per_s), LINK_PARTS)
+    return [
+        RateBudget(
+            name=f"{link_name(source, target)}/{part}",
+            rate_per_s=bytes_per_s / TOKEN_BYTES / LINK_PARTS,
+            burst=whole + (part < rest),
+        )
+        for part in range(LINK_PARTS)
+    ]
+
+
 def plan_budgets(config: CompiledConfig) -> list[Budget]:
     """Return all budgets of a configuration."""
     return [
         *_rates(config),
         *_slots(config),
         *_regions(config),
+        *_links(config),
         RateBudget(
             name=STORE_CLAIMS_BUDGET,
             rate_per_s=STORE_CLAIMS_PER_S,
@@ -102,3 +145,8 @@
                 capacity=capacity,
                 linger_s=linger_s,
             )
+
+
+def _links(config: CompiledConfig) -> Iterator[Budget]:
+    for source, target in permutations(config.regions, 2):
+        yield from link_parts(config, source, target)
--- a/packages/verbenaworks/src/verbenaworks/budget_taker.py
+++ b/packages/verbenaworks/src/verbenaworks/budget_taker.py
@@ -117,6 +117,26 @@
                 taken = holding.try_take(now_s, hold, retry)
         return hold if taken else None
 
+    def ask(
+        self,
+        now_s: float,
+        budget: str,
+        workspace: str,
+        *,
+        lack: int,
+        demand: int,
+    ) -> None:
+        """Note demand for tokens and how many the caller lacks now.
+
+        For users that take what there is and wait for the rest; with
+        ``retry`` in :meth:`try_take`, the demand counts once.
+        """
+        match self._holding(budget):
+            case RateHolding() as holding:
+                holding.ask(now_s, workspace, lack, demand)
+            case _:
+                return
+
     def release(self, now_s: float, hold: Hold) -> bool:
         """End the use of units; false if it had ended by itself."""
         match self._holdings.get(hold.budget):
@@ -126,9 +146,9 @@
                 return False
 
     def available(self, now_s: float, budget: str) -> int:
-        """Return the granted units of a level budget that are not in use."""
+        """Return the granted units that are not in use, or the tokens."""
         match self._holding(budget):
-            case LevelHolding() as holding:
+            case LevelHolding() | RateHolding() as holding:
                 return holding.available(now_s)
             case _:
                 return 0
--- a/packages/verbenaworks/src/verbenaworks/rate_holding.py
+++ b/packages/verbenaworks/src/verbenaworks/rate_holding.py
@@ -48,6 +48,23 @@
         self._missing += amount
         return False
 
+    def available(self, now_s: float) -> int:
+        """Return the whole tokens in the bucket."""
+        self.expire(now_s)
+        return self._bucket.tokens(now_s)
+
+    def ask(
+        self, now_s: float, workspace: str, lack: int, demand: int
+    ) -> None:
+        """Note demand, and tokens that the next request should ask for."""
+        self._asked_at_s = now_s
+        if demand:
+            meter = self._meters.get(workspace)
+            if meter is None:
+                meter = self._meters[workspace] = DemandMeter()
+            meter.add(now_s, demand)
+        self._missing = max(self._missing, lack)
+
     def wait_s(self, now_s: float, amount: int) -> float:
         """Return when the bucket alone will hold ``amount``."""
         self.expire(now_s)
--- /dev/null
+++ b/tests/test_link_histories.py
@@ -0,0 +1,123 @@
+"""Histories of bodies on one link under random faults."""
+
+import os
+import random
+
+import pytest
+
+from budget_world import Process, World, names_in_shard, random_faults
+from verbenaworks.budget_spec import RateBudget
+from verbenaworks.grant import GrantRequest
+from verbenaworks.link_meter import TOKEN_BYTES, LinkMeter, LinkPart
+from verbenaworks.wire import encode
+
+_SEEDS = int(os.environ.get("LINK_SEEDS", "80"))
+_BATCH = 20
+
+
+class _Source:
+    """A process's taker that records each token it spends."""
+
+    def __init__(self, world: "_LinkWorld", process: Process) -> None:
+        self._world = world
+        self._taker = process.taker
+        self.available = process.taker.available
+        self.ask = process.taker.ask
+        self.wait_s = process.taker.wait_s
+        self.tokens = 0
+
+    def try_take(
+        self,
+        now_s: float,
+        budget: str,
+        workspace: str,
+        amount: int = 1,
+        retry: bool = False,
+    ) -> object | None:
+        hold = self._taker.try_take(now_s, budget, workspace, amount, retry)
+        if hold is not None:
+            self._world._note_use(budget, amount)
+            self.tokens += amount
+        return hold
+
+
+class _LinkWorld(World):
+    """Callers send bodies, and whole regions are cut off."""
+
+    def _call(self, process: Process) -> None:
+        now_s = process.local_s(self.now_s)
+        if not hasattr(self, "meters"):
+            self.meters: dict[int, tuple[_Source, LinkMeter]] = {}
+            self.waiting: dict[int, int] = {}
+        if process.incarnation not in self.meters:
+            source = _Source(self, process)
+            parts = [LinkPart(source, b.name) for b in self.budgets]
+            self.rng.shuffle(parts)
+            self.meters[process.incarnation] = source, LinkMeter(parts)
+        _, meter = self.meters[process.incarnation]
+        if process.is_busy and self.now_s >= self.quiet_until_s:
+            self._offer(process, meter, now_s)
+        request: GrantRequest | None = process.taker.next_request(now_s)
+        owner = process.owner_process
+        if request is None or owner is None or self._is_cut(process, owner):
+            return
+        self.send(encode(request), lambda data: self._serve(owner, data))
+
+    def _offer(self, process: Process, meter: LinkMeter, now_s: float) -> None:
+        key = process.incarnation
+        size = self.waiting.get(key)
+        is_retry = size is not None
+        if size is None:
+            size = self.rng.choice((200, 3000, 20_000, 65_536))
+            if self.rng.random() < 0.3 and meter.reserve(now_s, size):
+                # Some attempts end before their body is sent.
+                sent = self.rng.choice((0, size))
+                meter.charge(now_s, sent, reserved_bytes=sent)
+                meter.release(size - sent)
+                return
+        if meter.charge(now_s, size, is_retry=is_retry):
+            self.waiting.pop(key, None)
+        else:
+            self.waiting[key] = size
+
+    def _partition_one(self) -> None:
+        until_s = self.now_s + self.rng.uniform(0, 12)
+        region = self.rng.randrange(2)
+        for process in self._alive():
+            if int(process.name[1:]) % 2 == region:
+                process.partitioned_until_s = until_s
+
+
+def _world(seed: int) -> _LinkWorld:
+    rng = random.Random(seed)
+    first, second = names_in_shard("link/a/b", 2)
+    return _LinkWorld(
+        seed=seed,
+        faults=random_faults(rng),
+        budgets=[
+            RateBudget(name=first, rate_per_s=40, burst=32),
+            RateBudget(name=second, rate_per_s=5, burst=16),
+        ],
+        names=[f"i{k}" for k in range(rng.choice((3, 4, 6)))],
+        attempts_per_s=25.0,
+    )
+
+
+@pytest.mark.parametrize("first", range(0, _SEEDS, _BATCH))
+def test_no_link_carries_more_than_its_tokens(first: int) -> None:
+    """Guards against bytes above rate and burst, summed over instances.
+
+    Owners die, messages are lost, repeated and late, clocks differ, and
+    regions are cut off.
+    """
+    tokens = 0
+    for seed in range(first, first + _BATCH):
+        world = _world(seed)
+        world.run(30.0)
+        assert world.excess() == {}, f"SEED={seed}"
+        for source, meter in world.meters.values():
+            charged = meter.charged_bytes
+            assert charged <= source.tokens * TOKEN_BYTES, f"SEED={seed}"
+            tokens += source.tokens
+    # A link that carries nothing proves nothing.
+    assert tokens > 100 * _BATCH
