Choose targets in other regions only while the links have room

Cause: the optional hook for links took a unit of a level budget, which does not say whether a body's tokens are available in either direction.

Change: LinkPool replaces the hook. The choice asks it for each other region only after no target of the own region could be used, reserves tokens for usual bodies in both directions with the attempt, and names the link's direction where it leaves a candidate out. The time that bodies waited for a link is taken off the target's service time. The test of the link's limit uses a fake of the new protocol with the same expectation.

Ruled out: a check without a reservation, on which several requests that start at once would count the same tokens.

Conclusion: requests that stay in their region do not touch the links.

--- a/packages/verbenaworks/src/verbenaworks/choice_result.py
+++ b/packages/verbenaworks/src/verbenaworks/choice_result.py
@@ -4,6 +4,7 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+from verbenaworks.link_hold import LinkHold
 from verbenaworks.target import TargetInfo
 
 
@@ -19,7 +20,8 @@
     NO_UNITS = "no granted unit"
     NO_CONNECTION = "connection limit of this instance reached"
     REGION_FULL = "no unit of the region's load"
-    LINK_FULL = "no unit of the link to the region"
+    LINK_FULL = "the link to the region lacks tokens"
+    LINK_BACK_FULL = "the link from the region lacks tokens"
     SHEDDING = "the target sheds load"
     SILENT = "requests in flight get no answer"
     SLOW = "far slower than the service"
@@ -74,6 +76,8 @@
 
     :param expected_s: expected time to completion.
     :param left_out: the other candidates and why each was left out.
+    :param link: what was reserved on the links to the target's region; none
+        inside a region.
     """
 
     target: TargetInfo
@@ -82,6 +86,7 @@
     expected_s: float
     mode: Mode
     left_out: tuple[Candidate, ...]
+    link: LinkHold | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/packages/verbenaworks/src/verbenaworks/target_choice.py
+++ b/packages/verbenaworks/src/verbenaworks/target_choice.py
@@ -28,6 +28,8 @@
     Why,
 )
 from verbenaworks.ejection import Ejection, Standing
+from verbenaworks.link_hold import LinkHold
+from verbenaworks.link_pool import LinkPool
 from verbenaworks.load_report import Health, LoadReport
 from verbenaworks.near_table import NearTable, Place, TargetRow
 from verbenaworks.service_time import ServiceTime
@@ -53,6 +55,7 @@
         Why.NO_UNITS,
         Why.REGION_FULL,
         Why.LINK_FULL,
+        Why.LINK_BACK_FULL,
         Why.PROBATION,
         Why.COLD,
         Why.NO_CONNECTION,
@@ -79,8 +82,8 @@
 
     :param units: slots of targets, by target name.
     :param region_units: load of regions, by region name.
-    :param link_units: links from this region, by the other region's name;
-        none where links are not limited.
+    :param links: links to and from other regions; none where they are not
+        limited.
     """
 
     def __init__(
@@ -90,12 +93,12 @@
         units: UnitPool,
         region_units: UnitPool,
         random: Random,
-        link_units: UnitPool | None = None,
+        links: LinkPool | None = None,
     ) -> None:
         self._place = place
         self._units = units
         self._region_units = region_units
-        self._link_units = link_units
+        self._links = links
         self._random = random
         self._services: dict[str, _Service] = {}
         self._slow_start = SlowStart(place.instance)
@@ -121,6 +124,8 @@
         left_out: list[Candidate] = []
         last: list[TargetRow] = []
         for distance, rows in enumerate(table.classes):
+            if distance == 2 and rows:
+                full |= self._full_links(request, table, full)
             usable: list[TargetRow] = []
             for row in rows:
                 why = self._why_not(now_s, request, service, row, full)
@@ -144,8 +149,10 @@
         target = choice.target
         self._units.release(target.name, choice.workspace)
         self._region_units.release(target.region, choice.workspace)
-        if self._link_units and target.region != self._place.region:
-            self._link_units.release(target.region, choice.workspace)
+        if self._links is not None and choice.link is not None:
+            self._links.release(
+                choice.link, completed=isinstance(outcome, Completed)
+            )
         service = self._services[target.service]
         stats = service.stats.get(target.name)
         if stats is None:
@@ -173,6 +180,9 @@
         target = choice.target
         stats = service.stats[target.name]
         elapsed_s = now_s - choice.started_s - self._round_trip_s(target)
+        if choice.link is not None:
+            # A full link says nothing about the target.
+            elapsed_s -= choice.link.waited_s
         # The configured delays are the usual ones; an answer may be faster.
         elapsed_s = max(elapsed_s, 0.0)
         stats.answered(now_s, elapsed_s)
@@ -319,19 +329,34 @@
         return self._time_why_not(now_s, request, service, row)
 
     def _full_regions(self, table: NearTable) -> dict[str, Why]:
-        """Return the regions without a unit of load or of the link."""
+        """Return the regions without a unit of load."""
         full: dict[str, Why] = {}
-        for region, is_far in table.regions:
+        for region, _ in table.regions:
             if self._region_units.available(region) < 1:
                 full[region] = Why.REGION_FULL
-            elif (
-                self._link_units is not None
-                and is_far
-                and self._link_units.available(region) < 1
-            ):
-                full[region] = Why.LINK_FULL
         return full
 
+    def _full_links(
+        self,
+        request: ChoiceRequest,
+        table: NearTable,
+        full: Mapping[str, Why],
+    ) -> dict[str, Why]:
+        """Return the other regions whose links lack tokens.
+
+        Only a request that finds no target in its region asks for this:
+        the question makes the instance take part in a link's budgets.
+        """
+        found: dict[str, Why] = {}
+        if self._links is None:
+            return found
+        for region, is_far in table.regions:
+            if is_far and region not in full:
+                why = self._links.why_not(request.service, region)
+                if why is not None:
+                    found[region] = why
+        return found
+
     def _time_why_not(
         self,
         now_s: float,
@@ -376,10 +401,10 @@
             else:
                 row = self._pick(now_s, usable)
             usable.remove(row)
-            why = self._take_units(row, request.workspace)
-            if why is None:
+            taken = self._take_units(row, request)
+            if not isinstance(taken, Why):
                 break
-            left_out.append(Candidate(row.name, why))
+            left_out.append(Candidate(row.name, taken))
         else:
             return _no_target(left_out)
         left_out += [other.slower for other in usable]
@@ -391,6 +416,7 @@
             expected_s=row.expected_s,
             mode=mode,
             left_out=tuple(left_out),
+            link=taken,
         )
 
     def _pick(self, now_s: float, usable: list[TargetRow]) -> TargetRow:
@@ -413,19 +439,22 @@
             return b
         return a
 
-    def _take_units(self, row: TargetRow, workspace: str) -> Why | None:
+    def _take_units(
+        self, row: TargetRow, request: ChoiceRequest
+    ) -> LinkHold | Why | None:
+        workspace = request.workspace
         if not self._units.take(row.name, workspace):
             return Why.NO_UNITS
         if not self._region_units.take(row.region, workspace):
             self._units.release(row.name, workspace)
             return Why.REGION_FULL
-        if self._link_units is None or row.distance < 2:
+        if self._links is None or row.distance < 2:
             return None
-        if not self._link_units.take(row.region, workspace):
+        hold = self._links.take(request.service, row.region)
+        if isinstance(hold, Why):
             self._units.release(row.name, workspace)
             self._region_units.release(row.region, workspace)
-            return Why.LINK_FULL
-        return None
+        return hold
 
     def _service(
         self, now_s: float, name: str, candidates: Sequence[TargetInfo]
--- a/tests/choice_fakes.py
+++ b/tests/choice_fakes.py
@@ -3,7 +3,8 @@
 from collections import Counter
 from random import Random
 
-from verbenaworks.choice_result import ChoiceRequest
+from verbenaworks.choice_result import ChoiceRequest, Why
+from verbenaworks.link_hold import LinkHold
 from verbenaworks.near_table import Place
 from verbenaworks.target import TargetInfo
 from verbenaworks.target_choice import TargetChoice
@@ -39,6 +40,36 @@
         self.wants[service, workspace] = amount
 
 
+class FakeLinks:
+    """Links on which the test grants room for some bodies."""
+
+    def __init__(self, out: int, back: int = 1000) -> None:
+        self.out = out
+        self.back = back
+        self.holds: list[LinkHold] = []
+
+    def why_not(self, service: str, region: str) -> Why | None:
+        """Return the direction without room."""
+        if len(self.holds) >= self.out:
+            return Why.LINK_FULL
+        if len(self.holds) >= self.back:
+            return Why.LINK_BACK_FULL
+        return None
+
+    def take(self, service: str, region: str) -> LinkHold | Why:
+        """Reserve room for one body."""
+        why = self.why_not(service, region)
+        if why is not None:
+            return why
+        hold = LinkHold(service=service, region=region)
+        self.holds.append(hold)
+        return hold
+
+    def release(self, hold: LinkHold, *, completed: bool) -> None:
+        """Return the room."""
+        self.holds.remove(hold)
+
+
 PLACE = Place(
     instance="i0",
     region="nairobi",
@@ -89,13 +120,13 @@
 def chooser(
     units: FakeUnits,
     regions: FakeUnits | None = None,
-    links: FakeUnits | None = None,
+    links: FakeLinks | None = None,
 ) -> TargetChoice:
     """Return a choice at :data:`PLACE` with a fixed seed."""
     return TargetChoice(
         place=PLACE,
         units=units,
         region_units=regions or FakeUnits(1000),
-        link_units=links,
+        links=links,
         random=Random(7),
     )
--- a/tests/test_target_choice.py
+++ b/tests/test_target_choice.py
@@ -4,7 +4,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from choice_fakes import FakeUnits, chooser, request, target
+from choice_fakes import FakeLinks, FakeUnits, chooser, request, target
 from verbenaworks.attempt_outcome import (
     Cancelled,
     Completed,
@@ -70,7 +70,7 @@
     """Guards against overload of a region or a link."""
     units = FakeUnits(4)
     regions = FakeUnits(nairobi=1, mombasa=5)
-    choice = chooser(units, regions, FakeUnits(mombasa=1))
+    choice = chooser(units, regions, FakeLinks(1))
     assert [_chosen(choice), _chosen(choice)] == ["near", "far"]
     nothing = choice.choose(0.0, request(), ALL)
     assert {c.name: c.why for c in nothing.left_out} == {
@@ -81,6 +81,24 @@
     assert units.used.total() == 2
 
 
+def test_link_room_is_held_until_the_attempt_ends() -> None:
+    """Guards against room that is taken but never returned, or too often.
+
+    Only a request that leaves the region asks for room.
+    """
+    links = FakeLinks(9, back=1)
+    choice = chooser(FakeUnits(near=1, far=5), links=links)
+    assert choice.choose(0.0, request(), ALL).link is None
+    found = choice.choose(0.0, request(), ALL)
+    assert isinstance(found, Choice)
+    assert links.holds == [found.link]
+    full = choice.choose(0.0, request(), ALL)
+    assert ("far", Why.LINK_BACK_FULL) in full.left_out
+    choice.finish(1.0, found, Failed(bytes_sent=True))
+    assert not links.holds
+    assert isinstance(choice.choose(2.0, request(), ALL), Choice)
+
+
 def test_each_candidate_is_accounted_for() -> None:
     """Guards against decision log lines that omit candidates."""
     choice = chooser(FakeUnits(2))
