Charge bodies between regions to the links while they stream

Cause: bodies that passed between regions were not counted or held back.

Change: LinkGate has the links of one instance. The forwarder charges each part of a request's body before it is sent, the first one before it connects, and each part of an answer's body before it is passed on and the next one is read. A body holds at most one read of 64 KiB while it waits, and waiting bodies take turns. A request that waits past its deadline ends as link-full: not run if nothing was sent, outcome unknown otherwise. Instances that hold slots in another region keep a token of the links to and from it. The fake owners of test_region_units moved to a module of their own.

Figures: 5 bodies of 50 MB on a link of 1 MB/s in virtual time: within rate and burst, above half of the rate. A body of 1,000 bytes behind 3 large ones waits for at most 1 s; 20 small bodies after the choice waited for none.

--- a/packages/verbenad/src/verbenad/attempt_failed.py
+++ b/packages/verbenad/src/verbenad/attempt_failed.py
@@ -19,6 +19,7 @@
     CALLER_GONE = "caller-gone"
     BODY = "body-too-short"
     KEY_IN_PATH = "key-misplaced"
+    LINK_FULL = "link-full"
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/packages/verbenad/src/verbenad/call_runner.py
+++ b/packages/verbenad/src/verbenad/call_runner.py
@@ -19,6 +19,8 @@
 from verbenad.dispatcher import Dispatcher
 from verbenad.forward_request import ForwardRequest
 from verbenad.forwarder import Forwarder
+from verbenad.link_gate import LinkGate
+from verbenad.link_transfer import LinkTransfer
 from verbenad.refusal import NOT_RUN, OUTCOME_UNKNOWN
 from verbenad.refused import Refused, refused
 from verbenad.suspect_lane import SuspectLane
@@ -77,6 +79,7 @@
     :param dispatchers: by service name.
     :param usual_s: usual service time of a service.
     :param avoid: called with a target on which an attempt failed.
+    :param links: links to other regions, if they are limited.
     :param check: called before each attempt; raises Refused if the request
         may no longer run.
     """
@@ -94,7 +97,9 @@
         avoid: Callable[[TargetInfo], None],
         check: Callable[[Call], None],
         now_s: Callable[[], float],
+        links: LinkGate | None = None,
     ) -> None:
+        self._links = links
         self._dispatchers = dispatchers
         self._forwarder = forwarder
         self._retries = retries
@@ -154,7 +159,8 @@
             failed, outcome = result
             may_have_run = may_have_run or failed.may_have_run
             crashes += failed.looks_like_crash
-            if not failed.silent:
+            # Silence is the connection's fault, and a full link neither's.
+            if not (failed.silent or failed.kind is FailureKind.LINK_FULL):
                 tried |= {choice.target.name}
                 self._avoid(choice.target)
             if (
@@ -208,7 +214,7 @@
         try:
             self._check(call)
             result = self._forwarder.attempt(
-                self._request(call),
+                self._request(call, choice),
                 (host, int(port)),
                 call.deadline_s,
                 connection_limit=self._connection_limit(target),
@@ -220,6 +226,7 @@
             raise
         match result:
             case Ok(answer):
+                self._learn(call, choice, answer.length)
                 return RunningAnswer(
                     answer=answer,
                     stream=AnswerStream(
@@ -235,7 +242,24 @@
                 self._end(call, attempt, outcome)
                 return failed, outcome
 
-    def _request(self, call: Call) -> ForwardRequest:
+    def _learn(
+        self, call: Call, choice: Choice, answer_bytes: int | None
+    ) -> None:
+        """Learn the size of bodies that no link charges, if they state it."""
+        if self._links is None or choice.link is not None:
+            return
+        body = call.body
+        request_bytes = body.content_length
+        if body.replayable:
+            request_bytes = len(body.prefix)
+        self._links.sizes.learn(call.service.name, request_bytes, answer_bytes)
+
+    def _request(self, call: Call, choice: Choice) -> ForwardRequest:
+        link = None
+        if self._links is not None and choice.link is not None:
+            link = LinkTransfer(
+                self._links, choice.link, call.caller.cancellation
+            )
         return ForwardRequest(
             request_id=call.request_id,
             method=call.head.method,
@@ -245,6 +269,7 @@
             body=call.body,
             idempotent=call.idempotent,
             cancellation=call.caller.cancellation,
+            link=link,
         )
 
     def _silent_after_s(self, call: Call) -> float:
@@ -263,6 +288,7 @@
             FailureKind.BODY,
             FailureKind.KEY_IN_PATH,
             FailureKind.DEADLINE,
+            FailureKind.LINK_FULL,
         ):
             return False
         if not call.body.sendable:
@@ -287,6 +313,7 @@
             FailureKind.CALLER_GONE
             | FailureKind.BODY
             | FailureKind.KEY_IN_PATH
+            | FailureKind.LINK_FULL
         ):
             return Cancelled()
         case _:
--- a/packages/verbenad/src/verbenad/daemon.py
+++ b/packages/verbenad/src/verbenad/daemon.py
@@ -28,6 +28,7 @@
 from verbenad.gateway import Gateway
 from verbenad.json_lines_handler import JsonLinesHandler
 from verbenad.line_writer import LineWriter
+from verbenad.link_gate import LinkGate
 from verbenad.lookup_page import LookupPage
 from verbenad.lookup_table import LookupTable
 from verbenad.loop_timers import LoopTimers
@@ -93,6 +94,7 @@
         self._build_control()
         self._build_serving()
         self._declare_gauges()
+        self._declare_link_metrics()
 
     def start(self) -> None:
         """Start all parts; returns at once."""
@@ -203,6 +205,12 @@
         self._gate = RateGate(
             instance=settings.name, loop=self._budgets, now_s=self._now_s
         )
+        self._links = LinkGate(
+            instance=settings.name,
+            region=settings.region,
+            loop=self._budgets,
+            now_s=self._now_s,
+        )
         self._desk = ServiceDesk(
             place=Place(
                 instance=settings.name,
@@ -214,6 +222,7 @@
             loop=self._budgets,
             now_s=self._now_s,
             random=self._random,
+            links=self._links,
         )
         self._pool = UpstreamPool(now_s=self._now_s)
         forwarder = Forwarder(
@@ -240,6 +249,7 @@
             avoid=self._desk.avoid,
             check=self._check_again,
             now_s=self._now_s,
+            links=self._links,
         )
         self._table = LookupTable()
         self._gateway = Gateway(
@@ -321,6 +331,33 @@
             lambda: float(self._lines.dropped_lines),
         )
 
+    def _declare_link_metrics(self) -> None:
+        source = self.metrics.counter_source
+        source(
+            "verbenad_link_bytes_total",
+            "Bytes of bodies charged to a link here.",
+            "link",
+            self._links.charged_bytes,
+        )
+        source(
+            "verbenad_link_waits_total",
+            "Reads of bodies that waited for a link.",
+            "link",
+            self._links.waits,
+        )
+        source(
+            "verbenad_link_wait_seconds_total",
+            "Time for which reads of bodies waited for a link.",
+            "link",
+            self._links.waited_s,
+        )
+        source(
+            "verbenad_link_timeouts_total",
+            "Bodies that ended because they waited too long for a link.",
+            "link",
+            self._links.timeouts,
+        )
+
     def _on_state(self, state: AgreedState) -> None:
         if (
             self._config is None
@@ -340,6 +377,7 @@
         self._config = config
         self._budgets.set_config(config)
         self._gate.set_config(config)
+        self._links.set_config(config)
         self._desk.set_config(config)
         self._prober.set_targets(self._desk.targets)
         self._table.set_config(config)
@@ -351,6 +389,7 @@
 
     def _on_granted(self) -> None:
         self._gate.granted()
+        self._links.granted()
         self._desk.serve()
 
     def _read_list(self) -> None:
--- a/packages/verbenad/src/verbenad/divided_units.py
+++ b/packages/verbenad/src/verbenad/divided_units.py
@@ -58,6 +58,11 @@
         budget = self._budget(target)
         return budget.taker.available(self._now_s(), budget.name)
 
+    def held(self, target: str) -> int:
+        """Return the granted units, whether in use or not."""
+        budget = self._budget(target)
+        return budget.taker.held(self._now_s(), budget.name)[0]
+
     def take(self, target: str, workspace: str) -> bool:
         """Put one unit in use; false if none is available."""
         budget = self._budget(target)
--- a/packages/verbenad/src/verbenad/forward_request.py
+++ b/packages/verbenad/src/verbenad/forward_request.py
@@ -4,6 +4,7 @@
 
 from verbenad.cancellation import Cancellation
 from verbenad.http_syntax import Headers
+from verbenad.link_transfer import LinkTransfer
 from verbenad.request_body import RequestBody
 
 
@@ -18,6 +19,7 @@
     :param body: bytes, a body to stream, or none.
     :param idempotent: whether the request may be sent twice.
     :param cancellation: closes the connection to the backend server.
+    :param link: charges the bodies if they pass between regions.
     """
 
     request_id: str
@@ -28,3 +30,4 @@
     body: RequestBody | bytes | None = None
     idempotent: bool
     cancellation: Cancellation | None = None
+    link: LinkTransfer | None = None
--- a/packages/verbenad/src/verbenad/forwarder.py
+++ b/packages/verbenad/src/verbenad/forwarder.py
@@ -155,6 +155,7 @@
         self._check_cancelled()
         lines = self._head_lines()
         body = self._prepare_body()
+        self._charge_request(_held_bytes(body), may_have_run=False)
         connection = self._connect(address, limit, fresh)
         connection.stream.sent_any = False
         if request.cancellation is not None:
@@ -248,6 +249,7 @@
                 piece = body.read_some()
             except BodyError as error:
                 raise self._body_failure(error, may_have_run=True) from error
+            self._charge_request(len(piece), may_have_run=True)
             try:
                 if chunked:
                     stream.send_all(_chunk(piece), self._left_s())
@@ -324,6 +326,7 @@
             head,
             stall_s=settings.answer_stall_s,
             on_end=functools.partial(self._end, connection, keep),
+            charge=self._charge_answer if self._request.link else None,
         )
         if head.status == 503 and _says_not_run(head):
             raise self._refused(body, head)
@@ -340,8 +343,39 @@
             headers=headers,
             body=body,
             reused=connection.reused,
+            length=head.length,
         )
 
+    def _charge_request(self, size_bytes: int, *, may_have_run: bool) -> None:
+        """Wait for the link before a part of the request's body is sent."""
+        link = self._request.link
+        if link is None or link.send(size_bytes, self._deadline_s):
+            return
+        self._check_cancelled(may_have_run=may_have_run)
+        raise _FailureError(
+            AttemptFailed(
+                kind=FailureKind.LINK_FULL,
+                may_have_run=may_have_run,
+                message="the link had no room for the request's body",
+            )
+        )
+
+    def _charge_answer(self, size_bytes: int, begun: bool) -> None:
+        """Wait for the link before a part of the answer is passed on.
+
+        The deadline is for the start of the answer; afterwards, a part may
+        take as long as the backend server may take to send it.
+        """
+        link = self._request.link
+        until_s = self._deadline_s
+        if begun:
+            stall_s = self._forwarder.settings.answer_stall_s
+            until_s = self._forwarder.now_s() + stall_s
+        if link is not None and not link.receive(size_bytes, until_s):
+            raise AnswerTruncatedError(
+                "the link had no room for the answer in time"
+            )
+
     def _refused(self, body: AnswerBody, head: AnswerHead) -> _FailureError:
         # Reading a short body to its end keeps the connection.
         if 0 < (head.length or 0) <= _REFUSAL_BODY_BYTES:
@@ -412,10 +446,16 @@
     def _left_s(self) -> float:
         return self._deadline_s - self._forwarder.now_s()
 
-    def _check_cancelled(self) -> None:
+    def _check_cancelled(self, *, may_have_run: bool = False) -> None:
         cancellation = self._request.cancellation
         if cancellation is not None and cancellation.cancelled:
-            raise self._fail(FailureKind.CALLER_GONE, "the caller has gone")
+            raise _FailureError(
+                AttemptFailed(
+                    kind=FailureKind.CALLER_GONE,
+                    may_have_run=may_have_run,
+                    message="the caller has gone",
+                )
+            )
 
     def _fail(self, kind: FailureKind, message: str) -> _FailureError:
         return _FailureError(
@@ -471,6 +511,13 @@
     return b"%x\r\n%b\r\n" % (len(data), data)
 
 
+def _held_bytes(body: RequestBody | bytes | None) -> int:
+    """Return the length of the body's first part, which is held already."""
+    if isinstance(body, RequestBody):
+        return len(body.prefix)
+    return len(body or b"")
+
+
 def _says_not_run(head: AnswerHead) -> bool:
     return any(
         name.lower() == "x-not-run" and value == "1"
--- /dev/null
+++ b/packages/verbenad/src/verbenad/link_gate.py
@@ -0,0 +1,335 @@
+"""Paces the bodies that pass between this instance and other regions.
+
+Bodies that lack tokens wait in the order of their reads, one read of each
+body at a time, so that a large body does not hold up small ones for longer
+than its current read.
+"""
+
+import zlib
+from collections import deque
+from collections.abc import Callable, Iterable, Mapping
+
+import eventlet
+from eventlet.event import Event
+
+from verbenad.budget_handle import budget_handle
+from verbenad.budget_loop import BudgetLoop
+from verbenad.budget_plan import link_burst, link_bytes_per_s, link_name
+from verbenad.budget_plan import link_parts as plan_link_parts
+from verbenaworks.body_sizes import BodySizes
+from verbenaworks.choice_result import Why
+from verbenaworks.compiled_config import CompiledConfig
+from verbenaworks.link_hold import LinkHold
+from verbenaworks.link_meter import (
+    CARRY_BYTES,
+    TOKEN_BYTES,
+    LinkMeter,
+    LinkPart,
+)
+
+# A waiting body looks again at this interval, also whether its caller has
+# gone.
+_POLL_S = 0.05
+_MIN_WAIT_S = 0.001
+_READ_TOKENS = CARRY_BYTES // TOKEN_BYTES
+# A taker seldom holds more of a link's burst than this part of it, so the
+# room asked for a large body stops there.
+_ROOM_PART = 16
+
+
+class _Line:
+    """One link with the bodies that wait for its tokens."""
+
+    def __init__(self, meter: LinkMeter, shards: tuple[int, ...]) -> None:
+        self.meter = meter
+        self.shards = shards
+        self.room_bytes = 0
+        self.waiting: deque[Event] = deque()
+        self.waits = 0
+        self.waited_s = 0.0
+        self.timeouts = 0
+
+
+class LinkGate:
+    """Links from and to the region of this instance; a ``LinkPool``.
+
+    :param instance: name of this instance; instances begin with different
+        parts of a link's budget.
+    """
+
+    def __init__(
+        self,
+        *,
+        instance: str,
+        region: str,
+        loop: BudgetLoop,
+        now_s: Callable[[], float],
+    ) -> None:
+        self._instance = instance
+        self._region = region
+        self._loop = loop
+        self._now_s = now_s
+        self._lines: dict[str, _Line] = {}
+        self.sizes = BodySizes()
+
+    def set_config(self, config: CompiledConfig) -> None:
+        """Take over the links of a configuration."""
+        here = self._region
+        if here not in config.regions:
+            # Every part of a link has an owner only for known regions.
+            self._lines = {}
+            return
+        lines = {}
+        for region in config.regions:
+            if region == here:
+                continue
+            for source, target in ((here, region), (region, here)):
+                name = link_name(source, target)
+                line = self._lines.get(name) or self._line(
+                    config, source, target
+                )
+                burst = link_burst(link_bytes_per_s(config, source, target))
+                line.room_bytes = burst * TOKEN_BYTES // _ROOM_PART
+                lines[name] = line
+        self._lines = lines
+
+    def why_not(self, service: str, region: str) -> Why | None:
+        """Return which link lacks tokens for a usual body, or none.
+
+        Bodies that wait come before requests that might still run in
+        another region.
+        """
+        now_s = self._now_s()
+        out, back = self._pair(region)
+        # Both are asked, so that one exchange brings tokens for both.
+        has_back = _has_room(back, now_s, self.sizes.answer_bytes(service))
+        if not _has_room(out, now_s, self.sizes.request_bytes(service)):
+            return Why.LINK_FULL
+        return None if has_back else Why.LINK_BACK_FULL
+
+    def take(self, service: str, region: str) -> LinkHold | Why:
+        """Reserve tokens for the bodies of one attempt."""
+        why = self.why_not(service, region)
+        if why is not None:
+            return why
+        now_s = self._now_s()
+        out, back = self._pair(region)
+        hold = LinkHold(service=service, region=region)
+        if out is not None:
+            size = min(self.sizes.request_bytes(service), out.room_bytes)
+            out.meter.reserve(now_s, size)
+            hold.request_bytes = size
+        if back is not None:
+            size = min(self.sizes.answer_bytes(service), back.room_bytes)
+            back.meter.reserve(now_s, size)
+            hold.answer_bytes = size
+        return hold
+
+    def release(self, hold: LinkHold, *, completed: bool) -> None:
+        """Give up what is left; learn the sizes of a completed attempt."""
+        out, back = self._pair(hold.region)
+        if out is not None:
+            out.meter.release(hold.request_bytes)
+        if back is not None:
+            back.meter.release(hold.answer_bytes)
+        hold.request_bytes = hold.answer_bytes = 0
+        if completed:
+            self.sizes.learn(
+                hold.service, hold.sent_bytes, hold.received_bytes
+            )
+
+    def charge_request(
+        self,
+        hold: LinkHold,
+        size_bytes: int,
+        until_s: float,
+        is_cancelled: Callable[[], bool],
+    ) -> bool:
+        """Wait for the tokens of a part of a request's body.
+
+        :param until_s: monotonic time at which the wait ends without them.
+        """
+        reserved = min(size_bytes, hold.request_bytes)
+        line, _ = self._pair(hold.region)
+        if not self._charge(
+            line, hold, size_bytes, reserved, until_s, is_cancelled
+        ):
+            return False
+        hold.request_bytes -= reserved
+        hold.sent_bytes += size_bytes
+        return True
+
+    def charge_answer(
+        self,
+        hold: LinkHold,
+        size_bytes: int,
+        until_s: float,
+        is_cancelled: Callable[[], bool],
+    ) -> bool:
+        """Wait for the tokens of a part of an answer's body."""
+        reserved = min(size_bytes, hold.answer_bytes)
+        _, line = self._pair(hold.region)
+        if not self._charge(
+            line, hold, size_bytes, reserved, until_s, is_cancelled
+        ):
+            return False
+        hold.answer_bytes -= reserved
+        hold.received_bytes += size_bytes
+        return True
+
+    def state_wants(self, regions: Iterable[str]) -> None:
+        """State demand that no body has charged; call it regularly.
+
+        :param regions: other regions that may get requests; small bodies
+            then find tokens of their links without an exchange.
+        """
+        now_s = self._now_s()
+        for region in regions:
+            for line in self._pair(region):
+                if line is not None:
+                    line.meter.want(now_s, 1)
+        for line in self._lines.values():
+            if line.waiting:
+                # Each body waits with one read only, so what was charged
+                # does not show how many wait.
+                line.meter.want(now_s, len(line.waiting) * _READ_TOKENS)
+
+    def granted(self) -> None:
+        """Wake waiting bodies; call it after each accepted reply."""
+        for line in self._lines.values():
+            _wake_first(line)
+
+    def waiting(self) -> int:
+        """Return how many bodies wait."""
+        return sum(len(line.waiting) for line in self._lines.values())
+
+    def charged_bytes(self) -> Mapping[str, float]:
+        """Return the bytes charged here by link."""
+        return self._by_link(lambda line: line.meter.charged_bytes)
+
+    def waits(self) -> Mapping[str, float]:
+        """Return how many reads of bodies had to wait, by link."""
+        return self._by_link(lambda line: line.waits)
+
+    def waited_s(self) -> Mapping[str, float]:
+        """Return the time for which reads of bodies waited, by link."""
+        return self._by_link(lambda line: line.waited_s)
+
+    def timeouts(self) -> Mapping[str, float]:
+        """Return how many bodies ended because they waited too long."""
+        return self._by_link(lambda line: line.timeouts)
+
+    def _by_link(self, read: Callable[[_Line], float]) -> Mapping[str, float]:
+        return {name: read(line) for name, line in self._lines.items()}
+
+    def _pair(self, region: str) -> tuple[_Line | None, _Line | None]:
+        """Return the links to and from a region; none if it was removed."""
+        get = self._lines.get
+        return (
+            get(link_name(self._region, region)),
+            get(link_name(region, self._region)),
+        )
+
+    def _charge(
+        self,
+        line: _Line | None,
+        hold: LinkHold,
+        size_bytes: int,
+        reserved_bytes: int,
+        until_s: float,
+        is_cancelled: Callable[[], bool],
+    ) -> bool:
+        if line is None or size_bytes == 0:
+            return True
+        # What was reserved may pass bodies that wait for more.
+        if (
+            not line.waiting or reserved_bytes == size_bytes
+        ) and line.meter.charge(
+            self._now_s(), size_bytes, reserved_bytes=reserved_bytes
+        ):
+            return True
+        began_s = self._now_s()
+        try:
+            return self._wait(
+                line, size_bytes, reserved_bytes, until_s, is_cancelled
+            )
+        finally:
+            waited_s = self._now_s() - began_s
+            hold.waited_s += waited_s
+            line.waited_s += waited_s
+
+    def _wait(
+        self,
+        line: _Line,
+        size_bytes: int,
+        reserved_bytes: int,
+        until_s: float,
+        is_cancelled: Callable[[], bool],
+    ) -> bool:
+        event = Event()
+        # The demand of the first in line was counted by _charge.
+        is_retry = not line.waiting
+        line.waiting.append(event)
+        line.waits += 1
+        try:
+            while (now_s := self._now_s()) < until_s and not is_cancelled():
+                if line.waiting[0] is event:
+                    if line.meter.charge(
+                        now_s,
+                        size_bytes,
+                        reserved_bytes=reserved_bytes,
+                        is_retry=is_retry,
+                    ):
+                        return True
+                    is_retry = True
+                    for shard in line.shards:
+                        self._loop.kick(shard)
+                event = self._sleep(line, event, until_s - now_s)
+            line.timeouts += not is_cancelled()
+            return False
+        finally:
+            was_first = line.waiting[0] is event
+            line.waiting.remove(event)
+            if was_first:
+                line.meter.release()
+                _wake_first(line)
+
+    def _sleep(self, line: _Line, event: Event, left_s: float) -> Event:
+        """Wait for a sign; return the event that stands for the body next."""
+        wait_s = min(_POLL_S, left_s)
+        if line.waiting[0] is event:
+            wait_s = min(
+                wait_s, max(_MIN_WAIT_S, line.meter.wait_s(self._now_s()))
+            )
+        with eventlet.Timeout(wait_s, False):
+            event.wait()
+        if not event.ready():
+            return event
+        renewed = Event()
+        line.waiting[line.waiting.index(event)] = renewed
+        return renewed
+
+    def _line(self, config: CompiledConfig, source: str, target: str) -> _Line:
+        handles = [
+            budget_handle(self._loop, part.name)
+            for part in plan_link_parts(config, source, target)
+        ]
+        name = f"{self._instance}/{link_name(source, target)}"
+        first = zlib.crc32(name.encode()) % len(handles)
+        handles = handles[first:] + handles[:first]
+        return _Line(
+            LinkMeter([LinkPart(h.taker, h.name) for h in handles]),
+            tuple(handle.shard for handle in handles),
+        )
+
+
+def _has_room(line: _Line | None, now_s: float, size_bytes: int) -> bool:
+    if line is None:
+        return True
+    size_bytes = min(size_bytes, line.room_bytes)
+    return line.meter.has_room(now_s, size_bytes) and not line.waiting
+
+
+def _wake_first(line: _Line) -> None:
+    if line.waiting and not line.waiting[0].ready():
+        line.waiting[0].send(None)
--- a/packages/verbenad/src/verbenad/refusal.py
+++ b/packages/verbenad/src/verbenad/refusal.py
@@ -293,6 +293,11 @@
             "the deadline passed",
             "retry with a longer deadline",
         ),
+        "link-full": _kind(
+            503,
+            "the link to the backend server's region had no room in time",
+            "retry later, or with a longer deadline",
+        ),
         "connect-failed": _kind(
             502,
             "no connection to the backend server",
--- a/packages/verbenad/src/verbenad/service_desk.py
+++ b/packages/verbenad/src/verbenad/service_desk.py
@@ -8,6 +8,7 @@
 from verbenad.budget_plan import slots_budget_name
 from verbenad.dispatcher import Dispatcher
 from verbenad.divided_units import DividedUnits
+from verbenad.link_gate import LinkGate
 from verbenad.region_units import RegionUnits
 from verbenaworks.admission_queue import AdmissionQueue
 from verbenaworks.choice_result import Choice, ChoiceRequest, NoTarget
@@ -34,7 +35,9 @@
         loop: BudgetLoop,
         now_s: Callable[[], float],
         random: Random,
+        links: LinkGate | None = None,
     ) -> None:
+        self._links = links
         self._place = place
         self._now_s = now_s
         self._region_units = RegionUnits(loop=loop, place=place, now_s=now_s)
@@ -50,6 +53,7 @@
             units=self.units,
             region_units=self._region_units,
             random=random,
+            links=links,
         )
         self.dispatchers: dict[str, Dispatcher] = {}
         self._targets: dict[str, tuple[TargetInfo, ...]] = {}
@@ -125,6 +129,8 @@
             dispatcher.state_wants()
         self._region_units.restate()
         self.units.restate()
+        if self._links is not None:
+            self._links.state_wants(self._far_regions_with_slots())
 
     def region_measurements(self, region: str) -> ShiftMeasurements | None:
         """Return the load of a region by its targets' reports.
@@ -169,6 +175,16 @@
         """Return how many requests wait for a target."""
         return sum(d.waiting for d in self.dispatchers.values())
 
+    def _far_regions_with_slots(self) -> set[str]:
+        """Return the other regions where this instance holds slots."""
+        here = self._place.region
+        return {
+            target.region
+            for targets in self._targets.values()
+            for target in targets
+            if target.region != here and self.units.held(target.name)
+        }
+
     def _may_ask(self, target: TargetInfo) -> bool:
         now_s = self._now_s()
         if now_s < self._avoided.get(target.name, 0.0):
--- a/packages/verbenad/src/verbenad/upstream_answer.py
+++ b/packages/verbenad/src/verbenad/upstream_answer.py
@@ -18,9 +18,13 @@
 
     :param stall_s: longest wait for the next byte.
     :param on_end: called once; told whether the answer was read to its end.
+    :param charge: waits until a number of bytes may be passed on, or raises
+        AnswerTruncatedError; told whether the head may have been passed on.
     """
 
     __slots__ = (
+        "_begun",
+        "_charge",
         "_decoder",
         "_left_bytes",
         "_on_end",
@@ -36,8 +40,11 @@
         *,
         stall_s: float,
         on_end: Callable[[bool], None],
+        charge: Callable[[int, bool], None] | None = None,
     ) -> None:
         self._stream = stream
+        self._charge = charge
+        self._begun = False
         self._stall_s = stall_s
         self._on_end: Callable[[bool], None] | None = on_end
         self._decoder = (
@@ -50,6 +57,7 @@
 
     def __iter__(self) -> Iterator[bytes]:
         yield self._read_buffered()
+        self._begun = True
         while True:
             data = self.read_some()
             if not data:
@@ -64,7 +72,10 @@
         if self._on_end is None:
             return b""
         try:
-            return self._next_bytes(limit_bytes)
+            data = self._next_bytes(limit_bytes)
+            if self._charge is not None and data:
+                self._charge(len(data), self._begun)
+            return data
         except Exception as error:
             self._end(False)
             if isinstance(error, MalformedChunkError):
@@ -131,6 +142,7 @@
 
     :param headers: fields without the hop-by-hop ones.
     :param reused: whether the connection had served a request before.
+    :param length: stated length of the body; none if there is no statement.
     """
 
     status: int
@@ -138,6 +150,7 @@
     headers: Headers
     body: AnswerBody
     reused: bool
+    length: int | None = None
 
     @property
     def status_line(self) -> str:
--- /dev/null
+++ b/tests/fake_budget_loop.py
@@ -0,0 +1,53 @@
+"""Takers of budgets whose owners answer in the same process."""
+
+from verbenaworks.budget_owner import BudgetOwner
+from verbenaworks.budget_spec import Budget
+from verbenaworks.budget_taker import BudgetTaker
+from verbenaworks.control_record import SHARDS
+
+
+class _Lease:
+    """A lease that never ends."""
+
+    epoch = 1
+
+    def is_valid(self, now_s: float) -> bool:
+        """Return true."""
+        return True
+
+
+class FakeLoop:
+    """Takers whose owners answer at once."""
+
+    def __init__(self, budgets: list[Budget], now_s: list[float]) -> None:
+        self._now_s = now_s
+        self._takers = []
+        self._owners = []
+        for shard in range(SHARDS):
+            taker = BudgetTaker(shard=shard, taker="e1", incarnation=1)
+            taker.configure(0.0, budgets)
+            taker.owner_changed(1)
+            owner = BudgetOwner(
+                shard=shard, lease=_Lease(), started_at_s=-1e6, wait_s=0.0
+            )
+            owner.configure(0.0, budgets)
+            self._takers.append(taker)
+            self._owners.append(owner)
+
+    def taker_of(self, shard: int) -> BudgetTaker:
+        """Return the taker of a shard."""
+        return self._takers[shard]
+
+    def kick(self, shard: int) -> None:
+        """Do nothing: the test exchanges when it advances the time."""
+
+    def advance(self, duration_s: float) -> None:
+        """Let time pass and exchange requests and replies."""
+        self._now_s[0] += duration_s
+        now_s = self._now_s[0]
+        for taker, owner in zip(self._takers, self._owners, strict=True):
+            for _ in range(4):
+                request = taker.next_request(now_s)
+                reply = request and owner.handle(now_s, request)
+                if reply:
+                    taker.accept(now_s, reply)
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -4,6 +4,7 @@
 import threading
 import time
 from collections.abc import Callable, Iterator
+from typing import Any
 
 import pytest
 from result import Err, Ok, Result
@@ -48,6 +49,7 @@
     cancellation: Cancellation | None = None,
     silent_after_s: float | None = None,
     fresh: bool = False,
+    link: Any = None,
 ) -> Result[UpstreamAnswer, AttemptFailed]:
     return forwarder.attempt(
         ForwardRequest(
@@ -59,6 +61,7 @@
             body=body,
             idempotent=idempotent,
             cancellation=cancellation,
+            link=link,
         ),
         address,
         time.monotonic() + wait_s,
@@ -615,3 +618,92 @@
         )
         assert _body(outcome) == b"hello"
     assert [sent for _, sent in recorder.requests] == [b"abcde"] * 2
+
+
+class _Link:
+    """Has room for a number of bytes in each direction."""
+
+    def __init__(self, send: int = 10**9, receive: int = 10**9) -> None:
+        self.left = {"send": send, "receive": receive}
+        self.charged = {"send": 0, "receive": 0}
+
+    def send(self, size_bytes: int, until_s: float) -> bool:
+        return self._charge("send", size_bytes)
+
+    def receive(self, size_bytes: int, until_s: float) -> bool:
+        return self._charge("receive", size_bytes)
+
+    def _charge(self, way: str, size_bytes: int) -> bool:
+        if self.left[way] < size_bytes:
+            return False
+        self.left[way] -= size_bytes
+        self.charged[way] += size_bytes
+        return True
+
+
+def test_bodies_are_charged_to_the_link_once(
+    recorder: _Recorder, recording: RawBackend
+) -> None:
+    """Guards against bytes between regions that are free or paid twice."""
+    for chunked in (False, True):
+        data = b"y" * 200_000
+        if chunked:
+            data = b"30d40\r\n%b\r\n0\r\n\r\n" % data
+        link = _Link()
+        outcome = _attempt(
+            _forwarder(),
+            recording.address,
+            method="PUT",
+            body=_streamed(data, chunked=chunked),
+            link=link,
+        )
+        assert _body(outcome) == b"hello"
+        assert link.charged == {"send": 200_000, "receive": 5}
+    sent = [body.count(b"y") for _, body in recorder.requests]
+    assert sent == [200_000] * 2
+
+
+def test_link_without_room_for_the_first_byte(
+    recorder: _Recorder, recording: RawBackend
+) -> None:
+    """Guards against "outcome unknown" for a request that was not sent."""
+    failed = _failed(
+        _attempt(
+            _forwarder(),
+            recording.address,
+            method="PUT",
+            body=_streamed(b"y" * 100, chunked=False),
+            link=_Link(send=99),
+        )
+    )
+    assert failed.kind is FailureKind.LINK_FULL
+    assert not failed.may_have_run
+    assert not recorder.requests
+
+
+def test_link_that_gets_full_within_a_request(recording: RawBackend) -> None:
+    """Guards against "not run" for a request that was sent in part."""
+    failed = _failed(
+        _attempt(
+            _forwarder(),
+            recording.address,
+            method="PUT",
+            body=_streamed(b"y" * 150_000, chunked=False),
+            link=_Link(send=100_000),
+        )
+    )
+    assert failed.kind is FailureKind.LINK_FULL
+    assert failed.may_have_run
+
+
+def test_link_that_gets_full_within_an_answer() -> None:
+    """Guards against a cut-off answer that looks complete."""
+    answer = b"HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" + bytes(
+        200_000
+    )
+    with raw_backend(_always(answer)) as backend:
+        outcome = _attempt(
+            _forwarder(), backend.address, link=_Link(receive=100_000)
+        )
+        with pytest.raises(AnswerTruncatedError, match="link"):
+            _body(outcome)
--- /dev/null
+++ b/tests/test_link_gate.py
@@ -0,0 +1,195 @@
+"""Pacing of bodies between regions; time is virtual."""
+
+from collections.abc import Callable
+
+import eventlet
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from result import Ok
+
+from fake_budget_loop import FakeLoop
+from verbenad.budget_plan import LINK_PARTS, link_parts, plan_budgets
+from verbenad.link_gate import LinkGate
+from verbenaworks.budget_spec import shard_of
+from verbenaworks.choice_result import Why
+from verbenaworks.compiled_config import CompiledConfig, compile_config
+from verbenaworks.config_document import ConfigDocument
+from verbenaworks.edit import CreateBranch, Edit, SetValue
+from verbenaworks.link_hold import LinkHold
+from verbenaworks.link_meter import TOKEN_BYTES
+
+RATE = 1_000_000
+# Without a lower burst, 64 tokens.
+BURST = 64 * TOKEN_BYTES
+STEP_S = 0.05
+
+
+def _config(rate: int = RATE, other: int = 10**9) -> CompiledConfig:
+    changes: list[CreateBranch | SetValue] = []
+    for name, value in (("near", rate), ("far", other)):
+        path = f"/regions/{name}"
+        changes.append(CreateBranch(path=path))
+        changes.append(
+            SetValue(path=path, field="link_bytes_per_s", value=value)
+        )
+    edit = Edit(
+        edit_id="e", operator="o", read_revision=0, changes=tuple(changes)
+    )
+    match ConfigDocument().apply_edit(edit):
+        case Ok(document):
+            return compile_config(document)
+        case refused:
+            raise AssertionError(refused)
+
+
+class _World:
+    """One gate whose clock moves only when the test says so."""
+
+    def __init__(self) -> None:
+        self.clock = [100.0]
+        config = _config()
+        self.loop = FakeLoop(plan_budgets(config), self.clock)
+        self.gate = LinkGate(
+            instance="e1",
+            region="near",
+            loop=self.loop,  # type: ignore[arg-type]
+            now_s=lambda: self.clock[0],
+        )
+        self.gate.set_config(config)
+        # A link that nobody has used yet has no tokens anywhere.
+        for _ in range(20):
+            self.gate.why_not("s", "far")
+            self.advance(STEP_S)
+
+    def advance(self, duration_s: float) -> None:
+        """Let time pass; waiting bodies look at their tokens."""
+        for _ in range(round(duration_s / STEP_S)):
+            self.loop.advance(STEP_S)
+            self.gate.granted()
+            for _ in range(20):
+                eventlet.sleep(0)
+
+    def hold(self) -> LinkHold:
+        return LinkHold(service="s", region="far")
+
+    def send(
+        self,
+        size: int,
+        until_s: float = 1e9,
+        cancelled: Callable[[], bool] = lambda: False,
+    ) -> eventlet.greenthread.GreenThread:
+        """Send a body in reads of 64 KiB; the result is what was sent."""
+        return eventlet.spawn(
+            _send, self.gate, self.hold(), size, until_s, cancelled
+        )
+
+
+def _send(
+    gate: LinkGate,
+    hold: LinkHold,
+    size: int,
+    until_s: float,
+    cancelled: Callable[[], bool],
+) -> int:
+    sent = 0
+    while sent < size:
+        step = min(65536, size - sent)
+        if not gate.charge_request(hold, step, until_s, cancelled):
+            break
+        sent += step
+    return sent
+
+
+@settings(derandomize=True, max_examples=100, database=None)
+@given(st.integers(1, 10**13), st.integers(1, 10**13))
+def test_parts_of_a_link(rate: int, other: int) -> None:
+    """Guards against a link above its lower setting, or with one owner."""
+    parts = link_parts(_config(rate, other), "near", "far")
+    tokens = sum(part.rate_milli_per_s for part in parts) / 1000
+    assert tokens * TOKEN_BYTES <= min(rate, other) * (1 + 1e-12)
+    assert len({shard_of(part.name) for part in parts}) == LINK_PARTS
+    assert {part.name for part in parts} <= {
+        budget.name for budget in plan_budgets(_config(rate, other))
+    }
+
+
+def test_bodies_together_keep_to_the_rate() -> None:
+    """Guards against slow and large bodies that add up above the link."""
+    world = _World()
+    threads = [world.send(50_000_000) for _ in range(5)]
+    began_s = world.clock[0]
+    world.advance(4.0)
+    charged = world.gate.charged_bytes()["link/near/far"]
+    passed_s = world.clock[0] - began_s
+    assert charged <= RATE * passed_s + BURST
+    # Half of the rate at least is in use: a link that stops proves nothing.
+    assert charged >= RATE * passed_s / 2
+    assert world.gate.waiting() == 5
+    for thread in threads:
+        thread.kill()
+    assert world.gate.waiting() == 0
+
+
+def test_a_small_body_waits_for_one_read_of_each_other() -> None:
+    """Guards against small bodies behind the whole of a large one."""
+    world = _World()
+    large = [world.send(50_000_000) for _ in range(3)]
+    world.advance(2.0)
+    small = world.send(1000)
+    began_s = world.clock[0]
+    while not small.dead and world.clock[0] < began_s + 20:
+        world.advance(STEP_S)
+    # Four reads of 64 KiB at 1 MB/s take 0.26 s.
+    assert small.wait() == 1000
+    assert world.clock[0] - began_s <= 1.0
+    for thread in large:
+        thread.kill()
+
+
+@pytest.mark.parametrize("gone", [False, True])
+def test_a_wait_ends_at_the_deadline_or_with_the_caller(gone: bool) -> None:
+    """Guards against bodies that wait for ever on a full link."""
+    world = _World()
+    signs: list[bool] = []
+    until_s = world.clock[0] + (1e6 if gone else 1.0)
+    thread = world.send(50_000_000, until_s, lambda: bool(signs))
+    world.advance(0.9)
+    assert not thread.dead
+    if gone:
+        signs.append(True)
+    world.advance(0.2)
+    assert thread.wait() < 50_000_000
+    assert world.gate.waiting() == 0
+    assert world.gate.timeouts()["link/near/far"] == (0 if gone else 1)
+
+
+def test_small_bodies_after_the_choice_do_not_wait() -> None:
+    """Guards against an exchange with an owner for each small body."""
+    world = _World()
+    for _ in range(20):
+        hold = world.gate.take("s", "far")
+        assert isinstance(hold, LinkHold)
+        no_time_s = world.clock[0]
+        assert world.gate.charge_request(hold, 900, no_time_s, lambda: False)
+        assert world.gate.charge_answer(hold, 9000, no_time_s, lambda: False)
+        world.gate.release(hold, completed=True)
+        world.gate.state_wants(["far"])
+        world.advance(0.25)
+    assert world.gate.waits()["link/near/far"] == 0
+    assert world.gate.sizes.request_bytes("s") < 16384
+
+
+def test_a_full_link_has_no_room_for_a_spill() -> None:
+    """Guards against spilling over a link on which bodies wait."""
+    world = _World()
+    assert world.gate.why_not("s", "far") is None
+    thread = world.send(50_000_000)
+    world.advance(1.0)
+    assert world.gate.why_not("s", "far") is Why.LINK_FULL
+    assert world.gate.take("s", "far") is Why.LINK_FULL
+    thread.kill()
+    for _ in range(20):
+        world.gate.why_not("s", "far")
+        world.advance(STEP_S)
+    assert world.gate.why_not("s", "far") is None
--- a/tests/test_region_units.py
+++ b/tests/test_region_units.py
@@ -4,61 +4,17 @@
 
 from result import Ok
 
+from fake_budget_loop import FakeLoop
 from verbenad.divided_units import DividedUnits
 from verbenad.region_units import RegionUnits
-from verbenaworks.budget_owner import BudgetOwner
 from verbenaworks.budget_spec import Budget, LevelBudget
-from verbenaworks.budget_taker import BudgetTaker
 from verbenaworks.compiled_config import CompiledConfig, compile_config
 from verbenaworks.config_document import ConfigDocument
-from verbenaworks.control_record import SHARDS
 from verbenaworks.edit import CreateBranch, Edit, SetValue
 from verbenaworks.near_table import Place
 from verbenaworks.target import TargetInfo
 
 
-class _Lease:
-    epoch = 1
-
-    def is_valid(self, now_s: float) -> bool:
-        return True
-
-
-class _Loop:
-    """Takers whose owners answer at once."""
-
-    def __init__(self, budgets: list[Budget], now_s: list[float]) -> None:
-        self._now_s = now_s
-        self._takers = []
-        self._owners = []
-        for shard in range(SHARDS):
-            taker = BudgetTaker(shard=shard, taker="e1", incarnation=1)
-            taker.configure(0.0, budgets)
-            taker.owner_changed(1)
-            owner = BudgetOwner(
-                shard=shard, lease=_Lease(), started_at_s=-1e6, wait_s=0.0
-            )
-            owner.configure(0.0, budgets)
-            self._takers.append(taker)
-            self._owners.append(owner)
-
-    def taker_of(self, shard: int) -> BudgetTaker:
-        return self._takers[shard]
-
-    def kick(self, shard: int) -> None:
-        """Do nothing: the test exchanges when it advances the time."""
-
-    def advance(self, duration_s: float) -> None:
-        self._now_s[0] += duration_s
-        now_s = self._now_s[0]
-        for taker, owner in zip(self._takers, self._owners, strict=True):
-            for _ in range(4):
-                request = taker.next_request(now_s)
-                reply = request and owner.handle(now_s, request)
-                if reply:
-                    taker.accept(now_s, reply)
-
-
 def _config() -> CompiledConfig:
     changes: list[CreateBranch | SetValue] = [CreateBranch(path="/services/s")]
     for region in ("near", "far"):
@@ -103,7 +59,7 @@
         for part in range(8)
     ]
     clock = [0.0]
-    loop = _Loop(budgets, clock)
+    loop = FakeLoop(budgets, clock)
     place = Place(
         instance="e1",
         region="near",
