Pause shifts while a link into the target region is full or unknown

Cause: no part of the daemon measured links, and the shift driver took a missing measurement for a free link.

Change: each second, the driver of a shift asks the owners of the parts of all links into the target region for the demand that takers state. A part whose owner has held it for less than 3 s, or that did not answer for 5 s, is missing. The driver holds while any link is missing or has less free capacity than the region's headroom, and names the link. verbena status prints what each running shift is doing; the drivers are asked when an operator asks.

Ruled out: the note in the membership's records (every instance would carry it); spent bytes in place of demand (they cannot show how much more is wanted than the link has).

--- a/packages/verbena/src/verbena/fleet_commands.py
+++ b/packages/verbena/src/verbena/fleet_commands.py
@@ -25,6 +25,8 @@
 class Status(ConnectionOptions):
     """Print the state, revision, age and load of every instance.
 
+    Below, it prints what each running shift is doing or waits for.
+
     Example: `verbena status --json`
     """
 
@@ -48,6 +50,9 @@
             ),
             [_status_row(instance) for instance in instances],
         )
+        for instance in instances:
+            for note in instance.shifts:
+                print(f"{instance.name}: {note}")
 
 
 def _status_row(instance: InstanceStatus) -> tuple[object, ...]:
--- a/packages/verbenad/src/verbenad/budget_loop.py
+++ b/packages/verbenad/src/verbenad/budget_loop.py
@@ -7,7 +7,7 @@
 from verbenad.directory import Directory
 from verbenaworks.agreement import Agreement
 from verbenaworks.budget_owner import BudgetOwner
-from verbenaworks.budget_spec import Budget
+from verbenaworks.budget_spec import Budget, shard_of
 from verbenaworks.budget_taker import BudgetTaker
 from verbenaworks.compiled_config import CompiledConfig
 from verbenaworks.control_record import SHARDS, InstanceId
@@ -56,6 +56,11 @@
         """Return the taker of a shard."""
         return self.takers[shard]
 
+    def demand(self, budget: str) -> tuple[int, int] | None:
+        """Return the demand for a rate budget that this instance owns."""
+        owner = self._owners.get(shard_of(budget))
+        return owner.demand(self._now_s(), budget) if owner else None
+
     def set_config(self, config: CompiledConfig) -> None:
         """Put the budgets of a configuration in force."""
         self._budgets = plan_budgets(config)
--- a/packages/verbenad/src/verbenad/daemon.py
+++ b/packages/verbenad/src/verbenad/daemon.py
@@ -3,6 +3,7 @@
 import secrets
 import sys
 import time
+from dataclasses import replace
 from random import Random
 
 import eventlet
@@ -29,6 +30,7 @@
 from verbenad.json_lines_handler import JsonLinesHandler
 from verbenad.line_writer import LineWriter
 from verbenad.link_gate import LinkGate
+from verbenad.link_usage import LinkUsage
 from verbenad.lookup_page import LookupPage
 from verbenad.lookup_table import LookupTable
 from verbenad.loop_timers import LoopTimers
@@ -47,6 +49,7 @@
 from verbenad.store_client import StoreClient
 from verbenad.target_prober import TargetProber
 from verbenad.upstream_pool import UpstreamPool
+from verbenaworks.admin_messages import InstanceStatus
 from verbenaworks.agreed_state import AgreedState
 from verbenaworks.agreement import TICK_S, Agreement, AgreementSettings
 from verbenaworks.compiled_config import CompiledConfig, compile_config
@@ -166,7 +169,7 @@
             now_s=self._now_s,
             address_of=self._fleet.address_of,
             document=lambda: self._document,
-            status=self._fleet.status,
+            status=self._status,
         )
         self._agreement_loop = AgreementLoop(
             agreement=self._agreement,
@@ -282,6 +285,13 @@
             edits=self._edits,
             config=lambda: self._config,
             now_s=self._now_s,
+            usage=LinkUsage(
+                loop=self._budgets,
+                bus=self._bus,
+                directory=self._fleet,
+                now_s=self._now_s,
+            ),
+            bus=self._bus,
         )
         host, _, port = settings.caller_address.rpartition(":")
         self._front = Front(
@@ -408,6 +418,13 @@
             load=float(len(self._front.running)),
         )
 
+    def _status(self) -> list[InstanceStatus]:
+        notes = self._shifts.notes()
+        return [
+            replace(instance, shifts=notes.get(instance.name, ()))
+            for instance in self._fleet.status()
+        ]
+
     def _check_again(self, call: Call) -> None:
         if self._config is not None:
             check_again(call, self._config, self._may_use_keys)
--- a/packages/verbenad/src/verbenad/service_desk.py
+++ b/packages/verbenad/src/verbenad/service_desk.py
@@ -135,6 +135,8 @@
     def region_measurements(self, region: str) -> ShiftMeasurements | None:
         """Return the load of a region by its targets' reports.
 
+        Links are not part of it.
+
         None if no target has reported. The age is that of the median
         report: a single silent target must not hold up a shift for ever.
         """
--- a/packages/verbenad/src/verbenad/shift_loop.py
+++ b/packages/verbenad/src/verbenad/shift_loop.py
@@ -1,13 +1,16 @@
 """Drives the traffic shifts whose shard this instance owns."""
 
 from collections.abc import Callable
+from dataclasses import replace
 
 import eventlet
 import logbook
 from result import Err, Ok
 
+from verbenad.bus import Bus, Sender
 from verbenad.edit_port import EditPort
 from verbenad.fleet import Fleet
+from verbenad.link_usage import LinkUsage
 from verbenad.lookup_table import LookupTable
 from verbenad.service_desk import ServiceDesk
 from verbenaworks.agreement import Agreement
@@ -21,11 +24,16 @@
     Hold,
     MemberView,
     ShiftDriver,
+    ShiftMeasurements,
     ShiftState,
 )
+from verbenaworks.shift_messages import AskShiftNotes, ShiftNotes
 
 PERIOD_S = 1.0
 OPERATOR = "verbenad"
+# Operators wait for a status that long if a driver is not reachable.
+_NOTES_WAIT_S = 0.5
+_NOTES_POLL_S = 0.01
 _log = logbook.Logger("verbenad.shift")
 
 
@@ -42,7 +50,11 @@
         edits: EditPort,
         config: Callable[[], CompiledConfig | None],
         now_s: Callable[[], float],
+        usage: LinkUsage,
+        bus: Bus,
     ) -> None:
+        self._usage = usage
+        self._bus = bus
         self._agreement = agreement
         self._fleet = fleet
         self._desk = desk
@@ -53,6 +65,9 @@
         self._drivers: dict[str, ShiftDriver] = {}
         self._seen: dict[str, tuple[int, int]] = {}
         self._last_reasons: dict[str, str] = {}
+        self._notes_of: dict[str, tuple[str, ...]] = {}
+        bus.subscribe(AskShiftNotes, self._on_question)
+        bus.subscribe(ShiftNotes, self._on_notes)
 
     def tick(self) -> None:
         """Decide about all shifts; call it every ``PERIOD_S`` seconds."""
@@ -67,8 +82,41 @@
             else:
                 self._forget(shift.name)
 
+    def notes(self) -> dict[str, tuple[str, ...]]:
+        """Return what the running shifts are doing, by driver.
+
+        The drivers are asked, and those that do not answer are left out.
+        """
+        config = self._config()
+        if config is None:
+            return {}
+        drivers = {
+            owner.bus_address
+            for shift in config.shifts.values()
+            if shift.state == "running"
+            and (owner := self._fleet.owner(_shard(shift.name)))
+        }
+        self._notes_of.clear()
+        for address in drivers:
+            self._bus.send(address, AskShiftNotes())
+        end_s = self._now_s() + _NOTES_WAIT_S
+        while len(self._notes_of) < len(drivers) and self._now_s() < end_s:
+            eventlet.sleep(_NOTES_POLL_S)
+        return dict(self._notes_of)
+
+    def _on_question(self, sender: Sender, _question: AskShiftNotes) -> None:
+        notes = tuple(
+            f"shift {name} {self._last_reasons[name]}"
+            for name in sorted(self._drivers)
+            if name in self._last_reasons
+        )
+        self._bus.send(sender.address, ShiftNotes(notes=notes))
+
+    def _on_notes(self, sender: Sender, answer: ShiftNotes) -> None:
+        self._notes_of[sender.name] = answer.notes
+
     def _is_driver(self, shift: ShiftConfig) -> bool:
-        lease = self._agreement.lease(shard_of(f"shift/{shift.name}"))
+        lease = self._agreement.lease(_shard(shift.name))
         return (
             shift.state == "running"
             and lease is not None
@@ -107,7 +155,7 @@
                 for member in self._fleet.members()
                 if member.is_running
             ],
-            self._desk.region_measurements(shift.to_region),
+            self._measurements(config, shift.to_region),
             config.lookup_ttl_s,
         )
         match decision:
@@ -119,6 +167,16 @@
             case Done():
                 self._note(shift.name, f"is complete at step {shift.step}")
 
+    def _measurements(
+        self, config: CompiledConfig, region: str
+    ) -> ShiftMeasurements | None:
+        """Return the newest measurements, and ask for those of next time."""
+        self._usage.ask(config, region)
+        measurements = self._desk.region_measurements(region)
+        if measurements is None:
+            return None
+        return replace(measurements, links=self._usage.measure(config, region))
+
     def _advance(
         self, config: CompiledConfig, shift: ShiftConfig, step: int
     ) -> None:
@@ -145,3 +203,7 @@
         if self._last_reasons.get(name) != text:
             self._last_reasons[name] = text
             _log.info("shift {} {}", name, text)
+
+
+def _shard(shift: str) -> int:
+    return shard_of(f"shift/{shift}")
--- a/packages/verbenaworks/src/verbenaworks/admin_messages.py
+++ b/packages/verbenaworks/src/verbenaworks/admin_messages.py
@@ -91,6 +91,7 @@
     :ivar fresh: whether the instance knows that its revision is current.
     :ivar age_s: time since the last update about the instance.
     :ivar load: requests in progress.
+    :ivar shifts: what the shifts that the instance drives are doing.
     """
 
     name: str
@@ -103,6 +104,7 @@
     load: float = 0.0
     address: str = ""
     writer: bool = False
+    shifts: tuple[str, ...] = ()
 
 
 class AdminRequestError(VerbenaError):
--- a/packages/verbenaworks/src/verbenaworks/budget_owner.py
+++ b/packages/verbenaworks/src/verbenaworks/budget_owner.py
@@ -18,6 +18,9 @@
 # Sequence numbers of incarnations that were silent for this long and hold
 # nothing are forgotten.
 _FORGET_S = 120.0
+# Takers state their wants every second, and after a change of owner twice in
+# a row before the wants count.
+DEMAND_KNOWN_S = 3.0
 
 
 class OwnerLease(Protocol):
@@ -86,6 +89,21 @@
             self._retired.discard(name)
             self._configure_one(now_s, name, budget)
 
+    def demand(self, now_s: float, budget: str) -> tuple[int, int] | None:
+        """Return the demand for a rate budget, and its limit.
+
+        ``None`` while takers may not have stated their wants to this owner.
+        """
+        if not self._lease.is_valid(now_s):
+            return None
+        if now_s < self._issues_from_s + DEMAND_KNOWN_S:
+            return None
+        match self._pools.get(budget):
+            case RatePool() as pool:
+                return pool.demand(now_s)
+            case _:
+                return None
+
     def handle(self, now_s: float, request: GrantRequest) -> GrantReply | None:
         """Answer a request; ``None`` if it must get no answer.
 
--- a/packages/verbenaworks/src/verbenaworks/demand_table.py
+++ b/packages/verbenaworks/src/verbenaworks/demand_table.py
@@ -75,6 +75,12 @@
         """Return the amount that each taker should hold."""
         return self._targets
 
+    def wanted(self) -> int:
+        """Return what all takers want together."""
+        return sum(
+            want.amount for wants in self._wants.values() for want in wants
+        )
+
     def target(self, holder: Holder) -> int:
         """Return the amount that a taker should hold."""
         return self._targets.get(holder, 0)
--- a/packages/verbenaworks/src/verbenaworks/rate_pool.py
+++ b/packages/verbenaworks/src/verbenaworks/rate_pool.py
@@ -38,6 +38,11 @@
         """The number of takers that may hold a part of the budget."""
         return self._depths.holders
 
+    def demand(self, now_s: float) -> tuple[int, int]:
+        """Return the rate that takers want, and the limit."""
+        self.lapse(now_s)
+        return self._demand.wanted(), self._rates.limit(now_s)
+
     def configure(self, now_s: float, budget: RateBudget) -> None:
         """Put changed settings in force."""
         self._set(now_s, budget.rate_milli_per_s, budget.burst)
--- a/packages/verbenaworks/src/verbenaworks/shift_driver.py
+++ b/packages/verbenaworks/src/verbenaworks/shift_driver.py
@@ -9,6 +9,8 @@
 from dataclasses import dataclass
 
 MAX_MEASUREMENT_AGE_S = 10.0
+# Links are asked for every second.
+MAX_LINK_AGE_S = 5.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -19,19 +21,32 @@
     config_revision: int
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LinkMeasurement:
+    """Measurement of one link into the target region.
+
+    :ivar link: name of the link.
+    :ivar free_share: part of the link that nobody wants; negative if more
+        is wanted than there is, None if not known.
+    """
+
+    link: str
+    free_share: float | None = None
+    age_s: float = 0.0
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ShiftMeasurements:
     """Measurements of the target region.
 
     :ivar age_s: age of the oldest measurement used, in seconds.
     :ivar headroom_share: unused part of the region's slots.
-    :ivar link_free_share: unused part of the link into the region, None
-        where links are not measured.
+    :ivar links: all links into the region.
     """
 
     age_s: float
     headroom_share: float
-    link_free_share: float | None = None
+    links: tuple[LinkMeasurement, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -129,10 +144,9 @@
         return Hold(reason="measurements of the target region are missing")
     if measurements.headroom_share < state.min_headroom_share:
         return Hold(reason="the target region lacks headroom")
-    link_free_share = measurements.link_free_share
-    if (
-        link_free_share is not None
-        and link_free_share < state.min_headroom_share
-    ):
-        return Hold(reason="the link into the target region lacks headroom")
+    for link in measurements.links:
+        if link.free_share is None or link.age_s > MAX_LINK_AGE_S:
+            return Hold(reason=f"measurements of {link.link} are missing")
+        if link.free_share < state.min_headroom_share:
+            return Hold(reason=f"{link.link} lacks headroom")
     return Advance(step=state.step + 1)
--- a/tests/test_link_gate.py
+++ b/tests/test_link_gate.py
@@ -6,49 +6,27 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from result import Ok
 
 from fake_budget_loop import FakeLoop
+from link_config import RATE, config_with_links
 from verbenad.budget_plan import LINK_PARTS, link_parts, plan_budgets
 from verbenad.link_gate import LinkGate
 from verbenaworks.budget_spec import shard_of
 from verbenaworks.choice_result import Why
-from verbenaworks.compiled_config import CompiledConfig, compile_config
-from verbenaworks.config_document import ConfigDocument
-from verbenaworks.edit import CreateBranch, Edit, SetValue
 from verbenaworks.link_hold import LinkHold
 from verbenaworks.link_meter import TOKEN_BYTES
 
-RATE = 1_000_000
 # Without a lower burst, 64 tokens.
 BURST = 64 * TOKEN_BYTES
 STEP_S = 0.05
 
 
-def _config(rate: int = RATE, other: int = 10**9) -> CompiledConfig:
-    changes: list[CreateBranch | SetValue] = []
-    for name, value in (("near", rate), ("far", other)):
-        path = f"/regions/{name}"
-        changes.append(CreateBranch(path=path))
-        changes.append(
-            SetValue(path=path, field="link_bytes_per_s", value=value)
-        )
-    edit = Edit(
-        edit_id="e", operator="o", read_revision=0, changes=tuple(changes)
-    )
-    match ConfigDocument().apply_edit(edit):
-        case Ok(document):
-            return compile_config(document)
-        case refused:
-            raise AssertionError(refused)
-
-
 class _World:
     """One gate whose clock moves only when the test says so."""
 
     def __init__(self) -> None:
         self.clock = [100.0]
-        config = _config()
+        config = config_with_links()
         self.loop = FakeLoop(plan_budgets(config), self.clock)
         self.gate = LinkGate(
             instance="e1",
@@ -105,12 +83,12 @@
 @given(st.integers(1, 10**13), st.integers(1, 10**13))
 def test_parts_of_a_link(rate: int, other: int) -> None:
     """Guards against a link above its lower setting, or with one owner."""
-    parts = link_parts(_config(rate, other), "near", "far")
+    parts = link_parts(config_with_links(rate, other), "near", "far")
     tokens = sum(part.rate_milli_per_s for part in parts) / 1000
     assert tokens * TOKEN_BYTES <= min(rate, other) * (1 + 1e-12)
     assert len({shard_of(part.name) for part in parts}) == LINK_PARTS
     assert {part.name for part in parts} <= {
-        budget.name for budget in plan_budgets(_config(rate, other))
+        budget.name for budget in plan_budgets(config_with_links(rate, other))
     }
 
 
--- a/tests/test_shift_driver.py
+++ b/tests/test_shift_driver.py
@@ -1,9 +1,14 @@
 """Timing of the steps of a traffic shift."""
 
+from dataclasses import replace
+
+import pytest
+
 from verbenaworks.shift_driver import (
     Advance,
     Done,
     Hold,
+    LinkMeasurement,
     MemberView,
     ShiftDriver,
     ShiftMeasurements,
@@ -12,7 +17,8 @@
 
 FENCE_S = 2.02
 TTL_S = 5.0
-GOOD = ShiftMeasurements(age_s=1.0, headroom_share=0.5, link_free_share=0.5)
+LINK = LinkMeasurement(link="link/a/b", free_share=0.5, age_s=1.0)
+GOOD = ShiftMeasurements(age_s=1.0, headroom_share=0.5, links=(LINK,))
 STATE = ShiftState(
     step=1, last_step=4, step_revision=7, min_headroom_share=0.2
 )
@@ -62,9 +68,9 @@
     """Guards against a shift that goes on blind or into a full region."""
     bad = [
         None,
-        ShiftMeasurements(age_s=11, headroom_share=0.5, link_free_share=0.5),
-        ShiftMeasurements(age_s=1, headroom_share=0.1, link_free_share=0.5),
-        ShiftMeasurements(age_s=1, headroom_share=0.5, link_free_share=0.1),
+        replace(GOOD, age_s=11.0),
+        replace(GOOD, headroom_share=0.1),
+        replace(GOOD, links=(LINK, replace(LINK, free_share=0.1))),
     ]
     for measurements in bad:
         driver = ShiftDriver(FENCE_S)
@@ -75,12 +81,31 @@
             assert isinstance(decision, Hold)
 
 
-def test_links_that_are_not_measured_do_not_hold_a_shift() -> None:
-    """Guards against a shift that can never start."""
+@pytest.mark.parametrize(
+    "link",
+    [
+        replace(LINK, free_share=None),
+        replace(LINK, age_s=6.0),
+        replace(LINK, free_share=-0.5),
+    ],
+)
+def test_holds_and_names_a_link_that_is_full_or_not_measured(
+    link: LinkMeasurement,
+) -> None:
+    """Guards against a shift over a link of which nothing is known.
+
+    Until links were measured, a missing measurement read as a free link.
+    """
+    link = replace(link, link="link/c/b")
     driver = ShiftDriver(FENCE_S)
-    measurements = ShiftMeasurements(age_s=1.0, headroom_share=0.5)
-    driver.decide(0.0, STATE, _members(7), measurements, TTL_S)
-    decision = driver.decide(TTL_S, STATE, _members(7), measurements, TTL_S)
+    measurements = replace(GOOD, links=(LINK, link))
+    for now_s in (0.0, 60.0):
+        decision = driver.decide(
+            now_s, STATE, _members(7), measurements, TTL_S
+        )
+    assert isinstance(decision, Hold)
+    assert "link/c/b" in decision.reason
+    decision = driver.decide(61.0, STATE, _members(7), GOOD, TTL_S)
     assert decision == Advance(step=2)
 
 
