Keep a busy link's tokens from idling at instances

Cause: in a model of 8 instances on one link of 500 MB/s (bodies of 2 KB to 2 MB), an instance went back to one part of the link every 5 s and bodies queued until it asked the others again.

Change: an instance that spends more than 64 tokens/s uses all parts. Unused tokens go back to the bucket as far as its depth, which the owner counts as full in any case. Demand is divided over the parts without rounding up. It includes the next reads of waiting bodies and the usual bodies of requests that found no room, stated every 0.25 s.

--- a/packages/verbenad/src/verbenad/link_gate.py
+++ b/packages/verbenad/src/verbenad/link_gate.py
@@ -6,7 +6,7 @@
 """
 
 import zlib
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable, Iterable, Mapping
 
 import eventlet
@@ -31,7 +31,6 @@
 # gone.
 _POLL_S = 0.05
 _MIN_WAIT_S = 0.001
-_READ_TOKENS = CARRY_BYTES // TOKEN_BYTES
 # A taker seldom holds more of a link's burst than this part of it, so the
 # room asked for a large body stops there.
 _ROOM_PART = 16
@@ -40,10 +39,14 @@
 class _Line:
     """One link with the bodies that wait for its tokens."""
 
-    def __init__(self, meter: LinkMeter, shards: tuple[int, ...]) -> None:
+    def __init__(
+        self, meter: LinkMeter, shards: tuple[int, ...], is_back: bool
+    ) -> None:
         self.meter = meter
+        self.is_back = is_back
         self.shards = shards
         self.room_bytes = 0
+        self.without_room: set[str] = set()
         self.waiting: deque[Event] = deque()
         self.waits = 0
         self.waited_s = 0.0
@@ -102,8 +105,9 @@
         now_s = self._now_s()
         out, back = self._pair(region)
         # Both are asked, so that one exchange brings tokens for both.
-        has_back = _has_room(back, now_s, self.sizes.answer_bytes(service))
-        if not _has_room(out, now_s, self.sizes.request_bytes(service)):
+        sizes = self.sizes
+        has_back = _has_room(back, now_s, service, sizes.answer_bytes(service))
+        if not _has_room(out, now_s, service, sizes.request_bytes(service)):
             return Why.LINK_FULL
         return None if has_back else Why.LINK_BACK_FULL
 
@@ -127,11 +131,12 @@
 
     def release(self, hold: LinkHold, *, completed: bool) -> None:
         """Give up what is left; learn the sizes of a completed attempt."""
+        now_s = self._now_s()
         out, back = self._pair(hold.region)
         if out is not None:
-            out.meter.release(hold.request_bytes)
+            out.meter.release(now_s, hold.request_bytes)
         if back is not None:
-            back.meter.release(hold.answer_bytes)
+            back.meter.release(now_s, hold.answer_bytes)
         hold.request_bytes = hold.answer_bytes = 0
         if completed:
             self.sizes.learn(
@@ -177,22 +182,33 @@
         hold.received_bytes += size_bytes
         return True
 
-    def state_wants(self, regions: Iterable[str]) -> None:
-        """State demand that no body has charged; call it regularly.
+    def state_wants(
+        self, regions: Iterable[str], waiting: Mapping[str, int]
+    ) -> None:
+        """State the demand of all links; call it every ``WANTS_PERIOD_S``.
 
         :param regions: other regions that may get requests; small bodies
             then find tokens of their links without an exchange.
+        :param waiting: number of waiting requests by service.
         """
         now_s = self._now_s()
+        extra: Counter[str] = Counter()
         for region in regions:
-            for line in self._pair(region):
-                if line is not None:
-                    line.meter.want(now_s, 1)
-        for line in self._lines.values():
-            if line.waiting:
-                # Each body waits with one read only, so what was charged
-                # does not show how many wait.
-                line.meter.want(now_s, len(line.waiting) * _READ_TOKENS)
+            extra[link_name(self._region, region)] += 1
+            extra[link_name(region, self._region)] += 1
+        for name, line in self._lines.items():
+            # Neither requests without room nor bodies that wait with their
+            # next read have charged what they need.
+            backlog = len(line.waiting) * CARRY_BYTES
+            for service in line.without_room:
+                usual = self.sizes.request_bytes(service)
+                if line.is_back:
+                    usual = self.sizes.answer_bytes(service)
+                backlog += waiting.get(service, 0) * usual
+            line.without_room.clear()
+            tokens = extra[name] + -(-backlog // TOKEN_BYTES)
+            if tokens:
+                line.meter.want(now_s, tokens)
 
     def granted(self) -> None:
         """Wake waiting bodies; call it after each accepted reply."""
@@ -291,7 +307,7 @@
             was_first = line.waiting[0] is event
             line.waiting.remove(event)
             if was_first:
-                line.meter.release()
+                line.meter.release(self._now_s())
                 _wake_first(line)
 
     def _sleep(self, line: _Line, event: Event, left_s: float) -> Event:
@@ -320,14 +336,20 @@
         return _Line(
             LinkMeter([LinkPart(h.taker, h.name) for h in handles]),
             tuple(handle.shard for handle in handles),
+            is_back=target == self._region,
         )
 
 
-def _has_room(line: _Line | None, now_s: float, size_bytes: int) -> bool:
+def _has_room(
+    line: _Line | None, now_s: float, service: str, size_bytes: int
+) -> bool:
     if line is None:
         return True
     size_bytes = min(size_bytes, line.room_bytes)
-    return line.meter.has_room(now_s, size_bytes) and not line.waiting
+    if line.meter.has_room(now_s, size_bytes) and not line.waiting:
+        return True
+    line.without_room.add(service)
+    return False
 
 
 def _wake_first(line: _Line) -> None:
--- a/packages/verbenad/src/verbenad/service_desk.py
+++ b/packages/verbenad/src/verbenad/service_desk.py
@@ -130,7 +130,10 @@
         self._region_units.restate()
         self.units.restate()
         if self._links is not None:
-            self._links.state_wants(self._far_regions_with_slots())
+            self._links.state_wants(
+                self._far_regions_with_slots(),
+                {name: d.waiting for name, d in self.dispatchers.items()},
+            )
 
     def region_measurements(self, region: str) -> ShiftMeasurements | None:
         """Return the load of a region by its targets' reports.
--- a/packages/verbenaworks/src/verbenaworks/budget_taker.py
+++ b/packages/verbenaworks/src/verbenaworks/budget_taker.py
@@ -117,6 +117,18 @@
                 taken = holding.try_take(now_s, hold, retry)
         return hold if taken else None
 
+    def give_back(self, now_s: float, budget: str, amount: int) -> None:
+        """Return tokens of a rate budget that were taken and not used.
+
+        The bucket keeps what fits into its depth, which the owner counts as
+        full in any case.
+        """
+        match self._holdings.get(budget):
+            case RateHolding() as holding:
+                holding.give_back(now_s, amount)
+            case _:
+                return
+
     def ask(
         self,
         now_s: float,
--- a/packages/verbenaworks/src/verbenaworks/link_meter.py
+++ b/packages/verbenaworks/src/verbenaworks/link_meter.py
@@ -24,8 +24,11 @@
 WIDEN_AFTER_S = 0.1
 # Lacks that are farther apart are not one lack.
 _FORGET_S = 1.0
-# How long all parts stay in use after the first one did not suffice.
+# All parts stay in use for this long after the first one did not suffice,
+# and as long as an instance spends more than the second value. Without it,
+# bodies waited each time that a busy instance went back to one part.
 WIDE_S = 5.0
+NARROW_TOKENS_PER_S = 64
 # The demand of all workspaces is stated as one: a want for each of them
 # would multiply the traffic of the exchange.
 _WORKSPACE = ""
@@ -47,6 +50,9 @@
     ) -> object | None:
         """Spend tokens; ``None`` if there are not enough."""
 
+    def give_back(self, now_s: float, budget: str, amount: int) -> None:
+        """Return tokens that were taken and not used."""
+
     def ask(
         self,
         now_s: float,
@@ -82,7 +88,10 @@
         self._reserved_bytes = 0
         self._short_since_s: float | None = None
         self._lacked_at_s = float("-inf")
-        self._wide_until_s = float("-inf")
+        self._is_wide = False
+        self._period_end_s = float("-inf")
+        self._spent = 0
+        self._turn = 0
         self.charged_bytes = 0
 
     def has_room(self, now_s: float, size_bytes: int) -> bool:
@@ -100,13 +109,18 @@
         return False
 
     def want(self, now_s: float, tokens: int) -> None:
-        """State demand beyond what :meth:`charge` has counted."""
+        """State demand that :meth:`charge` does not count."""
         parts = self._parts_in_use(now_s)
-        share = -(-tokens // len(parts))
-        for part in parts:
-            part.source.ask(
-                now_s, part.budget, _WORKSPACE, lack=0, demand=share
-            )
+        whole, rest = divmod(tokens, len(parts))
+        # Takes turns with the rest: rounding up for each part would count
+        # a small body several times.
+        self._turn += 1
+        for index, part in enumerate(parts):
+            share = whole + ((index + self._turn) % len(parts) < rest)
+            if share:
+                part.source.ask(
+                    now_s, part.budget, _WORKSPACE, lack=0, demand=share
+                )
 
     def reserve(self, now_s: float, size_bytes: int) -> bool:
         """Set tokens aside for a body that will follow."""
@@ -139,12 +153,19 @@
         self.charged_bytes += size_bytes
         return True
 
-    def release(self, reserved_bytes: int = 0) -> None:
+    def release(self, now_s: float, reserved_bytes: int = 0) -> None:
         """Give up a reservation, or the tokens that a body waited for."""
         self._reserved_bytes -= reserved_bytes
-        self._credit_bytes = min(
-            self._credit_bytes, self._reserved_bytes + CARRY_BYTES
-        )
+        free_bytes = self._credit_bytes - self._reserved_bytes
+        tokens = (free_bytes - CARRY_BYTES) // TOKEN_BYTES
+        if tokens <= 0:
+            return
+        self._credit_bytes -= tokens * TOKEN_BYTES
+        parts = self._parts_in_use(now_s)
+        whole, rest = divmod(tokens, len(parts))
+        for index, part in enumerate(parts):
+            share = whole + (index < rest)
+            part.source.give_back(now_s, part.budget, share)
 
     def wait_s(self, now_s: float) -> float:
         """Return when a lack may end without another grant."""
@@ -161,17 +182,17 @@
         missing = self._missing(size_bytes)
         if missing <= 0:
             return True
-        parts = self._parts_in_use(now_s)
         if not is_retry:
             # The owners divide the rate by demand, so it counts even where
             # the tokens ran out.
             self.want(now_s, missing)
-        for part in parts:
+        for part in self._parts_in_use(now_s):
             count = min(missing, part.source.available(now_s, part.budget))
             if count > 0 and part.source.try_take(
                 now_s, part.budget, _WORKSPACE, count, retry=True
             ):
                 self._credit_bytes += count * TOKEN_BYTES
+                self._spent += count
                 missing -= count
             if missing <= 0:
                 self._short_since_s = None
@@ -180,7 +201,11 @@
         return False
 
     def _parts_in_use(self, now_s: float) -> Sequence[LinkPart]:
-        return self._parts if now_s < self._wide_until_s else self._parts[:1]
+        if now_s >= self._period_end_s:
+            self._is_wide = self._spent >= NARROW_TOKENS_PER_S * WIDE_S
+            self._spent = 0
+            self._period_end_s = now_s + WIDE_S
+        return self._parts if self._is_wide else self._parts[:1]
 
     def _lacks(self, now_s: float, missing: int) -> None:
         if now_s - self._lacked_at_s > _FORGET_S:
@@ -189,7 +214,8 @@
         if self._short_since_s is None:
             self._short_since_s = now_s
         elif now_s - self._short_since_s >= WIDEN_AFTER_S:
-            self._wide_until_s = now_s + WIDE_S
+            self._is_wide = True
+            self._period_end_s = now_s + WIDE_S
         for part in self._parts_in_use(now_s):
             part.source.ask(
                 now_s,
--- a/packages/verbenaworks/src/verbenaworks/rate_holding.py
+++ b/packages/verbenaworks/src/verbenaworks/rate_holding.py
@@ -53,6 +53,11 @@
         self.expire(now_s)
         return self._bucket.tokens(now_s)
 
+    def give_back(self, now_s: float, amount: int) -> None:
+        """Return tokens that were taken and not used, up to the depth."""
+        self.expire(now_s)
+        self._bucket.add(amount)
+
     def ask(
         self, now_s: float, workspace: str, lack: int, demand: int
     ) -> None:
--- a/tests/test_link_gate.py
+++ b/tests/test_link_gate.py
@@ -35,6 +35,7 @@
             now_s=lambda: self.clock[0],
         )
         self.gate.set_config(config)
+        self.steps = 0
         # A link that nobody has used yet has no tokens anywhere.
         for _ in range(20):
             self.gate.why_not("s", "far")
@@ -44,6 +45,9 @@
         """Let time pass; waiting bodies look at their tokens."""
         for _ in range(round(duration_s / STEP_S)):
             self.loop.advance(STEP_S)
+            self.steps += 1
+            if self.steps % 5 == 0:
+                self.gate.state_wants(["far"], {})
             self.gate.granted()
             for _ in range(20):
                 eventlet.sleep(0)
@@ -152,7 +156,6 @@
         assert world.gate.charge_request(hold, 900, no_time_s, lambda: False)
         assert world.gate.charge_answer(hold, 9000, no_time_s, lambda: False)
         world.gate.release(hold, completed=True)
-        world.gate.state_wants(["far"])
         world.advance(0.25)
     assert world.gate.waits()["link/near/far"] == 0
     assert world.gate.sizes.request_bytes("s") < 16384
--- a/tests/test_link_histories.py
+++ b/tests/test_link_histories.py
@@ -26,6 +26,14 @@
         self.wait_s = process.taker.wait_s
         self.tokens = 0
 
+    def give_back(self, now_s: float, budget: str, amount: int) -> None:
+        before = self.available(now_s, budget)
+        self._taker.give_back(now_s, budget, amount)
+        # What the bucket had no room for is lost, not unspent.
+        kept = self.available(now_s, budget) - before
+        self._world._note_use(budget, -kept)
+        self.tokens -= amount
+
     def try_take(
         self,
         now_s: float,
@@ -55,6 +63,8 @@
             self.rng.shuffle(parts)
             self.meters[process.incarnation] = source, LinkMeter(parts)
         _, meter = self.meters[process.incarnation]
+        if self.rng.random() < 0.2:
+            meter.want(now_s, 1)
         if process.is_busy and self.now_s >= self.quiet_until_s:
             self._offer(process, meter, now_s)
         request: GrantRequest | None = process.taker.next_request(now_s)
@@ -73,7 +83,7 @@
                 # Some attempts end before their body is sent.
                 sent = self.rng.choice((0, size))
                 meter.charge(now_s, sent, reserved_bytes=sent)
-                meter.release(size - sent)
+                meter.release(now_s, size - sent)
                 return
         if meter.charge(now_s, size, is_retry=is_retry):
             self.waiting.pop(key, None)
--- a/tests/test_link_meter.py
+++ b/tests/test_link_meter.py
@@ -37,6 +37,10 @@
         self.spent[budget] += amount
         return object()
 
+    def give_back(self, now_s: float, budget: str, amount: int) -> None:
+        self.tokens[budget] += amount
+        self.spent[budget] -= amount
+
     def ask(
         self,
         now_s: float,
@@ -77,7 +81,7 @@
     assert meter.charge(0.0, 3 * TOKEN_BYTES, is_retry=True)
     assert meter.charge(0.0, TOKEN_BYTES, reserved_bytes=TOKEN_BYTES)
     assert not meter.has_room(0.0, 1)
-    meter.release(TOKEN_BYTES)
+    meter.release(0.0, TOKEN_BYTES)
     assert meter.has_room(0.0, TOKEN_BYTES)
     assert not meter.has_room(0.0, TOKEN_BYTES + 1)
     assert meter.charged_bytes == 5 * TOKEN_BYTES
@@ -89,7 +93,8 @@
     meter = _meter(source)
     for _ in range(10):
         assert meter.reserve(0.0, 10 * TOKEN_BYTES)
-        meter.release(10 * TOKEN_BYTES)
+        meter.release(0.0, 10 * TOKEN_BYTES)
+    assert source.tokens["a"] == 100 - CARRY_BYTES // TOKEN_BYTES
     source.tokens["a"] = 0
     assert meter.has_room(0.0, CARRY_BYTES)
     assert not meter.has_room(0.0, CARRY_BYTES + 1)
