Relay the traffic of local deployments with delays and shared rates

Cause: runs with real processes had no delay between regions and no shared rate of their links; the relay for it was used nowhere.

Change: one relay process listens at the ports of all targets on 127.0.0.2. It tells an instance by its source address, which the new process setting target_source_ip of verbenad sets, and has the deployment's delays and one rate for each ordered pair of regions. LocalDeployment starts it with links=True; tools/demo.py does so unless --no-links is given. The other tools stay without it.

Limits: a target that refuses connections looks like one that closes them, because the relay accepts first; fault runs therefore do not use it.

--- a/packages/standins/src/standins/__main__.py
+++ b/packages/standins/src/standins/__main__.py
@@ -13,6 +13,7 @@
 
 from standins.backend_app import BackendApp  # noqa: E402
 from standins.backend_server import BackendServer  # noqa: E402
+from standins.delay_link import DelayLink, Network, Place  # noqa: E402
 from standins.instance_list_app import InstanceListApp  # noqa: E402
 from standins.store_app import StoreApp  # noqa: E402
 from standins.wsgi_tools import Application  # noqa: E402
@@ -35,12 +36,38 @@
         metavar="NAME:PORT:SLOTS:SERVICE_MS",
     )
     backends.add_argument("--cold-s", type=float, default=0.0)
+    links = kinds.add_parser("links")
+    links.add_argument(
+        "--target",
+        action="append",
+        required=True,
+        metavar="LISTEN_IP:PORT:FAILURE_DOMAIN:REGION",
+    )
+    links.add_argument(
+        "--instance",
+        action="append",
+        required=True,
+        metavar="SOURCE_IP:FAILURE_DOMAIN:REGION",
+    )
+    links.add_argument("--domain-delay-s", type=float, required=True)
+    links.add_argument("--region-delay-s", type=float, required=True)
+    links.add_argument("--bytes-per-s", type=float, required=True)
     arguments = parser.parse_args()
     match arguments.kind:
         case "store":
             _serve(StoreApp(), arguments.port)
         case "instance-list":
             _serve(InstanceListApp(arguments.lag_s), arguments.port)
+        case "links":
+            _serve_links(
+                Network(
+                    domain_delay_s=arguments.domain_delay_s,
+                    region_delay_s=arguments.region_delay_s,
+                    bytes_per_s=arguments.bytes_per_s,
+                ),
+                arguments.instance,
+                arguments.target,
+            )
         case _:
             _serve_backends(arguments.target, arguments.cold_s)
 
@@ -56,6 +83,30 @@
         thread.wait()
 
 
+def _serve_links(
+    network: Network, instances: list[str], targets: list[str]
+) -> None:
+    places = {}
+    for text in instances:
+        source, domain, region = text.split(":")
+        places[source] = Place(region=region, failure_domain=domain)
+    link = DelayLink(network, places)
+    threads = []
+    for text in targets:
+        listen_ip, port, domain, region = text.split(":")
+        listener = eventlet.listen((listen_ip, int(port)))
+        threads.append(
+            eventlet.spawn(
+                link.serve,
+                listener,
+                ("127.0.0.1", int(port)),
+                Place(region=region, failure_domain=domain),
+            )
+        )
+    for thread in threads:
+        thread.wait()
+
+
 def _serve(app: Application, port: int) -> None:
     listener = eventlet.listen(("127.0.0.1", port))
     eventlet.wsgi.server(
--- a/packages/standins/src/standins/delay_link.py
+++ b/packages/standins/src/standins/delay_link.py
@@ -1,80 +1,167 @@
-"""A TCP relay with delay and a limited rate, for links between regions."""
+"""A TCP relay with the delays and shared rates of a deployment's network.
+
+One process relays the connections of all entry instances to all targets. It
+tells the failure domain of an instance by the source address of the
+connection, and that of a target by the port.
+"""
 
 import time
+from dataclasses import dataclass
 
 import eventlet
 
 READ_BYTES = 65536
+# Reads on their way in one direction of a connection; more than the product
+# of rate and delay of a link, so that the delay does not limit the rate.
+QUEUE_READS = 256
 
 
-class DelayLink:
-    """Relays connections to one address.
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Place:
+    """A failure domain and its region."""
+
+    region: str
+    failure_domain: str
 
-    :param delay_s: one-way delay in seconds.
-    :param bytes_per_s: rate of each direction of all connections together.
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Network:
+    """Delays and rates between places.
+
+    :ivar bytes_per_s: rate of each direction between two regions.
     """
 
-    def __init__(
-        self,
-        target: tuple[str, int],
-        delay_s: float,
-        bytes_per_s: float = 500e6,
-    ) -> None:
-        self._target = target
-        self._delay_s = delay_s
+    domain_delay_s: float
+    region_delay_s: float
+    bytes_per_s: float
+
+    def delay_s(self, one: Place, other: Place) -> float:
+        """Return the one-way delay between two places."""
+        if one.region != other.region:
+            return self.region_delay_s
+        if one.failure_domain != other.failure_domain:
+            return self.domain_delay_s
+        return 0.0
+
+
+class SharedRate:
+    """The rate of one direction between two regions.
+
+    All connections share it: each read is sent after those before it.
+    """
+
+    def __init__(self, bytes_per_s: float) -> None:
         self._bytes_per_s = bytes_per_s
         self._free_at_s = 0.0
-        self.is_cut = False
+        self.bytes = 0
+
+    def sent_at_s(self, now_s: float, size_bytes: int) -> float:
+        """Return when the last of some bytes leaves, and occupy the link."""
+        self._free_at_s = max(self._free_at_s, now_s)
+        self._free_at_s += size_bytes / self._bytes_per_s
+        self.bytes += size_bytes
+        return self._free_at_s
+
+
+class DelayLink:
+    """Relays connections between the places of a network.
 
-    def serve(self, listener: eventlet.greenio.GreenSocket) -> None:
-        """Accept connections until the listener is closed."""
+    :param instances: the place of each source address.
+    """
+
+    def __init__(self, network: Network, instances: dict[str, Place]) -> None:
+        self._network = network
+        self._instances = instances
+        self._rates: dict[tuple[str, str], SharedRate] = {}
+
+    def rate(self, source: str, target: str) -> SharedRate | None:
+        """Return the link between two regions; none inside a region."""
+        if source == target:
+            return None
+        rate = self._rates.get((source, target))
+        if rate is None:
+            rate = SharedRate(self._network.bytes_per_s)
+            self._rates[source, target] = rate
+        return rate
+
+    def serve(
+        self,
+        listener: eventlet.greenio.GreenSocket,
+        address: tuple[str, int],
+        place: Place,
+    ) -> None:
+        """Relay connections to one target until the listener is closed."""
         while True:
             try:
-                client, _ = listener.accept()
+                client, (source, _) = listener.accept()
             except OSError:
                 return
-            eventlet.spawn(self._relay, client)
+            # A connection from elsewhere, such as one of a test, is local.
+            instance = self._instances.get(source, place)
+            eventlet.spawn_n(self._relay, client, instance, address, place)
 
-    def _relay(self, client: eventlet.greenio.GreenSocket) -> None:
+    def _relay(
+        self,
+        client: eventlet.greenio.GreenSocket,
+        instance: Place,
+        address: tuple[str, int],
+        place: Place,
+    ) -> None:
+        delay_s = self._network.delay_s(instance, place)
+        # The handshake takes a round trip.
+        eventlet.sleep(2 * delay_s)
         try:
-            server = eventlet.connect(self._target)
+            server = eventlet.connect(address)
         except OSError:
             client.close()
             return
-        eventlet.spawn(self._pump, client, server)
-        eventlet.spawn(self._pump, server, client)
+        there = self.rate(instance.region, place.region)
+        back = self.rate(place.region, instance.region)
+        first = eventlet.spawn(_pump, client, server, delay_s, there)
+        second = eventlet.spawn(_pump, server, client, delay_s, back)
+        first.wait()
+        second.wait()
+        client.close()
+        server.close()
 
-    def _pump(
-        self,
-        source: eventlet.greenio.GreenSocket,
-        sink: eventlet.greenio.GreenSocket,
-    ) -> None:
-        queue: eventlet.queue.Queue = eventlet.queue.Queue(64)
-        eventlet.spawn(self._send, queue, sink)
-        while True:
-            try:
-                data = source.recv(READ_BYTES)
-            except OSError:
-                data = b""
-            now_s = time.monotonic()
-            self._free_at_s = max(self._free_at_s, now_s)
-            self._free_at_s += len(data) / self._bytes_per_s
-            queue.put((self._free_at_s + self._delay_s, data))
+
+def _pump(
+    source: eventlet.greenio.GreenSocket,
+    sink: eventlet.greenio.GreenSocket,
+    delay_s: float,
+    rate: SharedRate | None,
+) -> None:
+    queue: eventlet.queue.Queue = eventlet.queue.Queue(QUEUE_READS)
+    sender = eventlet.spawn(_send, queue, sink)
+    while True:
+        try:
+            data = source.recv(READ_BYTES)
+        except OSError:
+            data = b""
+        due_s = time.monotonic()
+        if rate is not None:
+            due_s = rate.sent_at_s(due_s, len(data))
+        queue.put((due_s + delay_s, data))
+        if not data:
+            break
+    sender.wait()
+
+
+def _send(
+    queue: eventlet.queue.Queue, sink: eventlet.greenio.GreenSocket
+) -> None:
+    is_open = True
+    while True:
+        due_s, data = queue.get()
+        eventlet.sleep(max(0.0, due_s - time.monotonic()))
+        try:
             if not data:
+                sink.shutdown(1)
                 return
-
-    def _send(
-        self, queue: eventlet.queue.Queue, sink: eventlet.greenio.GreenSocket
-    ) -> None:
-        while True:
-            due_s, data = queue.get()
-            eventlet.sleep(max(0.0, due_s - time.monotonic()))
-            while self.is_cut:
-                eventlet.sleep(0.05)
-            try:
-                if not data:
-                    sink.close()
-                    return
+            if is_open:
                 sink.sendall(data)
-            except OSError:
+        except OSError:
+            if not data:
                 return
+            # The reader must still be able to empty its source.
+            is_open = False
--- a/packages/standins/src/standins/deployment_settings.py
+++ b/packages/standins/src/standins/deployment_settings.py
@@ -36,11 +36,14 @@
 
 
 def deployment_settings(
-    deployment: Deployment, target_ports: dict[str, int]
+    deployment: Deployment,
+    target_ports: dict[str, int],
+    target_ip: str = "127.0.0.1",
 ) -> DeploymentSettings:
     """Return the settings of a deployment on this machine.
 
     :param target_ports: port of each target, by ``service/target``.
+    :param target_ip: address at which instances reach the targets.
     """
     branches: dict[str, dict[str, object]] = {"/": {"lookup_ttl_s": 2.0}}
     blocks: dict[str, str] = {}
@@ -52,7 +55,7 @@
         for block in range(BLOCKS_PER_REGION):
             blocks[f"10.{index}.{block}.0/24"] = f"{region}-site"
         addresses[region] = f"10.{index}.0.7"
-    _add_services(branches, deployment, target_ports)
+    _add_services(branches, deployment, target_ports, target_ip)
     keys = _add_workspaces(branches)
     return DeploymentSettings(
         branches=branches, blocks=blocks, keys=keys, addresses=addresses
@@ -68,12 +71,18 @@
     ]
 
 
+def target_place(deployment: Deployment, number: int) -> tuple[str, str]:
+    """Return failure domain and region of a service's n-th target."""
+    domains = deployment.failure_domains
+    return domains[number % len(domains)]
+
+
 def _add_services(
     branches: dict[str, dict[str, object]],
     deployment: Deployment,
     target_ports: dict[str, int],
+    target_ip: str,
 ) -> None:
-    domains = deployment.failure_domains
     for service in deployment.services:
         branches[f"/services/{service.name}"] = {
             "slots": service.slots,
@@ -82,10 +91,10 @@
             "host": f"{service.name}.example",
         }
         for number in range(1, service.targets + 1):
-            domain, region = domains[number % len(domains)]
+            domain, region = target_place(deployment, number)
             port = target_ports[f"{service.name}/t{number}"]
             branches[f"/services/{service.name}/targets/t{number}"] = {
-                "address": f"127.0.0.1:{port}",
+                "address": f"{target_ip}:{port}",
                 "region": region,
                 "failure_domain": domain,
             }
--- a/packages/standins/src/standins/local_deployment.py
+++ b/packages/standins/src/standins/local_deployment.py
@@ -16,6 +16,7 @@
     DeploymentSettings,
     deployment_settings,
     target_names,
+    target_place,
 )
 from standins.deployments import Deployment
 
@@ -26,6 +27,8 @@
 _LIST_OFFSET = 1
 _INSTANCE_OFFSET = 10
 _TARGET_OFFSET = 100
+# The relay listens here at the targets' ports.
+_RELAY_IP = "127.0.0.2"
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -45,6 +48,9 @@
 
     :param base_port: first of about 200 ports on 127.0.0.1.
     :param log_directory: receives a log file for each process.
+    :param links: whether a relay between instances and targets has the
+        delays and rates of the deployment's network. It costs processor
+        time, so measurements of that leave it out.
     """
 
     def __init__(
@@ -55,7 +61,9 @@
         instances: int,
         log_directory: Path,
         cold_s: float = 0.0,
+        links: bool = False,
     ) -> None:
+        self._links = links
         self.deployment = deployment
         self._base_port = base_port
         self._logs = log_directory
@@ -73,7 +81,9 @@
             for number in range(1, instances + 1)
         }
         self.settings: DeploymentSettings = deployment_settings(
-            deployment, self.target_ports
+            deployment,
+            self.target_ports,
+            _RELAY_IP if links else "127.0.0.1",
         )
 
     def start(self) -> None:
@@ -100,6 +110,8 @@
                 f"{name}:{port}:{slots}:{service_s * 1000}",
             ]
         self._spawn("backends", arguments)
+        if self._links:
+            self._spawn("links", self._link_arguments())
         self._wait(lambda: self._get(f"{self.store_url}/v1/version/x"))
         self._wait(lambda: self._get(f"{self.list_url}/v1/instances"))
 
@@ -122,6 +134,12 @@
             "VERBENAD_INSTANCES_URL": self.list_url,
             "VERBENAD_BOOTSTRAP_TOKEN": BOOTSTRAP_TOKEN,
         }
+        if self._links:
+            environment |= {
+                "VERBENAD_TARGET_SOURCE_IP": self._source_ip(name),
+                "VERBENAD_DOMAIN_DELAY_S": str(self.deployment.domain_delay_s),
+                "VERBENAD_REGION_DELAY_S": str(self.deployment.region_delay_s),
+            }
         self._popen(name, ["-m", "verbenad"], environment)
 
     def wait_until_fresh(self, names: list[str] | None = None) -> float:
@@ -233,6 +251,33 @@
         """Set a target's failures; without arguments it works again."""
         self.put(f"{self.target_url(name)}/admin/faults", faults)
 
+    def _link_arguments(self) -> list[str]:
+        deployment = self.deployment
+        arguments = [
+            "links",
+            "--domain-delay-s",
+            str(deployment.domain_delay_s),
+            "--region-delay-s",
+            str(deployment.region_delay_s),
+            "--bytes-per-s",
+            str(deployment.link_bytes_per_s),
+        ]
+        for name, address in self.instances.items():
+            place = f"{address.failure_domain}:{address.region}"
+            arguments += ["--instance", f"{self._source_ip(name)}:{place}"]
+        for name, port in self.target_ports.items():
+            number = int(name.rpartition("/t")[2])
+            domain, region = target_place(deployment, number)
+            arguments += [
+                "--target",
+                f"{_RELAY_IP}:{port}:{domain}:{region}",
+            ]
+        return arguments
+
+    def _source_ip(self, name: str) -> str:
+        """Return the address by which the relay tells an instance."""
+        return f"127.0.1.{name[1:]}"
+
     def _addresses(self, number: int) -> InstanceAddresses:
         domains = self.deployment.failure_domains
         # Spreads instances over regions first, then over failure domains.
--- a/packages/verbenad/src/verbenad/daemon.py
+++ b/packages/verbenad/src/verbenad/daemon.py
@@ -48,7 +48,7 @@
 from verbenad.store_claims import StoreClaims
 from verbenad.store_client import StoreClient
 from verbenad.target_prober import TargetProber
-from verbenad.upstream_pool import UpstreamPool
+from verbenad.upstream_pool import PoolSettings, UpstreamPool
 from verbenaworks.admin_messages import InstanceStatus
 from verbenaworks.agreed_state import AgreedState
 from verbenaworks.agreement import TICK_S, Agreement, AgreementSettings
@@ -227,7 +227,10 @@
             random=self._random,
             links=self._links,
         )
-        self._pool = UpstreamPool(now_s=self._now_s)
+        self._pool = UpstreamPool(
+            PoolSettings(source_ip=settings.target_source_ip),
+            now_s=self._now_s,
+        )
         forwarder = Forwarder(
             self._pool,
             ForwarderSettings(via_name=settings.name),
--- a/packages/verbenad/src/verbenad/daemon_settings.py
+++ b/packages/verbenad/src/verbenad/daemon_settings.py
@@ -25,6 +25,7 @@
 ENVIRONMENT_PREFIX = "VERBENAD_"
 EXIT_USAGE = 2
 
+_OCTET = "(25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])"
 _NAME = Text(
     pattern="[a-z0-9][a-z0-9-]{0,62}",
     hint="a name of 1 to 63 characters of a-z, 0-9 and -",
@@ -80,6 +81,7 @@
     instances_url: str
     domain_delay_s: float
     region_delay_s: float
+    target_source_ip: str | None
     bootstrap_token: str | None
     log_level: str
     max_connections: int
@@ -149,6 +151,18 @@
         default=0.015,
         description="Usual one-way delay between regions.",
     ),
+    ProcessSetting(
+        name="target_source_ip",
+        kind=Text(
+            pattern=rf"{_OCTET}(\.{_OCTET}){{3}}|[0-9A-Fa-f]*:[0-9A-Fa-f:]+",
+            hint="an IP address of this machine",
+        ),
+        optional=True,
+        description=(
+            "Source address of connections to backend servers; without it, "
+            "the operating system chooses."
+        ),
+    ),
     ProcessSetting(
         name="bootstrap_token",
         kind=Text(
--- a/packages/verbenad/src/verbenad/upstream_pool.py
+++ b/packages/verbenad/src/verbenad/upstream_pool.py
@@ -23,6 +23,7 @@
 
     :param connect_s: time to open a connection.
     :param idle_s: idle time after which a connection is closed.
+    :param source_ip: source address of the connections, if one is set.
     :param non_idempotent_idle_s: a request that must not be repeated uses a
         pooled connection only if it was idle for less than this, because the
         backend server may be closing an older one at that moment.
@@ -30,6 +31,7 @@
 
     connect_s: float = 1.0
     idle_s: float = 15.0
+    source_ip: str | None = None
     non_idempotent_idle_s: float = 1.0
 
 
@@ -177,7 +179,9 @@
         target.in_use += 1
         opened = False
         try:
-            connection = UpstreamConnection(address, connect_s)
+            connection = UpstreamConnection(
+                address, connect_s, self.settings.source_ip
+            )
             opened = True
         except (HTTPError, OSError) as error:
             # urllib3 derives the refused connection from the timeout.
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -221,6 +221,11 @@
     parser.add_argument(
         "--deployment", choices=sorted(DEPLOYMENTS), default="matunda"
     )
+    parser.add_argument(
+        "--no-links",
+        action="store_true",
+        help="leave out the delays and rates of the network",
+    )
     arguments = parser.parse_args()
     logs = Path("out") / f"demo-{arguments.deployment}"
     local = LocalDeployment(
@@ -228,6 +233,7 @@
         base_port=free_base_port(),
         instances=INSTANCES,
         log_directory=logs,
+        links=not arguments.no_links,
     )
     demo = Demo(local)
     try:
