--- /dev/null
+++ b/tools/mutations_links.py
@@ -0,0 +1,125 @@
+"""Named one-line faults of the links between regions.
+
+Each entry is (name, path, old text, new text, test that must fail).
+"""
+
+_LIBRARY = "packages/verbenaworks/src/verbenaworks/"
+_DAEMON = "packages/verbenad/src/verbenad/"
+_METER = _LIBRARY + "link_meter.py"
+_GATE = _DAEMON + "link_gate.py"
+_FORWARDER = _DAEMON + "forwarder.py"
+
+MUTATIONS = [
+    (
+        "a link's tokens count although they were not taken",
+        _METER,
+        "self._credit_bytes += count * TOKEN_BYTES",
+        "self._credit_bytes += (count + 1) * TOKEN_BYTES",
+        "tests/test_link_histories.py",
+    ),
+    (
+        "reserved bytes are given to other bodies",
+        _METER,
+        "lack = size_bytes - (self._credit_bytes - self._reserved_bytes)",
+        "lack = size_bytes - self._credit_bytes",
+        "tests/test_link_meter.py",
+    ),
+    (
+        "an instance collects the tokens that attempts leave",
+        _METER,
+        "tokens = (free_bytes - CARRY_BYTES) // TOKEN_BYTES",
+        "tokens = 0",
+        "tests/test_link_meter.py",
+    ),
+    (
+        "one dead owner stops a link",
+        _METER,
+        "            self._is_wide = True\n",
+        "            self._is_wide = False\n",
+        "tests/test_link_meter.py",
+    ),
+    (
+        "all parts of a link have the whole rate",
+        _DAEMON + "budget_plan.py",
+        "rate_per_s=bytes_per_s / TOKEN_BYTES / LINK_PARTS,",
+        "rate_per_s=bytes_per_s / TOKEN_BYTES,",
+        "tests/test_link_gate.py",
+    ),
+    (
+        "a body does not wait for a full link",
+        _GATE,
+        "            return self._wait(\n",
+        "            return True or self._wait(\n",
+        "tests/test_link_gate.py",
+    ),
+    (
+        "a body waits past its deadline",
+        _GATE,
+        "while (now_s := self._now_s()) < until_s and not is_cancelled():",
+        "while (now_s := self._now_s()) < 1e12 and not is_cancelled():",
+        "tests/test_link_gate.py",
+    ),
+    (
+        "requests spill while bodies wait for the link",
+        _GATE,
+        "return line.meter.has_room(now_s, size_bytes) and not line.waiting",
+        "return True",
+        "tests/test_link_gate.py",
+    ),
+    (
+        "request bodies are not charged",
+        _FORWARDER,
+        "if link is None or link.send(size_bytes, self._deadline_s):",
+        "if True:",
+        "tests/test_forwarder.py",
+    ),
+    (
+        "a request that a link cut off is said not to have run",
+        _FORWARDER,
+        "self._charge_request(len(piece), may_have_run=True)",
+        "self._charge_request(len(piece), may_have_run=False)",
+        "tests/test_forwarder.py",
+    ),
+    (
+        "an answer passes a link without room",
+        _FORWARDER,
+        "if link is not None and not link.receive(size_bytes, until_s):",
+        "if link is not None and link.receive(size_bytes, until_s) is None:",
+        "tests/test_forwarder.py",
+    ),
+    (
+        "requests spill without room on the link",
+        _LIBRARY + "target_choice.py",
+        "if self._links is None or row.distance < 2:",
+        "if True:",
+        "tests/test_target_choice.py",
+    ),
+    (
+        "room on a link is not returned",
+        _LIBRARY + "target_choice.py",
+        "if self._links is not None and choice.link is not None:",
+        "if False:",
+        "tests/test_target_choice.py",
+    ),
+    (
+        "a shift goes on over a link that is not measured",
+        _LIBRARY + "shift_driver.py",
+        "if link.free_share is None or link.age_s > MAX_LINK_AGE_S:",
+        "if link.age_s > MAX_LINK_AGE_S:",
+        "tests/test_shift_driver.py",
+    ),
+    (
+        "a shift goes on over a full link",
+        _LIBRARY + "shift_driver.py",
+        "if link.free_share < state.min_headroom_share:",
+        "if False:",
+        "tests/test_shift_driver.py",
+    ),
+    (
+        "a new owner takes its ignorance for a free link",
+        _LIBRARY + "budget_owner.py",
+        "if now_s < self._issues_from_s + DEMAND_KNOWN_S:",
+        "if False:",
+        "tests/test_link_usage.py",
+    ),
+]
