Keep the account of a link whose region is removed and comes back

Cause: a new account began with a reservation of attempts that the old one had made. A trial showed no byte above the tokens, as the old account's tokens were lost by the same amount; but counters restarted and bodies on their way waited in a line that nobody woke.

Change: a line stays once it is known; without its budget it has no tokens.

--- a/packages/verbenad/src/verbenad/link_gate.py
+++ b/packages/verbenad/src/verbenad/link_gate.py
@@ -79,10 +79,10 @@
         """Take over the links of a configuration."""
         here = self._region
         if here not in config.regions:
-            # Every part of a link has an owner only for known regions.
-            self._lines = {}
             return
-        lines = {}
+        # The line of a region that was removed stays: attempts still have
+        # reservations there, and its budget brings no tokens.
+        lines = self._lines
         for region in config.regions:
             if region == here:
                 continue
@@ -94,7 +94,6 @@
                 burst = link_burst(link_bytes_per_s(config, source, target))
                 line.room_bytes = burst * TOKEN_BYTES // _ROOM_PART
                 lines[name] = line
-        self._lines = lines
 
     def why_not(self, service: str, region: str) -> Why | None:
         """Return which link lacks tokens for a usual body, or none.
