--- a/tests/test_link_gate.py
+++ b/tests/test_link_gate.py
@@ -141,6 +141,7 @@
     if gone:
         signs.append(True)
     world.advance(0.2)
+    assert thread.dead
     assert thread.wait() < 50_000_000
     assert world.gate.waiting() == 0
     assert world.gate.timeouts()["link/near/far"] == (0 if gone else 1)
--- /dev/null
+++ b/tests/test_link_path.py
@@ -0,0 +1,124 @@
+"""Bodies between regions over real processes, the relay and sockets.
+
+Verdicts are by counts; how fast the machine is does not matter.
+"""
+
+import re
+import time
+from collections.abc import Callable, Iterator
+
+import pytest
+import urllib3
+
+from standins.caller import Caller
+from standins.deployments import MATUNDA
+from standins.local_deployment import LocalDeployment
+
+BASE_PORT = 18800
+LIMIT_S = 60.0
+BODY_BYTES = 3_000_000
+_SAMPLE = re.compile(r'^(verbenad_link_\w+)\{link="([^"]*)"\} (\S+)$', re.M)
+
+
+@pytest.fixture(scope="module")
+def local(
+    tmp_path_factory: pytest.TempPathFactory,
+) -> Iterator[LocalDeployment]:
+    """Start three instances whose region nairobi gets no new work."""
+    deployment = LocalDeployment(
+        MATUNDA,
+        base_port=BASE_PORT,
+        instances=3,
+        log_directory=tmp_path_factory.mktemp("logs"),
+        links=True,
+    )
+    try:
+        deployment.start()
+        _until(lambda: _caller(deployment).call("uploads").status == 200)
+        deployment.verbena("set", "/", "link_bytes_per_s=2000000", "--wait")
+        deployment.verbena("drain", "start", "/regions/nairobi", "--wait")
+        yield deployment
+    finally:
+        deployment.stop()
+
+
+def _caller(deployment: LocalDeployment) -> Caller:
+    settings = deployment.settings
+    nairobi = [
+        address.caller
+        for address in deployment.instances.values()
+        if address.region == "nairobi"
+    ]
+    return Caller(
+        nairobi, settings.addresses["nairobi"], settings.keys["large1"]
+    )
+
+
+def _until(is_done: Callable[[], bool]) -> None:
+    end_s = time.monotonic() + LIMIT_S
+    while not is_done():
+        assert time.monotonic() < end_s, "not reached in time"
+        time.sleep(0.05)
+
+
+def _samples(deployment: LocalDeployment, metric: str) -> float:
+    """Return the sum of a metric over the links out of nairobi."""
+    total = 0.0
+    for address in deployment.instances.values():
+        url = f"http://{address.caller}/metrics"
+        page = urllib3.request("GET", url).data.decode()
+        total += sum(
+            float(value)
+            for name, link, value in _SAMPLE.findall(page)
+            if name == metric and link.startswith("link/nairobi/")
+        )
+    return total
+
+
+def test_a_body_to_another_region_is_paced_and_counted(
+    local: LocalDeployment,
+) -> None:
+    """Guards against bytes between regions that no budget counts."""
+    before = _samples(local, "verbenad_link_bytes_total")
+    result = _caller(local).call("uploads", "PUT", "/x", b"y" * BODY_BYTES)
+    assert result.status == 200, result.code
+    after = _samples(local, "verbenad_link_bytes_total")
+    assert after - before == BODY_BYTES
+    # The burst is 1 MiB, so two of three megabytes had to wait.
+    assert _samples(local, "verbenad_link_waits_total") > 0
+
+
+def test_a_body_that_waits_past_its_deadline_fails(
+    local: LocalDeployment,
+) -> None:
+    """Guards against a cut-off body that the caller takes for sent."""
+    result = _caller(local).call(
+        "uploads",
+        "PUT",
+        "/x",
+        b"y" * 9_000_000,
+        headers={"X-Request-Deadline-Ms": "1500"},
+    )
+    assert result.code in ("link-full", "deadline-exceeded")
+    assert result.run == "outcome unknown"
+
+
+def test_status_says_what_a_shift_is_doing(local: LocalDeployment) -> None:
+    """Guards against a shift that waits without a word to operators."""
+    local.verbena(
+        *("shift", "start", "s1", "--from-region", "nairobi"),
+        *("--to-region", "kisumu", "--cap-share", "0.5"),
+        *("--step-share", "0.25", "--wait"),
+    )
+    _until(lambda: "shift s1 " in local.verbena("status"))
+    # The links are measured and free, so the shift reaches its cap.
+    _until(lambda: "shift s1 is complete" in local.verbena("status"))
+
+
+def test_logs_have_no_failures(local: LocalDeployment) -> None:
+    """Guards against handlers that fail without effect on callers."""
+    for name in (*local.instances, "links"):
+        failures = [
+            line for line in local.log_lines(name) if "Traceback" in line
+        ]
+        assert not failures
