Look for slots in other regions only in services with wants

Cause: every 0.25 s an instance looked at all targets of all services to decide for which links it keeps a token, also while it was idle.

Change: only services that ask for slots are looked at, and each region until a slot is found. Not measured: an idle instance now skips the loop.

--- a/packages/verbenad/src/verbenad/divided_units.py
+++ b/packages/verbenad/src/verbenad/divided_units.py
@@ -58,10 +58,24 @@
         budget = self._budget(target)
         return budget.taker.available(self._now_s(), budget.name)
 
-    def held(self, target: str) -> int:
-        """Return the granted units, whether in use or not."""
-        budget = self._budget(target)
-        return budget.taker.held(self._now_s(), budget.name)[0]
+    def regions_with_units(self) -> set[str]:
+        """Return the regions of members of which units are granted.
+
+        Only groups with wants are looked at, so an idle instance has no
+        work with it.
+        """
+        now_s = self._now_s()
+        found: set[str] = set()
+        for service, wants in self._wants.items():
+            if not wants:
+                continue
+            for target in self._groups.get(service, ()):
+                if target.region in found:
+                    continue
+                budget = self._budget(target.name)
+                if budget.taker.held(now_s, budget.name)[0]:
+                    found.add(target.region)
+        return found
 
     def take(self, target: str, workspace: str) -> bool:
         """Put one unit in use; false if none is available."""
--- a/packages/verbenad/src/verbenad/service_desk.py
+++ b/packages/verbenad/src/verbenad/service_desk.py
@@ -131,7 +131,7 @@
         self.units.restate()
         if self._links is not None:
             self._links.state_wants(
-                self._far_regions_with_slots(),
+                self.units.regions_with_units() - {self._place.region},
                 {name: d.waiting for name, d in self.dispatchers.items()},
             )
 
@@ -180,16 +180,6 @@
         """Return how many requests wait for a target."""
         return sum(d.waiting for d in self.dispatchers.values())
 
-    def _far_regions_with_slots(self) -> set[str]:
-        """Return the other regions where this instance holds slots."""
-        here = self._place.region
-        return {
-            target.region
-            for targets in self._targets.values()
-            for target in targets
-            if target.region != here and self.units.held(target.name)
-        }
-
     def _may_ask(self, target: TargetInfo) -> bool:
         now_s = self._now_s()
         if now_s < self._avoided.get(target.name, 0.0):
