Log why candidates were left out when a request is refused

Cause: the decision on a refused request had no candidates, so a request that waited for a full link until its deadline was refused as overloaded without a word of the link.

Change: a refusal by the admission queue carries the reasons of the newest request of the service that found no target.

--- a/packages/verbenad/src/verbenad/call_runner.py
+++ b/packages/verbenad/src/verbenad/call_runner.py
@@ -341,6 +341,7 @@
         left_out = answer.choice.left_out
     else:
         refusal = _SHED_CODES[answer.reason]
+        left_out = answer.left_out
     return RoutingDecision(
         request_id=call.request_id,
         workspace=call.workspace or None,
--- a/packages/verbenaworks/src/verbenaworks/admission_queue.py
+++ b/packages/verbenaworks/src/verbenaworks/admission_queue.py
@@ -12,6 +12,7 @@
 from typing import NamedTuple
 
 from verbenaworks.choice_result import (
+    Candidate,
     Choice,
     ChoiceRequest,
     NoTarget,
@@ -92,6 +93,7 @@
         self._stated: dict[str, int] = {}
         self._late: list[_Late] = []
         self._order = itertools.count()
+        self._left_out: tuple[Candidate, ...] = ()
 
     def __len__(self) -> int:
         return len(self._entries)
@@ -191,12 +193,18 @@
         if isinstance(found, Choice):
             line.in_use += 1
             return Started(request=request, choice=found)
+        self._left_out = found.left_out
         if found.can_wait:
             return None
         reason = ShedReason.NO_TARGET
         if found.reason is NoTargetReason.TOO_LATE:
             reason = ShedReason.DEADLINE
-        return Shed(request=request, reason=reason, retry_after_s=1.0)
+        return Shed(
+            request=request,
+            reason=reason,
+            retry_after_s=1.0,
+            left_out=found.left_out,
+        )
 
     def _shed_on_arrival(
         self, now_s: float, line: _Line, request: ChoiceRequest
@@ -224,6 +232,7 @@
             request=request,
             reason=reason,
             retry_after_s=max(1.0, min(wait_s, 10.0)),
+            left_out=self._left_out,
         )
 
     def _append(
--- a/tests/test_admission_queue.py
+++ b/tests/test_admission_queue.py
@@ -1,11 +1,12 @@
 """Requests that wait for units."""
 
-from choice_fakes import FakeUnits, chooser, request, target
+from choice_fakes import FakeLinks, FakeUnits, chooser, request, target
 from verbenaworks.admission_queue import (
     MAX_WAITING_PER_WORKSPACE,
     AdmissionQueue,
 )
 from verbenaworks.attempt_outcome import Cancelled, Completed
+from verbenaworks.choice_result import Why
 from verbenaworks.queue_result import Shed, ShedReason, Started, Waiting
 from verbenaworks.target_choice import TargetChoice
 
@@ -57,6 +58,23 @@
     assert queue.in_use("small") == 2
 
 
+def test_a_refused_request_tells_why_candidates_were_left_out() -> None:
+    """Guards against a refusal because of a full link that hides it."""
+    choice = chooser(FakeUnits(4), links=FakeLinks(0))
+    targets = (target("far", "mombasa"),)
+    queue = AdmissionQueue(
+        service="stock",
+        choose=lambda now_s, r: choice.choose(now_s, r, targets),
+        units=FakeUnits(4),
+        time=choice.service_time("stock"),
+    )
+    waiting = queue.offer(0.0, request(deadline_s=1.0))
+    assert isinstance(waiting, Waiting)
+    (shed,) = queue.serve(1.1)
+    assert isinstance(shed, Shed)
+    assert shed.left_out == (("far", Why.LINK_FULL),)
+
+
 def test_late_requests_are_refused_before_their_deadline() -> None:
     """Guards against work whose answer comes too late."""
     queue, choice = _queue(FakeUnits(0))
--- a/tests/test_call_runner.py
+++ b/tests/test_call_runner.py
@@ -7,7 +7,7 @@
 
 from verbenad.call_runner import CallRunner
 from verbenad.refused import Refused
-from verbenaworks.choice_result import ChoiceRequest
+from verbenaworks.choice_result import Candidate, ChoiceRequest, Why
 from verbenaworks.crash_ledger import Clean, CrashVerdict, Suspect
 from verbenaworks.crash_ledger import Refused as CrashRefused
 from verbenaworks.queue_result import Shed, ShedReason
@@ -23,7 +23,10 @@
     def acquire(self, request: ChoiceRequest) -> Shed:
         self.requests.append(request)
         return Shed(
-            request=request, reason=ShedReason.QUEUE_FULL, retry_after_s=1.0
+            request=request,
+            reason=ShedReason.QUEUE_FULL,
+            retry_after_s=1.0,
+            left_out=(Candidate("s/far", Why.LINK_FULL),),
         )
 
 
@@ -37,13 +40,16 @@
         return self._verdicts.pop(0)
 
 
-def _runner(dispatcher: _Dispatcher, crashes: _Crashes) -> CallRunner:
+def _runner(
+    dispatcher: _Dispatcher, crashes: _Crashes, log: list[Any] | None = None
+) -> CallRunner:
+    decisions = [] if log is None else log
     stubs: dict[str, Any] = {
         "dispatchers": {"s": dispatcher},
         "forwarder": None,
         "retries": lambda service: RetryBudget(),
         "crashes": crashes,
-        "log": SimpleNamespace(record=lambda decision: None),
+        "log": SimpleNamespace(record=decisions.append),
         "usual_s": lambda service: 0.01,
         "connection_limit": lambda target: 1,
         "avoid": lambda target: None,
@@ -75,6 +81,19 @@
     assert first.request_id != second.request_id
 
 
+def test_the_decision_on_a_refused_request_names_the_link() -> None:
+    """Guards against refusals whose cause operators cannot see."""
+    log: list[Any] = []
+    runner = _runner(_Dispatcher(), _Crashes(Clean()), log)
+    with pytest.raises(Refused):
+        runner.run(_call(), "digest")
+    (decision,) = log
+    assert decision.refusal == "overloaded"
+    (candidate,) = decision.candidates
+    assert candidate.target == "s/far"
+    assert candidate.excluded == "the link to the region lacks tokens"
+
+
 def test_suspect_is_judged_again_after_its_wait() -> None:
     """Guards against a fourth crash by copies that waited for their turn."""
     dispatcher = _Dispatcher()
--- a/tools/mutations_links.py
+++ b/tools/mutations_links.py
@@ -62,8 +62,8 @@
     (
         "requests spill while bodies wait for the link",
         _GATE,
-        "return line.meter.has_room(now_s, size_bytes) and not line.waiting",
-        "return True",
+        "if line.meter.has_room(now_s, size_bytes) and not line.waiting:",
+        "if True:",
         "tests/test_link_gate.py",
     ),
     (
@@ -122,4 +122,11 @@
         "if False:",
         "tests/test_link_usage.py",
     ),
+    (
+        "a refused request hides the full link",
+        _LIBRARY + "admission_queue.py",
+        "        self._left_out = found.left_out\n",
+        "",
+        "tests/test_admission_queue.py",
+    ),
 ]
