--- a/packages/standins/src/standins/__main__.py
+++ b/packages/standins/src/standins/__main__.py
@@ -14,6 +14,7 @@
 
 from standins.backend_app import BackendApp  # noqa: E402
 from standins.backend_server import BackendServer  # noqa: E402
+from standins.delay_link import DelayLink, Network, Place  # noqa: E402
 from standins.instance_list_app import InstanceListApp  # noqa: E402
 from standins.load_generator import LoadGenerator  # noqa: E402
 from standins.load_plan import LoadPlan, LoadSample  # noqa: E402
@@ -41,6 +42,22 @@
     load = kinds.add_parser("load")
     load.add_argument("--plan", required=True, help="a JSON LoadPlan")
     load.add_argument("--out", required=True, help="receives JSON lines")
+    links = kinds.add_parser("links")
+    links.add_argument(
+        "--target",
+        action="append",
+        required=True,
+        metavar="LISTEN_IP:PORT:FAILURE_DOMAIN:REGION",
+    )
+    links.add_argument(
+        "--instance",
+        action="append",
+        required=True,
+        metavar="SOURCE_IP:FAILURE_DOMAIN:REGION",
+    )
+    links.add_argument("--domain-delay-s", type=float, required=True)
+    links.add_argument("--region-delay-s", type=float, required=True)
+    links.add_argument("--bytes-per-s", type=float, required=True)
     arguments = parser.parse_args()
     match arguments.kind:
         case "store":
@@ -49,6 +66,16 @@
             _serve(InstanceListApp(arguments.lag_s), arguments.port)
         case "load":
             _send_load(arguments.plan, arguments.out)
+        case "links":
+            _serve_links(
+                Network(
+                    domain_delay_s=arguments.domain_delay_s,
+                    region_delay_s=arguments.region_delay_s,
+                    bytes_per_s=arguments.bytes_per_s,
+                ),
+                arguments.instance,
+                arguments.target,
+            )
         case _:
             _serve_backends(arguments.target, arguments.cold_s)
 
@@ -73,6 +100,30 @@
         file.write(msgspec.json.Encoder().encode_lines(samples))
 
 
+def _serve_links(
+    network: Network, instances: list[str], targets: list[str]
+) -> None:
+    places = {}
+    for text in instances:
+        source, domain, region = text.split(":")
+        places[source] = Place(region=region, failure_domain=domain)
+    link = DelayLink(network, places)
+    threads = []
+    for text in targets:
+        listen_ip, port, domain, region = text.split(":")
+        listener = eventlet.listen((listen_ip, int(port)))
+        threads.append(
+            eventlet.spawn(
+                link.serve,
+                listener,
+                ("127.0.0.1", int(port)),
+                Place(region=region, failure_domain=domain),
+            )
+        )
+    for thread in threads:
+        thread.wait()
+
+
 def _serve(app: Application, port: int) -> None:
     listener = eventlet.listen(("127.0.0.1", port))
     eventlet.wsgi.server(
--- a/packages/verbenad/src/verbenad/daemon.py
+++ b/packages/verbenad/src/verbenad/daemon.py
@@ -3,6 +3,7 @@
 import secrets
 import sys
 import time
+from dataclasses import replace
 from random import Random
 
 import eventlet
@@ -27,6 +28,8 @@
 from verbenad.gateway import Gateway
 from verbenad.json_lines_handler import JsonLinesHandler
 from verbenad.line_writer import LineWriter
+from verbenad.link_gate import LinkGate
+from verbenad.link_usage import LinkUsage
 from verbenad.lookup_page import LookupPage
 from verbenad.lookup_table import LookupTable
 from verbenad.loop_timers import LoopTimers
@@ -44,7 +47,8 @@
 from verbenad.store_claims import StoreClaims
 from verbenad.store_client import StoreClient
 from verbenad.target_prober import TargetProber
-from verbenad.upstream_pool import UpstreamPool
+from verbenad.upstream_pool import PoolSettings, UpstreamPool
+from verbenaworks.admin_messages import InstanceStatus
 from verbenaworks.agreed_state import AgreedState
 from verbenaworks.agreement import TICK_S, Agreement, AgreementSettings
 from verbenaworks.compiled_config import CompiledConfig, compile_config
@@ -91,6 +95,7 @@
         self._build_control()
         self._build_serving()
         self._declare_gauges()
+        self._declare_link_metrics()
 
     def start(self) -> None:
         """Start all parts; returns at once."""
@@ -162,7 +167,7 @@
             now_s=self._now_s,
             address_of=self._fleet.address_of,
             document=lambda: self._document,
-            status=self._fleet.status,
+            status=self._status,
         )
         self._agreement_loop = AgreementLoop(
             agreement=self._agreement,
@@ -201,6 +206,12 @@
         self._gate = RateGate(
             instance=settings.name, loop=self._budgets, now_s=self._now_s
         )
+        self._links = LinkGate(
+            instance=settings.name,
+            region=settings.region,
+            loop=self._budgets,
+            now_s=self._now_s,
+        )
         self._desk = ServiceDesk(
             place=Place(
                 instance=settings.name,
@@ -212,8 +223,12 @@
             loop=self._budgets,
             now_s=self._now_s,
             random=self._random,
+            links=self._links,
+        )
+        self._pool = UpstreamPool(
+            PoolSettings(source_ip=settings.target_source_ip),
+            now_s=self._now_s,
         )
-        self._pool = UpstreamPool(now_s=self._now_s)
         forwarder = Forwarder(
             self._pool,
             ForwarderSettings(via_name=settings.name),
@@ -238,6 +253,7 @@
             avoid=self._desk.avoid,
             check=self._check_again,
             now_s=self._now_s,
+            links=self._links,
         )
         self._table = LookupTable()
         self._gateway = Gateway(
@@ -270,6 +286,13 @@
             edits=self._edits,
             config=lambda: self._config,
             now_s=self._now_s,
+            usage=LinkUsage(
+                loop=self._budgets,
+                bus=self._bus,
+                directory=self._fleet,
+                now_s=self._now_s,
+            ),
+            bus=self._bus,
         )
         host, _, port = settings.caller_address.rpartition(":")
         self._front = Front(
@@ -341,6 +364,33 @@
                 lambda t=traffic: t.messages,  # type: ignore[misc]
             )
 
+    def _declare_link_metrics(self) -> None:
+        source = self.metrics.counter_source
+        source(
+            "verbenad_link_bytes_total",
+            "Bytes of bodies charged to a link here.",
+            "link",
+            self._links.charged_bytes,
+        )
+        source(
+            "verbenad_link_waits_total",
+            "Reads of bodies that waited for a link.",
+            "link",
+            self._links.waits,
+        )
+        source(
+            "verbenad_link_wait_seconds_total",
+            "Time for which reads of bodies waited for a link.",
+            "link",
+            self._links.waited_s,
+        )
+        source(
+            "verbenad_link_timeouts_total",
+            "Bodies that ended because they waited too long for a link.",
+            "link",
+            self._links.timeouts,
+        )
+
     def _on_state(self, state: AgreedState) -> None:
         if (
             self._config is None
@@ -360,6 +410,7 @@
         self._config = config
         self._budgets.set_config(config)
         self._gate.set_config(config)
+        self._links.set_config(config)
         self._desk.set_config(config)
         self._prober.set_targets(self._desk.targets)
         self._table.set_config(config)
@@ -371,6 +422,7 @@
 
     def _on_granted(self) -> None:
         self._gate.granted()
+        self._links.granted()
         self._desk.serve()
 
     def _read_list(self) -> None:
@@ -389,6 +441,13 @@
             load=float(len(self._front.running)),
         )
 
+    def _status(self) -> list[InstanceStatus]:
+        notes = self._shifts.notes()
+        return [
+            replace(instance, shifts=notes.get(instance.name, ()))
+            for instance in self._fleet.status()
+        ]
+
     def _check_again(self, call: Call) -> None:
         if self._config is not None:
             check_again(call, self._config, self._may_use_keys)
--- a/packages/verbenad/src/verbenad/service_desk.py
+++ b/packages/verbenad/src/verbenad/service_desk.py
@@ -8,6 +8,7 @@
 from verbenad.budget_plan import slots_budget_name
 from verbenad.dispatcher import Dispatcher
 from verbenad.divided_units import DividedUnits
+from verbenad.link_gate import LinkGate
 from verbenad.region_units import RegionUnits
 from verbenaworks.admission_queue import AdmissionQueue
 from verbenaworks.choice_result import Choice, ChoiceRequest, NoTarget
@@ -34,7 +35,9 @@
         loop: BudgetLoop,
         now_s: Callable[[], float],
         random: Random,
+        links: LinkGate | None = None,
     ) -> None:
+        self._links = links
         self._place = place
         self._now_s = now_s
         self._region_units = RegionUnits(loop=loop, place=place, now_s=now_s)
@@ -50,6 +53,7 @@
             units=self.units,
             region_units=self._region_units,
             random=random,
+            links=links,
         )
         self.dispatchers: dict[str, Dispatcher] = {}
         self._targets: dict[str, tuple[TargetInfo, ...]] = {}
@@ -125,10 +129,17 @@
             dispatcher.state_wants()
         self._region_units.restate()
         self.units.restate()
+        if self._links is not None:
+            self._links.state_wants(
+                self.units.regions_with_units() - {self._place.region},
+                {name: d.waiting for name, d in self.dispatchers.items()},
+            )
 
     def region_measurements(self, region: str) -> ShiftMeasurements | None:
         """Return the load of a region by its targets' reports.
 
+        Links are not part of it.
+
         None if no target has reported. The age is that of the median
         report: a single silent target must not hold up a shift for ever.
         """
--- a/packages/verbenaworks/src/verbenaworks/rate_holding.py
+++ b/packages/verbenaworks/src/verbenaworks/rate_holding.py
@@ -23,6 +23,8 @@
         # makes many of them, and took the whole bank for itself.
         self._waiting: deque[tuple[float, str, int]] = deque()
         self._is_short = False
+        # Tokens that were asked for explicitly.
+        self._lack = 0
         self._returning = 0
         # Depth that came with tokens of the newest grant.
         self._lent_depth = 0
@@ -30,7 +32,7 @@
     @property
     def is_short(self) -> bool:
         """Whether a caller waits for tokens."""
-        return self._is_short
+        return self._is_short or self._lack > 0
 
     @property
     def asked_at_s(self) -> float:
@@ -63,6 +65,28 @@
         self._is_short = True
         return False
 
+    def available(self, now_s: float) -> int:
+        """Return the whole tokens in the bucket."""
+        self.expire(now_s)
+        return self._bucket.tokens(now_s)
+
+    def give_back(self, now_s: float, amount: int) -> None:
+        """Return tokens that were taken and not used, up to the depth."""
+        self.expire(now_s)
+        self._bucket.add(amount)
+
+    def ask(
+        self, now_s: float, workspace: str, lack: int, demand: int
+    ) -> None:
+        """Note demand, and tokens that the next request should ask for."""
+        self._asked_at_s = now_s
+        if demand:
+            meter = self._meters.get(workspace)
+            if meter is None:
+                meter = self._meters[workspace] = DemandMeter()
+            meter.add(now_s, demand)
+        self._lack = max(self._lack, lack)
+
     def wait_s(self, now_s: float, amount: int) -> float:
         """Return when the bucket alone will hold ``amount``."""
         self.expire(now_s)
@@ -83,7 +107,8 @@
         returned, self._returning = self._returning, 0
         waiting = self._waiting_amounts(now_s)
         missing = max(1, waiting.total()) if self._is_short else 0
-        self._is_short = False
+        missing = max(missing, self._lack)
+        self._is_short, self._lack = False, 0
         wants = []
         for workspace, meter in list(self._meters.items()):
             amount = int(meter.per_s(now_s) * 1000)
