Run the model of the choice with the daemon's exchange of budgets

Cause: the choice was measured with an exact division of units every 0.25 s with full knowledge, so its figures said nothing of the exchange of budgets.

Change: BudgetLoop and ServiceDesk of the daemon run in the virtual time of the model, with the delays of the deployment and with owners that die with their region; only the bus, the control record and the clock are modelled. The exact division stays as an upper bound. Deployments come from the stand-ins; service times and deadlines stay in the model, because those of the stand-ins are chosen for one machine. Grants lapse by GRANT_TTL_S.

--- a/packages/verbenad/src/verbenad/dispatcher.py
+++ b/packages/verbenad/src/verbenad/dispatcher.py
@@ -34,6 +34,11 @@
         self._events: dict[str, Event] = {}
         self._check: eventlet.greenthread.GreenThread | None = None
 
+    @property
+    def queue(self) -> AdmissionQueue:
+        """Return the admission queue of the service."""
+        return self._queue
+
     @property
     def waiting(self) -> int:
         """Return how many requests wait."""
--- a/tests/test_choice_model.py
+++ b/tests/test_choice_model.py
@@ -2,8 +2,9 @@
 
 import pytest
 
-from choice_model import DEPLOYMENTS, HOT, Model, Scenario
+from choice_model import HOT, Model, Scenario
 from standins.check_target_choice import LeavingSign, WorkStarted, check
+from standins.deployments import MATUNDA
 
 
 @pytest.mark.parametrize(("seed", "load"), [(1, 0.7), (2, 2.0)])
@@ -15,7 +16,7 @@
     """
     model = Model(
         Scenario(
-            deployment=DEPLOYMENTS[0],
+            deployment=MATUNDA,
             load=load,
             seed=seed,
             duration_s=7.0,
@@ -34,7 +35,7 @@
     """Guards against a service that stops, or serves one workspace only."""
     model = Model(
         Scenario(
-            deployment=DEPLOYMENTS[0],
+            deployment=MATUNDA,
             load=0.8,
             hot=True,
             lose_region=True,
--- a/tools/choice_model.py
+++ b/tools/choice_model.py
@@ -1,8 +1,9 @@
 """Queueing model in virtual time for the choice of target.
 
-The choice, the admission queue, the demand, the retry budget and the
-statistics are the product's own code. Targets, delays, callers and the
-division of units among instances are modelled here.
+The choice, the admission queue, the demand, the retry budget, the statistics
+and the exchange of budgets are the product's own code. Targets, delays and
+callers are modelled here. An exact division of units with full knowledge is
+an upper bound for the exchange.
 """
 
 import heapq
@@ -14,6 +15,7 @@
 from random import Random
 
 from exact_allocator import Share, divide, place
+from model_exchange import ExchangeFleet, ExchangeInstance, model_config
 from standins.check_target_choice import (
     Event,
     LeavingSign,
@@ -21,6 +23,8 @@
     WorkEnded,
     WorkStarted,
 )
+from standins.deployments import Deployment
+from verbenad.budget_plan import region_parts
 from verbenaworks.admission_queue import AdmissionQueue
 from verbenaworks.attempt_outcome import (
     Completed,
@@ -29,6 +33,7 @@
     RefusedLeaving,
     RefusedOverload,
 )
+from verbenaworks.budget_spec import GRANT_TTL_S, upper_bound_s
 from verbenaworks.choice_result import Choice, ChoiceRequest
 from verbenaworks.load_report import Health, LoadReport
 from verbenaworks.near_table import Place
@@ -41,7 +46,6 @@
 REPORT_PERIOD_S = 1.0
 REPORT_LAG_S = 0.5
 LIST_LAG_S = 3.0
-GRANT_LAPSE_S = 5.05
 CONNECT_TIMEOUT_S = 0.5
 HEADROOM_SHARE = 0.9
 # A target with cold caches takes twice the time; the excess falls to 1/e
@@ -54,6 +58,13 @@
 HOT = "w0"
 
 
+# Usual service time and deadline of the model's requests, in the order of a
+# deployment's services. The stand-ins' own times are shorter, so that a whole
+# deployment fits on one machine.
+TIMES_S = ((0.100, 1.0), (0.250, 2.0), (1.000, 8.0), (0.150, 1.5))
+EXCHANGE, EXACT = "verbena", "exact division"
+
+
 @dataclass(frozen=True, kw_only=True)
 class Service:
     """Targets of a service, and its service and deadline times."""
@@ -65,59 +76,20 @@
     deadline_s: float
 
 
-@dataclass(frozen=True, kw_only=True)
-class Deployment:
-    """A deployment of section 1 of the design page."""
-
-    name: str
-    regions: tuple[str, ...]
-    domain_delay_s: float
-    region_delay_s: float
-    connections: int
-    services: tuple[Service, ...]
-
-
-def _services(
-    rows: list[tuple[str, int, int, float, float]],
-) -> tuple[Service, ...]:
-    return tuple(
-        Service(name=n, targets=t, slots=s, mean_s=m, deadline_s=d)
-        for n, t, s, m, d in rows
-    )
-
-
-DEPLOYMENTS = (
-    Deployment(
-        name="matunda",
-        regions=("nairobi", "mombasa", "kisumu"),
-        domain_delay_s=0.0015,
-        region_delay_s=0.012,
-        connections=360,
-        services=_services(
-            [
-                ("catalogue", 16, 6, 0.100, 1.0),
-                ("orders", 12, 5, 0.250, 2.0),
-                ("uploads", 12, 3, 1.000, 8.0),
-                ("schedules", 12, 3, 0.150, 1.5),
-            ]
-        ),
-    ),
-    Deployment(
-        name="toile",
-        regions=("flanders", "wallonia", "brussels"),
-        domain_delay_s=0.0005,
-        region_delay_s=0.020,
-        connections=400,
-        services=_services(
-            [
-                ("stock", 18, 9, 0.100, 1.0),
-                ("orders", 12, 7, 0.250, 2.0),
-                ("scans", 12, 3, 1.000, 8.0),
-                ("prices", 12, 3, 0.150, 1.5),
-            ]
-        ),
-    ),
-)
+def model_services(deployment: Deployment) -> dict[str, Service]:
+    """Return the services of a deployment with the model's times."""
+    return {
+        size.name: Service(
+            name=size.name,
+            targets=size.targets,
+            slots=size.slots,
+            mean_s=mean_s,
+            deadline_s=deadline_s,
+        )
+        for size, (mean_s, deadline_s) in zip(
+            deployment.services, TIMES_S, strict=True
+        )
+    }
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -125,13 +97,13 @@
     """One run of the model.
 
     :param load: offered work as a multiple of the capacity that is left.
-    :param policy: ``verbena`` or the name of a baseline.
+    :param policy: :data:`EXCHANGE`, :data:`EXACT` or a baseline's name.
     :param hot: the largest workspace sends five times its rate.
     """
 
     deployment: Deployment
     load: float
-    policy: str = "verbena"
+    policy: str = EXCHANGE
     lose_region: bool = False
     hot: bool = False
     seed: int = 1
@@ -225,6 +197,7 @@
         self.retries = RetryBudget()
         self.checks: dict[str, float] = {}
         self.turn = 0
+        self.member: ExchangeInstance | None = None
 
 
 class Model:
@@ -239,45 +212,62 @@
         self.result = Result()
         self.history: list[Event] = []
         deployment = scenario.deployment
-        self.services = {s.name: s for s in deployment.services}
-        domains = [(r, f"{r}-{d}") for r in deployment.regions for d in "ab"]
+        self.services = model_services(deployment)
+        config = model_config(
+            deployment,
+            {s.name: s.deadline_s for s in self.services.values()},
+            1.0 - HEADROOM_SHARE,
+        )
+        domains = [(r, d) for d, r in deployment.failure_domains]
+        regions = list(dict.fromkeys(region for region, _ in domains))
         self.targets: dict[str, Target] = {}
         self.lists: dict[str, tuple[TargetInfo, ...]] = {}
-        for service in deployment.services:
-            infos = []
-            for number in range(service.targets):
-                region, domain = domains[number % len(domains)]
-                infos.append(
-                    TargetInfo(
-                        name=f"{service.name}-{number}",
-                        service=service.name,
-                        address="127.0.0.1:1",
-                        region=region,
-                        failure_domain=domain,
-                        slots=service.slots,
-                        connections=deployment.connections,
-                    )
+        for service in config.services.values():
+            infos = [
+                TargetInfo(
+                    name=f"{service.name}/{target.name}",
+                    service=service.name,
+                    address=target.address,
+                    region=target.region,
+                    failure_domain=target.failure_domain,
+                    slots=target.slots,
+                    connections=target.connections,
                 )
+                for target in service.targets.values()
+            ]
             self.lists[service.name] = tuple(infos)
             self.targets.update({i.name: Target(i) for i in infos})
-        self.lost = deployment.regions[-1] if scenario.lose_region else None
+        self.regions = regions
+        self.lost = regions[-1] if scenario.lose_region else None
         self.listed_lost = False
         self.limits = {
-            region: int(
-                HEADROOM_SHARE
-                * sum(
-                    t.info.slots
-                    for t in self.targets.values()
-                    if t.info.region == region
-                )
-            )
-            for region in deployment.regions
+            region: sum(region_parts(config, region).values())
+            for region in regions
         }
         self.region_load: Counter[str] = Counter()
         self.reports: dict[str, int] = dict.fromkeys(self.targets, 0)
+        places = [
+            Place(
+                instance=f"i{index}",
+                region=region,
+                failure_domain=domain,
+                domain_delay_s=deployment.domain_delay_s,
+                region_delay_s=deployment.region_delay_s,
+            )
+            for index in range(deployment.instances)
+            for region, domain in [domains[index % len(domains)]]
+        ]
+        self.fleet: ExchangeFleet | None = None
+        if scenario.policy == EXCHANGE:
+            self.fleet = ExchangeFleet(
+                deployment=deployment,
+                config=config,
+                places=places,
+                now_s=lambda: self.now_s,
+                after=self.after,
+            )
         self.instances = [
-            self._instance(index, *domains[index % len(domains)])
-            for index in range(11)
+            self._instance(index, where) for index, where in enumerate(places)
         ]
         self.capacity = sum(
             limit for r, limit in self.limits.items() if r != self.lost
@@ -288,7 +278,7 @@
             * self.capacity
             * (s.targets * s.slots / all_slots)
             / s.mean_s
-            for s in deployment.services
+            for s in self.services.values()
         }
         self.weights = {
             f"w{n}": weight for n, weight in enumerate(WORKSPACE_WEIGHTS)
@@ -298,16 +288,21 @@
         if scenario.hot:
             self.weights[HOT] *= 5.0
 
-    def _instance(self, index: int, region: str, domain: str) -> Instance:
-        deployment = self.scenario.deployment
-        where = Place(
-            instance=f"i{index}",
-            region=region,
-            failure_domain=domain,
-            domain_delay_s=deployment.domain_delay_s,
-            region_delay_s=deployment.region_delay_s,
-        )
+    def _instance(self, index: int, where: Place) -> Instance:
         instance = Instance(index, where)
+        if self.fleet is not None:
+            member = self.fleet.members[where.instance]
+            instance.member = member
+            instance.choice = member.desk.choice
+            for name, dispatcher in member.desk.dispatchers.items():
+                instance.queues[name] = dispatcher.queue
+
+            def serve() -> None:
+                for name in self.lists:
+                    self.serve(instance, name)
+
+            member.on_granted = serve
+            return instance
         choice = instance.choice = TargetChoice(
             place=where,
             units=instance.slots,
@@ -333,7 +328,7 @@
         for name in self.services:
             self._next_arrival(name)
         self._report()
-        if scenario.policy == "verbena":
+        if scenario.policy == EXACT:
             self._refresh()
         if self.lost is not None:
             self.after(scenario.lose_at_s, self._lose)
@@ -387,7 +382,7 @@
             self.result.by_service[service]["offered"] += 1
         instance.retries.request(self.now_s)
         call = Call(self, instance, request, spec)
-        if self.scenario.policy == "verbena":
+        if self.scenario.policy in (EXCHANGE, EXACT):
             call.offer()
         else:
             call.send_baseline(frozenset())
@@ -401,8 +396,7 @@
         alive = [i for i in self.instances if i.alive]
         if workspace >= 6:
             return alive[(workspace * 5) % len(alive)]
-        regions = self.scenario.deployment.regions
-        home = regions[workspace % len(regions)]
+        home = self.regions[workspace % len(self.regions)]
         if self.random.random() < 0.6:
             near = [i for i in alive if i.place.region == home]
             alive = near or alive
@@ -480,7 +474,7 @@
 
     def _deliver(self, asked_s: float, seen: dict[str, int]) -> None:
         self.reports.update(seen)
-        if self.scenario.policy != "verbena":
+        if self.scenario.policy not in (EXCHANGE, EXACT):
             return
         for instance in self.instances:
             if not instance.alive:
@@ -507,7 +501,10 @@
         for instance in self.instances:
             instance.alive = instance.place.region != self.lost
         self.after(LIST_LAG_S, self._list_lost)
-        self.after(GRANT_LAPSE_S, self._lapse)
+        if self.fleet is not None:
+            names = {i.place.instance for i in self.instances if not i.alive}
+            self.fleet.lose(names)
+        self.after(upper_bound_s(GRANT_TTL_S), self._lapse)
 
     def _leave(self) -> None:
         """Let the first target of each service leave.
@@ -725,7 +722,7 @@
         model = self.model
         target = model.targets[info.name]
         delay_s = model.delay_s(self.instance, info)
-        lost = Failed(bytes_sent=False)
+        lost = RefusedLeaving()
         done = _once(done)
         if not target.alive:
             model.after(CONNECT_TIMEOUT_S, lambda: done(lost))
@@ -759,7 +756,10 @@
         instance.choice.finish(model.now_s, choice, outcome)
         queue = instance.queues[self.spec.name]
         queue.ended(model.now_s, self.request.workspace)
-        again = not isinstance(outcome, Completed) and self._may_retry(outcome)
+        failed = not isinstance(outcome, Completed)
+        if failed and instance.member is not None:
+            instance.member.desk.avoid(choice.target)
+        again = failed and self._may_retry(outcome)
         if again:
             self.request = ChoiceRequest(
                 request_id=self.request.request_id,
--- a/tools/measure_choice.py
+++ b/tools/measure_choice.py
@@ -14,7 +14,8 @@
 from typing import Any
 
 from choice_model import (
-    DEPLOYMENTS,
+    EXACT,
+    EXCHANGE,
     HEADROOM_SHARE,
     HOT,
     Model,
@@ -22,6 +23,7 @@
     Result,
     Scenario,
 )
+from standins.deployments import DEPLOYMENTS
 from verbenaworks.attempt_outcome import Completed
 from verbenaworks.choice_result import Choice, ChoiceRequest
 from verbenaworks.near_table import Place
@@ -86,7 +88,7 @@
     """Return the scenarios of one measurement."""
     found: list[Scenario] = []
     length_s = 10.0 if quick else 16.0
-    for deployment in DEPLOYMENTS[: 1 if quick else 2]:
+    for deployment in list(DEPLOYMENTS.values())[: 1 if quick else 2]:
         for lose in (False, True):
             for load in QUICK_LOADS if quick else LOADS:
                 scenario = Scenario(
@@ -102,7 +104,7 @@
     return [
         replace(scenario, policy=policy)
         for scenario in found
-        for policy in ("verbena", *BASELINES)
+        for policy in (EXCHANGE, EXACT, *BASELINES)
     ]
 
 
@@ -170,7 +172,7 @@
     wrongful = row["wrongful_share"]
     parts.append("       -" if wrongful is None else f"{wrongful:8.4f}")
     parts.append(f"{row['worst_share']:7.3f}")
-    if row["policy"] == "verbena":
+    if row["policy"] == EXCHANGE:
         parts.append("  " + "; ".join(judge(row)))
     return "".join(parts)
 
--- /dev/null
+++ b/tools/model_exchange.py
@@ -0,0 +1,240 @@
+"""The daemon's exchange of budgets in the virtual time of the model.
+
+Owners, takers, wants and parts are the daemon's own: ``BudgetLoop`` and
+``ServiceDesk``. Only the bus, the control record and the clock are modelled.
+"""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from random import Random
+from typing import Any
+
+from result import Ok
+
+from standins.deployment_settings import deployment_settings, target_names
+from standins.deployments import Deployment
+from verbenad.budget_loop import TICK_S, BudgetLoop
+from verbenad.bus import Sender
+from verbenad.directory import OwnerView
+from verbenad.service_desk import WANTS_PERIOD_S, ServiceDesk
+from verbenaworks.budget_spec import OWNER_WAIT_S
+from verbenaworks.compiled_config import CompiledConfig, compile_config
+from verbenaworks.config_document import ConfigDocument
+from verbenaworks.control_record import SHARDS, InstanceId
+from verbenaworks.edit import CreateBranch, Edit, SetValue
+from verbenaworks.near_table import Place
+from verbenaworks.shard_assignment import rendezvous_owner
+
+# From the death of an owner until its successor has learned of its
+# ownership; the same as in measure_budgets.py.
+TAKEOVER_S = 2.0
+
+After = Callable[[float, Callable[[], None]], None]
+
+
+def model_config(
+    deployment: Deployment,
+    deadlines_s: Mapping[str, float],
+    headroom_share: float,
+) -> CompiledConfig:
+    """Return the configuration of a deployment, without workspaces."""
+    ports = {name: 1 for name, _, _ in target_names(deployment)}
+    branches = deployment_settings(deployment, ports).branches
+    changes: list[CreateBranch | SetValue] = []
+    for path, fields in branches.items():
+        kind = path.split("/")[1]
+        if kind not in ("regions", "services"):
+            continue
+        changes.append(CreateBranch(path=path))
+        values = dict(fields)
+        if kind == "regions":
+            values["headroom_share"] = headroom_share
+        elif path.count("/") == 2:
+            values["deadline_s"] = deadlines_s[path.rpartition("/")[2]]
+        changes += [
+            SetValue(path=path, field=name, value=value)
+            for name, value in values.items()
+        ]
+    edit = Edit(
+        edit_id="e", operator="o", read_revision=0, changes=tuple(changes)
+    )
+    match ConfigDocument().apply_edit(edit):
+        case Ok(document):
+            return compile_config(document)
+        case refused:
+            raise ValueError(refused)
+
+
+@dataclass(frozen=True, kw_only=True)
+class _Lease:
+    fleet: "ExchangeFleet"
+    name: str
+    epoch: int
+    valid_from_s: float
+
+    def is_valid(self, now_s: float) -> bool:
+        return now_s >= self.valid_from_s and self.name not in self.fleet.dead
+
+
+class ExchangeFleet:
+    """Owners, takers and messages of all instances.
+
+    :param after: schedules an action in virtual time.
+    """
+
+    def __init__(
+        self,
+        *,
+        deployment: Deployment,
+        config: CompiledConfig,
+        places: list[Place],
+        now_s: Callable[[], float],
+        after: After,
+    ) -> None:
+        self.deployment = deployment
+        self.places = {place.instance: place for place in places}
+        self.now_s = now_s
+        self.after = after
+        self.dead: set[str] = set()
+        self.sent = 0
+        self.epoch = 1
+        self._known_dead: set[str] = set()
+        self._leases: dict[int, _Lease] = {}
+        self._assign(valid_from_s=0.0)
+        self.members = {
+            place.instance: ExchangeInstance(self, place, config)
+            for place in places
+        }
+        for member in self.members.values():
+            member.desk.set_instances(
+                {p.instance: p.region for p in self.places.values()}
+            )
+
+    def lose(self, names: set[str]) -> None:
+        """Let instances die; their shards get new owners."""
+        self.dead |= names
+        self.after(TAKEOVER_S, self._take_over)
+
+    def lease(self, shard: int) -> _Lease:
+        """Return the newest lease on a shard."""
+        return self._leases[shard]
+
+    def delay_s(self, sender: str, receiver: str) -> float:
+        """Return the one-way delay between two instances."""
+        a, b = self.places[sender], self.places[receiver]
+        if a.region != b.region:
+            return self.deployment.region_delay_s
+        if a.failure_domain != b.failure_domain:
+            return self.deployment.domain_delay_s
+        return 0.0 if sender == receiver else 0.0002
+
+    def _take_over(self) -> None:
+        self._known_dead = set(self.dead)
+        self._assign(valid_from_s=self.now_s() + OWNER_WAIT_S)
+        regions = {
+            name: place.region
+            for name, place in self.places.items()
+            if name not in self.dead
+        }
+        for name in regions:
+            self.members[name].desk.set_instances(regions)
+
+    def _assign(self, valid_from_s: float) -> None:
+        alive = [n for n in self.places if n not in self._known_dead]
+        for shard in range(SHARDS):
+            known = self._leases.get(shard)
+            if known and known.name not in self._known_dead:
+                continue
+            name = rendezvous_owner(shard, alive)
+            if name is None:
+                raise ValueError("no instance is alive")
+            self._leases[shard] = _Lease(
+                fleet=self,
+                name=name,
+                epoch=known.epoch + 1 if known else 1,
+                valid_from_s=valid_from_s,
+            )
+
+
+class ExchangeInstance:
+    """The budget loop and the service desk of one instance."""
+
+    def __init__(
+        self, fleet: ExchangeFleet, place: Place, config: CompiledConfig
+    ) -> None:
+        self._fleet = fleet
+        self._name = place.instance
+        self._handlers: dict[type, Callable[[Sender, Any], None]] = {}
+        self.on_granted: Callable[[], None] = lambda: None
+        self.loop = BudgetLoop(
+            instance=InstanceId(name=place.instance, incarnation=1),
+            agreement=self,  # type: ignore[arg-type]
+            bus=self,  # type: ignore[arg-type]
+            directory=self,
+            now_s=fleet.now_s,
+            on_granted=lambda: self.on_granted(),
+        )
+        self.desk = ServiceDesk(
+            place=place,
+            loop=self.loop,
+            now_s=fleet.now_s,
+            random=Random(place.instance),
+        )
+        self.loop.set_config(config)
+        self.desk.set_config(config)
+        # Instances do not tick at the same moment.
+        phase = list(fleet.places).index(place.instance) / len(fleet.places)
+        fleet.after(phase * TICK_S, self._tick)
+        fleet.after(phase * WANTS_PERIOD_S, self._state_wants)
+
+    # What the loop uses of the agreement
+
+    def lease(self, shard: int) -> _Lease | None:
+        """Return this instance's lease on a shard."""
+        lease = self._fleet.lease(shard)
+        return lease if lease.name == self._name else None
+
+    # What it uses of the directory
+
+    def owner(self, shard: int) -> OwnerView | None:
+        """Return the owner of a shard."""
+        lease = self._fleet.lease(shard)
+        return OwnerView(
+            bus_address=lease.name,
+            epoch=lease.epoch,
+            is_self=lease.name == self._name,
+        )
+
+    def peers(self) -> list[str]:
+        """Return the other instances."""
+        return [n for n in self._fleet.places if n != self._name]
+
+    # What it uses of the bus
+
+    def subscribe(
+        self, kind: type, handler: Callable[[Sender, Any], None]
+    ) -> None:
+        """Pass messages of a type to a handler."""
+        self._handlers[kind] = handler
+
+    def send(self, address: str, message: Any) -> None:
+        """Deliver a message after the delay between the instances."""
+        fleet = self._fleet
+        fleet.sent += 1
+
+        def deliver() -> None:
+            if fleet.dead.isdisjoint((address, self._name)):
+                handler = fleet.members[address]._handlers[type(message)]
+                handler(Sender(address=self._name, name=self._name), message)
+
+        fleet.after(fleet.delay_s(self._name, address), deliver)
+
+    def _tick(self) -> None:
+        if self._name not in self._fleet.dead:
+            self._fleet.after(TICK_S, self._tick)
+            self.loop.tick()
+
+    def _state_wants(self) -> None:
+        if self._name not in self._fleet.dead:
+            self._fleet.after(WANTS_PERIOD_S, self._state_wants)
+            self.desk.state_wants()
