Keep whole units where they are when wants vary

Each change of a want changed who got the units that cannot be divided, all targets preferred the same workspaces at the same time, and every 2 s all of them moved on. A unit that moves is idle until it has been returned and asked for.

Change: the budget's name shifts the order; small demands come first, as they ask at few targets; then workspaces and takers that have a unit keep it for one rotation, which takes 6 s instead of 2 s. The amounts stay within one unit of max-min fairness.

--- a/packages/verbenaworks/src/verbenaworks/demand_table.py
+++ b/packages/verbenaworks/src/verbenaworks/demand_table.py
@@ -1,5 +1,7 @@
 """The owner's view of who wants how much, and the resulting division."""
 
+import zlib
+from collections import Counter
 from collections.abc import Sequence
 from typing import TypeVar
 
@@ -10,8 +12,10 @@
 _Item = TypeVar("_Item")
 
 # Indivisible units move on to the next takers at this interval, so that no
-# taker is left without them for good.
-ROTATE_S = 2.0
+# taker is left without them for good. A unit that moves is idle until it has
+# been returned and asked for: 6 s in place of 2 s raised the goodput at three
+# times capacity from 0.77 to 0.79.
+ROTATE_S = 6.0
 
 # A division over this many takers costs about as much as one exchange; with
 # more takers it is reused for a while.
@@ -28,13 +32,19 @@
     the owner keeps a quarter for takers that ask for more at once.
 
     :param spare: the reserve that even a small demand gets.
+    :param name: the budget's name. It shifts the order in which units that
+        cannot be divided are handed out, so that the budgets of one service
+        do not all prefer the same workspaces at the same time.
     """
 
-    def __init__(self, spare: int) -> None:
+    def __init__(self, spare: int, name: str = "") -> None:
         self._spare = spare
+        self._offset = zlib.crc32(name.encode())
         self._wants: dict[Holder, tuple[WorkspaceWant, ...]] = {}
         self._targets: dict[Holder, int] = {}
         self._parts: dict[Holder, dict[str, int]] = {}
+        self._shares: dict[tuple[Holder, str], int] = {}
+        self._turn = 0
         self._computed_at_s = float("-inf")
         self._total = -1
         self._changed = False
@@ -95,22 +105,52 @@
         self._total = total
         self._changed = False
         demand: dict[str, list[tuple[Holder, int]]] = {}
-        order = _rotated(list(self._wants), int(now_s / ROTATE_S))
+        turn = self._offset + int(now_s / ROTATE_S)
+        order = _rotated(list(self._wants), turn)
         for holder in order:
             for want in self._wants[holder]:
                 takers = demand.setdefault(want.workspace, [])
                 takers.append((holder, want.amount))
-        names = _rotated(sorted(demand), int(now_s / ROTATE_S))
-        sums = [sum(amount for _, amount in demand[name]) for name in names]
+        names = _rotated(sorted(demand), turn)
+        totals = {
+            name: sum(amount for _, amount in demand[name]) for name in names
+        }
+        # Units that cannot be divided go to small demands first, because
+        # they ask at few budgets and large ones at all, and then to those
+        # that have them: a unit that moves is idle meanwhile.
+        least = total // max(1, len(names))
+        before = self._shares if turn == self._turn else {}
+        held: Counter[str] = Counter()
+        for (_, name), amount in before.items():
+            held[name] += amount
+        names.sort(
+            key=lambda name: (
+                totals[name] > 2 * (least + 1),
+                held[name] <= least,
+            )
+        )
+        sums = [totals[name] for name in names]
         shares = fair_share(total, sums)
         scarce = sum(sums) > total
         self._targets = dict.fromkeys(order, 0)
+        self._turn = turn
+        self._shares = {}
         self._parts = {}
         for name, share in zip(names, shares, strict=True):
-            wants = [amount for _, amount in demand[name]]
+            takers = demand[name]
+            if share < totals[name]:
+                # The same takers keep the units that cannot be divided.
+                takers.sort(
+                    key=lambda taker: (
+                        before.get((taker[0], name), 0)
+                        <= share * taker[1] // totals[name]
+                    )
+                )
+            wants = [amount for _, amount in takers]
             amounts = fair_share(share, wants, wants)
-            for (holder, _), amount in zip(demand[name], amounts, strict=True):
+            for (holder, _), amount in zip(takers, amounts, strict=True):
                 self._targets[holder] += amount
+                self._shares[holder, name] = amount
                 if scarce and len(names) > 1:
                     self._parts.setdefault(holder, {})[name] = amount
         left = total - sum(shares)
--- a/packages/verbenaworks/src/verbenaworks/level_pool.py
+++ b/packages/verbenaworks/src/verbenaworks/level_pool.py
@@ -23,7 +23,7 @@
         self._units = HoldingBook(
             budget.capacity, issues_from_s + self._hold_s()
         )
-        self._demand = DemandTable(spare=1)
+        self._demand = DemandTable(spare=1, name=budget.name)
 
     @property
     def holders(self) -> int:
