Ask sooner for units that are wanted, and return released ones sooner

Cause: a taker with unmet stated wants asked once a second, because the choice tests for units without taking, which counted as no lack. A unit in use above a smaller grant was returned only with the next regular request after its use. A tenth to a fifth of the slots was on its way. Parts of one target, a unit or two, were kept free for workspaces without requests while others waited.

Change: requests follow each other at up to 0.1 s while stated wants are unmet, and at 0.05 s after a release above the grant. Where wants are stated, the admission queue orders requests by the parts of all targets, and the parts of one target are not kept free. The taker tells which wants a grant answers.

--- a/packages/verbenaworks/src/verbenaworks/budget_taker.py
+++ b/packages/verbenaworks/src/verbenaworks/budget_taker.py
@@ -25,6 +25,10 @@
 LACK_GAP_S = 0.05
 LACK_GAP_MAX_S = 0.5
 
+# The same while units are wanted that others hold. Each unit that moves is
+# idle until the taker asks again.
+UNIT_GAP_MAX_S = 0.1
+
 # A budget nobody asked for during this time is returned.
 IDLE_S = 3.0
 
@@ -141,6 +145,17 @@
             case _:
                 return {}
 
+    def answered_wants(self, budget: str) -> Mapping[str, int]:
+        """Return the wants that the newest grant of units answers.
+
+        It is the same object until the next grant.
+        """
+        match self._holdings.get(budget):
+            case LevelHolding() as holding:
+                return holding.answered
+            case _:
+                return {}
+
     def state_wants(
         self, now_s: float, budget: str, wants: Mapping[str, int]
     ) -> None:
@@ -193,10 +208,13 @@
             return self._sent_at_s
         if self._is_waiting:
             return self._sent_at_s + RETRY_S
-        if self._has_surplus:
+        if self._has_surplus or any(
+            isinstance(holding, LevelHolding) and holding.has_surplus
+            for holding in self._holdings.values()
+        ):
             return self._sent_at_s + LACK_GAP_S
         if any(holding.is_short for holding in self._holdings.values()):
-            return self._sent_at_s + self._lack_gap_s
+            return self._sent_at_s + self._short_gap_s()
         return self._sent_at_s + self._exchange_s
 
     def next_request(self, now_s: float) -> GrantRequest | None:
@@ -250,6 +268,14 @@
                 self._has_surplus = True
         return True
 
+    def _short_gap_s(self) -> float:
+        if any(
+            isinstance(holding, LevelHolding) and holding.is_short
+            for holding in self._holdings.values()
+        ):
+            return min(self._lack_gap_s, UNIT_GAP_MAX_S)
+        return self._lack_gap_s
+
     def _greet(self, epoch: int) -> None:
         # The next request proves to the owner that it was sent after it
         # started to issue.
--- a/packages/verbenaworks/src/verbenaworks/level_holding.py
+++ b/packages/verbenaworks/src/verbenaworks/level_holding.py
@@ -29,11 +29,27 @@
         self._asked_at_s = float("-inf")
         self._stated: dict[str, int] | None = None
         self._is_restated = False
+        # Whether the last grant was less than the stated wants.
+        self._is_denied = False
+        self._requested: Mapping[str, int] = {}
+        self._answered: Mapping[str, int] = {}
+        # The most that the owner counts as held here.
+        self._kept = 0
 
     @property
     def is_short(self) -> bool:
         """Whether a caller waits for units or more units are wanted."""
-        return bool(self._missing) or self._is_restated
+        return bool(self._missing) or self._is_restated or self._is_denied
+
+    @property
+    def answered(self) -> Mapping[str, int]:
+        """The wants that the newest grant answers."""
+        return self._answered
+
+    @property
+    def has_surplus(self) -> bool:
+        """Whether units that the owner counts as held were released."""
+        return self._kept > self._amount and self._kept > self._in_use
 
     @property
     def asked_at_s(self) -> float:
@@ -132,15 +148,17 @@
         wants = self._observed_wants()
         if self._stated is not None:
             wants = self._stated
+        self._requested = dict(wants)
         self._is_restated = False
         self._missing = {}
         if now_s - self._peaks_since_s >= _PEAK_S:
             self._earlier_peaks = self._peaks
             self._peaks = dict(self._used)
             self._peaks_since_s = now_s
+        self._kept = max(self._amount, self._in_use)
         return GrantWant(
             budget=self._name,
-            kept=max(self._amount, self._in_use),
+            kept=self._kept,
             in_use=self._in_use,
             wants=tuple(
                 WorkspaceWant(workspace=workspace, amount=amount)
@@ -165,6 +183,10 @@
         """Put a grant in force; return whether it freed units to return."""
         is_smaller = grant.amount < self._amount
         self._amount = grant.amount
+        self._kept = max(self._kept, grant.amount)
+        self._answered = self._requested
+        wanted = sum(self._stated.values()) if self._stated else 0
+        self._is_denied = wanted > grant.amount
         self._expires_at_s = expires_at_s
         names = [part.workspace for part in grant.parts]
         shares = fair_share(
@@ -176,7 +198,9 @@
     def _has_room(self, workspace: str, amount: int) -> bool:
         if self._in_use + amount > self._amount:
             return False
-        if not self._parts:
+        # Where wants are stated, a queue orders the requests of all budgets
+        # by the parts. Parts of single budgets are too small to keep free.
+        if not self._parts or self._stated is not None:
             return True
         # Units set aside for other workspaces that use less than their part.
         set_aside = sum(
--- a/tests/test_budget_taker.py
+++ b/tests/test_budget_taker.py
@@ -6,7 +6,11 @@
     RateBudget,
     shard_of,
 )
-from verbenaworks.budget_taker import BudgetTaker
+from verbenaworks.budget_taker import (
+    LACK_GAP_S,
+    UNIT_GAP_MAX_S,
+    BudgetTaker,
+)
 from verbenaworks.grant import (
     Grant,
     GrantReply,
@@ -221,3 +225,53 @@
     request = setup.request(1.0)
     assert len(encode(request)) <= 64
     assert len(encode(setup.reply(request.seq, 10_000, depth=50))) <= 64
+
+
+def test_unit_released_above_the_grant_is_returned_soon() -> None:
+    """Guards against units that stay idle until the regular request.
+
+    A unit in use cannot move when a grant becomes smaller, only when its
+    use ends.
+    """
+    setup = _Setup(_SLOTS)
+    setup.start(2)
+    holds = [setup.take(0.1), setup.take(0.1)]
+    request = setup.request(1.0)
+    assert setup.taker.accept(1.01, setup.reply(request.seq, 1))
+    again = setup.request(1.0 + LACK_GAP_S)
+    assert setup.taker.accept(1.06, setup.reply(again.seq, 1))
+    assert setup.taker.due_at_s() > 1.5
+    assert holds[0] is not None
+    assert setup.taker.release(1.2, holds[0])
+    assert setup.taker.due_at_s() <= 1.2
+    assert setup.request(1.2).entries[0].kept == 1
+
+
+def test_wanted_units_are_asked_for_again_soon() -> None:
+    """Guards against units that wait at the owner for a taker in need."""
+    setup = _Setup(_SLOTS)
+    setup.start(1)
+    setup.taker.state_wants(0.1, "slots", {"acme": 4})
+    now_s = 1.0
+    for _ in range(5):
+        request = setup.request(now_s)
+        assert setup.taker.accept(now_s, setup.reply(request.seq, 2))
+        now_s += UNIT_GAP_MAX_S
+    assert setup.taker.answered_wants("slots") == {"acme": 4}
+
+
+def test_stated_wants_leave_the_order_to_the_queue() -> None:
+    """Guards against units that are kept free for absent requests.
+
+    The parts of one target are a unit or two; the admission queue orders
+    requests by the parts of all targets.
+    """
+    setup = _Setup(_SLOTS)
+    parts = (
+        WorkspaceWant(workspace="chain", amount=1),
+        WorkspaceWant(workspace="framer", amount=1),
+    )
+    setup.start(2, parts=parts)
+    setup.taker.state_wants(0.1, "slots", {"chain": 2, "framer": 1})
+    assert setup.take(0.1, "chain") is not None
+    assert setup.take(0.1, "chain") is not None
