Ask for region load with the slots; spill by answered wants only

A want counted as denied before its owner had seen it, so wants went from target to target. A region without enough load lost all wants of an instance for a moment, with the slots that were in use.

Change: wants for region load are the slots held in the region. Only wants that the owner has answered count as denied. Held units stay where they are. In a region that grants less load than slots, an instance asks for what it uses and its free load. The end of a request serves all services, since it frees a unit of the region's load. The model samples where the units are.

--- a/packages/verbenad/src/verbenad/dispatcher.py
+++ b/packages/verbenad/src/verbenad/dispatcher.py
@@ -19,6 +19,8 @@
 
     :param queue: admission queue of the service.
     :param choice: choice of targets, shared by all services.
+    :param serve_all: serves all services; an ended request frees a unit of
+        its region's load, for which requests of other services may wait.
     """
 
     def __init__(
@@ -27,7 +29,9 @@
         queue: AdmissionQueue,
         choice: TargetChoice,
         now_s: Callable[[], float],
+        serve_all: Callable[[], None] | None = None,
     ) -> None:
+        self._serve_all = serve_all or self.serve
         self._queue = queue
         self._choice = choice
         self._now_s = now_s
@@ -70,7 +74,7 @@
         now_s = self._now_s()
         self._choice.finish(now_s, choice, outcome)
         self._queue.ended(now_s, choice.workspace)
-        self.serve()
+        self._serve_all()
 
     def serve(self) -> None:
         """Start waiting requests; call it when units may be free."""
--- a/packages/verbenad/src/verbenad/divided_units.py
+++ b/packages/verbenad/src/verbenad/divided_units.py
@@ -20,6 +20,8 @@
 
     :param budget_name: budget of a member by the member's name.
     :param may_ask: whether units of a member are of use now.
+    :param room: how many more units in a region are of use; None if that
+        is not limited.
     """
 
     def __init__(
@@ -30,14 +32,17 @@
         now_s: Callable[[], float],
         budget_name: Callable[[str], str],
         may_ask: Callable[[TargetInfo], bool] | None = None,
+        room: Callable[[str], int | None] | None = None,
     ) -> None:
         self._loop = loop
         self._place = place
         self._now_s = now_s
         self._budget_name = budget_name
         self._may_ask = may_ask
+        self._room = room
         self._handles: dict[str, BudgetHandle] = {}
         self._holds: dict[tuple[str, str], list[Hold]] = {}
+        self._used: Counter[str] = Counter()
         self._groups: dict[str, Sequence[TargetInfo]] = {}
         self._splits: dict[str, UnitSplit] = {}
         self._wants: dict[str, dict[str, int]] = {}
@@ -53,6 +58,22 @@
         """Return the members of a group that may get new work."""
         return self._groups.get(service, ())
 
+    def groups(self) -> Sequence[str]:
+        """Return the names of all groups."""
+        return list(self._groups)
+
+    def held(self) -> Counter[str]:
+        """Return the granted or used units by region of their members."""
+        found: Counter[str] = Counter()
+        now_s = self._now_s()
+        for targets in self._groups.values():
+            for target in targets:
+                budget = self._budget(target.name)
+                found[target.region] += budget.taker.held(now_s, budget.name)[
+                    0
+                ]
+        return found
+
     def available(self, target: str) -> int:
         """Return the granted units that are not in use."""
         budget = self._budget(target)
@@ -65,11 +86,13 @@
         if hold is None:
             return False
         self._holds.setdefault((target, workspace), []).append(hold)
+        self._used[target] += 1
         return True
 
     def release(self, target: str, workspace: str) -> None:
         """Return one unit that :meth:`take` put in use."""
         hold = self._holds[target, workspace].pop()
+        self._used[target] -= 1
         self._budget(target).taker.release(self._now_s(), hold)
 
     def share(self, service: str, workspace: str) -> float:
@@ -110,15 +133,34 @@
         for target in targets:
             budget = self._budget(target.name)
             granted = budget.taker.granted_parts(now_s, budget.name)
-            split.granted(now_s, target.name, granted)
+            answered = budget.taker.answered_wants(budget.name)
+            split.granted(now_s, target.name, granted, answered)
             shares.update(granted)
         self._shares[service] = shares
         parts = split.split(
-            now_s, self._wants.get(service, {}), self._useful(targets)
+            now_s,
+            self._wants.get(service, {}),
+            self._useful(targets),
+            self._rooms(targets),
         )
         for target in targets:
             self._state(now_s, target.name, parts.get(target.name, {}))
 
+    def _rooms(self, targets: Sequence[TargetInfo]) -> dict[str, int]:
+        """Return the units of use in the regions where they are limited."""
+        rooms: dict[str, int] = {}
+        if self._room is None:
+            return rooms
+        for region in {target.region for target in targets}:
+            room = self._room(region)
+            if room is not None:
+                rooms[region] = room + sum(
+                    self._used[target.name]
+                    for target in targets
+                    if target.region == region
+                )
+        return rooms
+
     def _useful(self, targets: Sequence[TargetInfo]) -> Sequence[TargetInfo]:
         may_ask = self._may_ask
         if may_ask is None:
--- a/packages/verbenad/src/verbenad/region_units.py
+++ b/packages/verbenad/src/verbenad/region_units.py
@@ -13,11 +13,12 @@
 from verbenaworks.near_table import Place
 from verbenaworks.target import TargetInfo
 
-# Units asked for beyond those in use, so that a request seldom waits.
-RESERVE = 4
-# Several round trips between regions; a region that granted nothing in this
-# time counts as full for the division of slots.
+# Several round trips between regions; a region that granted less load than
+# slots for this time counts as full for the division of slots.
 DENIED_AFTER_S = 0.15
+# A region counts as full for this long after it last granted too little, so
+# that slots there are not asked for again at once.
+FULL_S = 1.0
 
 
 class RegionUnits:
@@ -38,9 +39,11 @@
             budget_name=region_budget_name,
         )
         self._in_use: dict[str, int] = {}
+        self._slots: dict[str, int] = {}
         self._stated: dict[str, int] = {}
         self._used_parts: dict[tuple[str, str], list[str]] = {}
         self._short_since_s: dict[str, float] = {}
+        self._full_until_s: dict[str, float] = {}
 
     def set_config(self, config: CompiledConfig) -> None:
         """Take over the parts of all regions."""
@@ -62,10 +65,7 @@
         """
         for part in self._parts.members(target):
             if self._parts.available(part.name) > 0:
-                self._short_since_s.pop(target, None)
                 return 1
-        self._short_since_s.setdefault(target, self._now_s())
-        self._state(target)
         return 0
 
     def take(self, target: str, workspace: str) -> bool:
@@ -87,16 +87,41 @@
         self._parts.release(part, workspace)
         self._in_use[target] -= 1
 
+    def held(self) -> Mapping[str, int]:
+        """Return the granted or used units by region."""
+        return self._parts.held()
+
+    def set_slots(self, slots: Mapping[str, int]) -> None:
+        """State wants that match the slots held here, by region.
+
+        A slot is of no use without a unit of its region's load, nor a unit
+        without a slot.
+        """
+        now_s = self._now_s()
+        held = self._parts.held()
+        for region in self._parts.groups():
+            self._slots[region] = slots.get(region, 0)
+            self._state(region)
+            if self._slots[region] <= held[region]:
+                self._short_since_s.pop(region, None)
+                continue
+            since_s = self._short_since_s.setdefault(region, now_s)
+            if now_s - since_s >= DENIED_AFTER_S:
+                self._full_until_s[region] = now_s + FULL_S
+
     def want(self, service: str, workspace: str, amount: int) -> None:
-        """Do nothing: the wants follow the units in use."""
-
-    def is_full(self, region: str) -> bool:
-        """Return whether a region has granted nothing for some time."""
-        since_s = self._short_since_s.get(region)
-        return (
-            since_s is not None
-            and self._now_s() - since_s >= DENIED_AFTER_S
-            and self.available(region) == 0
+        """Do nothing: the wants follow the slots."""
+
+    def room(self, region: str) -> int | None:
+        """Return the free units of a region that grants too little load.
+
+        None if the region grants as much load as slots.
+        """
+        if self._now_s() >= self._full_until_s.get(region, 0.0):
+            return None
+        return sum(
+            self._parts.available(part.name)
+            for part in self._parts.members(region)
         )
 
     def restate(self) -> None:
@@ -106,17 +131,11 @@
         self._parts.restate()
 
     def _state(self, region: str) -> None:
-        """State the wants when they have changed by more than a little.
-
-        Each statement divides the wants over all parts, which costs as much
-        as the choice of a target.
-        """
         in_use = self._in_use.get(region, 0)
-        stated = self._stated.get(region, 0)
-        if in_use + RESERVE // 2 <= stated <= 2 * (in_use + RESERVE):
-            return
-        self._stated[region] = in_use + max(RESERVE, in_use // 2)
-        self._parts.want(region, "", self._stated[region])
+        wanted = max(in_use, self._slots.get(region, 0))
+        if wanted != self._stated.get(region):
+            self._stated[region] = wanted
+            self._parts.want(region, "", wanted)
 
 
 def _as_member(region: str, part: str, capacity: int) -> TargetInfo:
--- a/packages/verbenad/src/verbenad/service_desk.py
+++ b/packages/verbenad/src/verbenad/service_desk.py
@@ -37,18 +37,19 @@
     ) -> None:
         self._place = place
         self._now_s = now_s
-        self._region_units = RegionUnits(loop=loop, place=place, now_s=now_s)
+        self.region_units = RegionUnits(loop=loop, place=place, now_s=now_s)
         self.units = DividedUnits(
             loop=loop,
             place=place,
             now_s=now_s,
             budget_name=slots_budget_name,
             may_ask=self._may_ask,
+            room=self.region_units.room,
         )
         self.choice = TargetChoice(
             place=place,
             units=self.units,
-            region_units=self._region_units,
+            region_units=self.region_units,
             random=random,
         )
         self.dispatchers: dict[str, Dispatcher] = {}
@@ -70,7 +71,7 @@
 
     def set_config(self, config: CompiledConfig) -> None:
         """Take over the services of a configuration."""
-        self._region_units.set_config(config)
+        self.region_units.set_config(config)
         for name in self.dispatchers.keys() - config.services.keys():
             del self.dispatchers[name], self._targets[name]
         for service in config.services.values():
@@ -110,6 +111,10 @@
 
     def serve(self) -> None:
         """Start waiting requests after grants have changed."""
+        self.grants_changed()
+        self._serve_all()
+
+    def _serve_all(self) -> None:
         for dispatcher in self.dispatchers.values():
             dispatcher.serve()
 
@@ -123,8 +128,13 @@
         """State the wanted units; call it every ``WANTS_PERIOD_S``."""
         for dispatcher in self.dispatchers.values():
             dispatcher.state_wants()
-        self._region_units.restate()
+        self.region_units.restate()
         self.units.restate()
+        self.grants_changed()
+
+    def grants_changed(self) -> None:
+        """Ask for region load to match the slots."""
+        self.region_units.set_slots(self.units.held())
 
     def region_measurements(self, region: str) -> ShiftMeasurements | None:
         """Return the load of a region by its targets' reports.
@@ -173,9 +183,7 @@
         now_s = self._now_s()
         if now_s < self._avoided.get(target.name, 0.0):
             return False
-        if not self.choice.is_in_service(now_s, target.service, target.name):
-            return False
-        return not self._region_units.is_full(target.region)
+        return self.choice.is_in_service(now_s, target.service, target.name)
 
     def _add(self, service: ServiceConfig) -> None:
         name = service.name
@@ -191,7 +199,10 @@
             shares=self.units,
         )
         self.dispatchers[name] = Dispatcher(
-            queue=queue, choice=self.choice, now_s=self._now_s
+            queue=queue,
+            choice=self.choice,
+            now_s=self._now_s,
+            serve_all=self._serve_all,
         )
         self._retries[name] = RetryBudget(share=service.policy.retry_share)
 
--- a/packages/verbenaworks/src/verbenaworks/unit_split.py
+++ b/packages/verbenaworks/src/verbenaworks/unit_split.py
@@ -11,7 +11,7 @@
 fairness.
 """
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from hashlib import blake2b
 
 from verbenaworks.near_table import Place
@@ -30,20 +30,30 @@
         self._place = place
         self._denied_until_s: dict[tuple[str, str], float] = {}
         self._limits: dict[tuple[str, str], int] = {}
-        self._asked: dict[str, dict[str, int]] = {}
+        self._answered: dict[str, Mapping[str, int]] = {}
         self._granted: dict[str, Mapping[str, int]] = {}
         self._ranks: dict[str, tuple[int, int]] = {}
         self._turn = 0
 
     def granted(
-        self, now_s: float, target: str, parts: Mapping[str, int]
+        self,
+        now_s: float,
+        target: str,
+        parts: Mapping[str, int],
+        answered: Mapping[str, int],
     ) -> None:
         """Record a grant; less than was asked means that units are short.
 
         :param parts: the granted units by workspace.
+        :param answered: the wants that the grant answers; the same object
+            until the next answer. Wants that the owner has not seen yet say
+            nothing of its units.
         """
         self._granted[target] = parts
-        for workspace, asked in self._asked.get(target, {}).items():
+        if answered is self._answered.get(target):
+            return
+        self._answered[target] = answered
+        for workspace, asked in answered.items():
             key = target, workspace
             amount = parts.get(workspace, 0)
             if amount < asked:
@@ -59,12 +69,15 @@
         now_s: float,
         wants: Mapping[str, int],
         targets: Sequence[TargetInfo],
+        rooms: Mapping[str, int] | None = None,
     ) -> dict[str, dict[str, int]]:
         """Return the units to ask for, by target and workspace.
 
         :param wants: wanted units by workspace.
         :param targets: the targets that may be used, without those that
             leave or are ejected.
+        :param rooms: the units to ask for in regions where more are of no
+            use; what no target grants is still asked for there.
         """
         self._turn = int(now_s / _ROTATE_S)
         self._denied_until_s = {
@@ -77,10 +90,13 @@
         result: dict[str, dict[str, int]] = {t.name: {} for t in order}
         near = [t for t in order if t.region == self._place.region]
         far = [t for t in order if t.region != self._place.region]
-        self._fill(near, left, result)
-        self._fill(far, left, result)
+        regions = dict(rooms) if rooms else {}
+        for group in near, far:
+            # Units that are held stay where they are: a unit that moves
+            # is idle meanwhile.
+            self._fill(group, left, result, regions, self._held)
+            self._fill(group, left, result, regions, self._room)
         self._fill_excess(near or far, left, result)
-        self._asked = result
         return result
 
     def _fill(
@@ -88,22 +104,34 @@
         targets: Sequence[TargetInfo],
         left: dict[str, int],
         result: Mapping[str, dict[str, int]],
+        regions: dict[str, int],
+        room: Callable[[TargetInfo, str], int],
     ) -> None:
-        """Move wanted units to targets one by one, evenly over workspaces."""
+        """Move wanted units to targets one by one, evenly over workspaces.
+
+        :param room: how many units of a target to ask for, by workspace.
+        """
         turn = 0
-        rooms = {target.name: target.slots for target in targets}
+        rooms = {
+            target.name: target.slots - sum(result[target.name].values())
+            for target in targets
+        }
         moved = True
         while left and moved:
             moved = False
             for target in targets:
-                if rooms[target.name] == 0:
+                if rooms[target.name] <= 0:
+                    continue
+                if regions.get(target.region) == 0:
                     continue
                 part = result[target.name]
-                workspace = self._next(target, part, left, turn)
+                workspace = self._next(target, part, left, turn, room)
                 if workspace is None:
                     continue
                 _move(part, left, workspace)
                 rooms[target.name] -= 1
+                if target.region in regions:
+                    regions[target.region] -= 1
                 turn += 1
                 moved = True
 
@@ -113,12 +141,13 @@
         part: Mapping[str, int],
         left: Mapping[str, int],
         turn: int,
+        room: Callable[[TargetInfo, str], int],
     ) -> str | None:
         """Return a workspace that the target may grant one more unit."""
         names = list(left)
         for offset in range(len(names)):
             workspace = names[(turn + offset) % len(names)]
-            if part.get(workspace, 0) < self._room(target, workspace):
+            if part.get(workspace, 0) < room(target, workspace):
                 return workspace
         return None
 
@@ -144,10 +173,14 @@
                         _move(part, left, workspace)
                         moved = True
 
+    def _held(self, target: TargetInfo, workspace: str) -> int:
+        """Return how many units the target grants to a workspace now."""
+        return self._granted.get(target.name, {}).get(workspace, 0)
+
     def _room(self, target: TargetInfo, workspace: str) -> int:
         """Return how many units the target may grant to a workspace."""
         key = target.name, workspace
-        granted = self._granted.get(target.name, {}).get(workspace, 0)
+        granted = self._held(target, workspace)
         if key in self._denied_until_s:
             return granted
         usual = target.slots if target.region == self._place.region else 1
--- a/tests/test_region_units.py
+++ b/tests/test_region_units.py
@@ -122,7 +122,7 @@
         place=place,
         now_s=lambda: clock[0],
         budget_name=lambda name: f"slots/{name}",
-        may_ask=lambda target: not regions.is_full(target.region),
+        room=regions.room,
     )
     targets = [
         TargetInfo(
@@ -140,10 +140,9 @@
     slots.set_targets("s", targets)
     slots.want("s", "w", 3)
     for _ in range(8):
-        regions.available("near")
-        regions.available("far")
         regions.restate()
         slots.restate()
+        regions.set_slots(slots.held())
         loop.advance(0.25)
     assert slots.available("s/far") > 0
     assert regions.available("far") > 0
@@ -151,3 +150,36 @@
     assert regions.take("far", "w")
     regions.release("far", "w")
     slots.release("s/far", "w")
+
+
+def test_region_load_is_asked_for_with_the_slots() -> None:
+    """Guards against load that is held idle where there are no slots.
+
+    Each instance held some units of each region in reserve, together half
+    of the capacity.
+    """
+    budgets: list[Budget] = [
+        LevelBudget(name=f"region/{region}/{part}", capacity=10)
+        for region in ("near", "far")
+        for part in range(8)
+    ]
+    clock = [0.0]
+    loop = _Loop(budgets, clock)
+    regions = RegionUnits(
+        loop=loop,  # type: ignore[arg-type]
+        place=Place(
+            instance="e1",
+            region="near",
+            failure_domain="near-1",
+            domain_delay_s=0.001,
+            region_delay_s=0.01,
+        ),
+        now_s=lambda: clock[0],
+    )
+    regions.set_config(_config())
+    for _ in range(4):
+        regions.set_slots({"near": 5})
+        loop.advance(0.25)
+    assert regions.held()["near"] >= 5
+    assert regions.held()["far"] == 0
+    assert regions.room("near") is None
--- a/tests/test_service_desk.py
+++ b/tests/test_service_desk.py
@@ -3,7 +3,10 @@
 from collections.abc import Callable
 from random import Random
 
+from verbenad.dispatcher import Dispatcher
 from verbenad.service_desk import AVOID_S, ServiceDesk
+from verbenaworks.attempt_outcome import Cancelled
+from verbenaworks.choice_result import Choice, Mode
 from verbenaworks.near_table import Place
 from verbenaworks.target import TargetInfo
 
@@ -20,6 +23,9 @@
     def granted_parts(self, now_s: float, budget: str) -> dict[str, int]:
         return {}
 
+    def answered_wants(self, budget: str) -> dict[str, int]:
+        return {}
+
     def state_wants(
         self, now_s: float, budget: str, wants: dict[str, int]
     ) -> None:
@@ -64,6 +70,41 @@
     )
 
 
+class _Ended:
+    """A queue and a choice that only accept the end of a request."""
+
+    def ended(self, now_s: float, workspace: str) -> None:
+        """Do nothing."""
+
+    def finish(self, now_s: float, choice: object, outcome: object) -> None:
+        """Do nothing."""
+
+
+def test_an_ended_request_serves_all_services() -> None:
+    """Guards against region load that is idle while another service waits.
+
+    The end of a request served its own service only.
+    """
+    served = []
+    ended = _Ended()
+    dispatcher = Dispatcher(
+        queue=ended,  # type: ignore[arg-type]
+        choice=ended,  # type: ignore[arg-type]
+        now_s=lambda: 0.0,
+        serve_all=lambda: served.append(True),
+    )
+    choice = Choice(
+        target=_target("a"),
+        workspace="w",
+        started_s=0.0,
+        expected_s=0.0,
+        mode=Mode.SAFE,
+        left_out=(),
+    )
+    dispatcher.finish(choice, Cancelled())
+    assert served == [True]
+
+
 def test_slots_are_asked_for_elsewhere_after_a_failure() -> None:
     """Guards against a retry that waits for slots until its deadline.
 
--- a/tests/test_unit_split.py
+++ b/tests/test_unit_split.py
@@ -17,18 +17,50 @@
     wants = {"w": 3}
     first = split.split(0.0, wants, (FAR, NEAR))
     assert _sums(first) == {"near": 3, "far": 0}
-    split.granted(0.1, "near", {"w": 1})
+    split.granted(0.1, "near", {"w": 1}, first["near"])
     second = split.split(0.2, wants, (FAR, NEAR))
     assert second["far"] == {"w": 1}
-    split.granted(0.3, "near", {"w": 1})
-    split.granted(0.3, "far", {"w": 1})
+    split.granted(0.3, "near", {"w": 1}, second["near"])
+    split.granted(0.3, "far", {"w": 1}, second["far"])
     third = split.split(0.4, wants, (FAR, NEAR))
     assert _sums(third) == {"near": 1, "far": 2}
-    split.granted(5.0, "near", {"w": 3})
+    split.granted(5.0, "near", {"w": 3}, {"w": 3})
     last = split.split(5.1, {"w": 2}, (FAR, NEAR))
     assert _sums(last) == {"near": 2, "far": 0}
 
 
+def test_wants_that_were_not_answered_are_not_denied() -> None:
+    """Guards against wants that move on before the owner has seen them.
+
+    Units then went from one target to the next and were idle meanwhile.
+    """
+    split = UnitSplit(PLACE)
+    answered: dict[str, int] = {}
+    for step in range(3):
+        split.granted(step / 10, "near", {}, answered)
+        parts = split.split(step / 10, {"w": 3}, (FAR, NEAR))
+        assert _sums(parts) == {"near": 3, "far": 0}
+
+
+def test_held_units_stay_where_they_are() -> None:
+    """Guards against units that move to the first target of the order."""
+    split = UnitSplit(PLACE)
+    targets = [target(f"t{number}", slots=4) for number in range(4)]
+    first = split.split(0.0, {"w": 4}, targets)
+    assert sum(_sums(first).values()) == 4
+    for held in targets:
+        split.granted(1.0, held.name, {}, {})
+    split.granted(1.0, "t2", {"w": 4}, {"w": 4})
+    assert split.split(1.1, {"w": 4}, targets)["t2"] == {"w": 4}
+
+
+def test_full_region_gets_no_further_wants() -> None:
+    """Guards against slots in a region that grants no load for them."""
+    split = UnitSplit(PLACE)
+    parts = split.split(0.0, {"w": 3}, (FAR, NEAR), {"nairobi": 2})
+    assert _sums(parts) == {"near": 2, "far": 1}
+
+
 def test_region_load_matches_granted_slots() -> None:
     """Guards against units of region load without a slot."""
     granted = {"near": {"a": 2, "b": 1}, "far": {"a": 1}}
--- a/tools/choice_model.py
+++ b/tools/choice_model.py
@@ -45,6 +45,7 @@
 REFRESH_S = 0.25
 REPORT_PERIOD_S = 1.0
 REPORT_LAG_S = 0.5
+SAMPLE_S = 0.25
 LIST_LAG_S = 3.0
 CONNECT_TIMEOUT_S = 0.5
 HEADROOM_SHARE = 0.9
@@ -128,6 +129,7 @@
     latencies_s: list[float] = field(default_factory=list)
     peak_region_share: float = 0.0
     over_slots: int = 0
+    units: Counter[str] = field(default_factory=Counter)
     by_service: dict[str, Counter[str]] = field(
         default_factory=lambda: defaultdict(Counter)
     )
@@ -298,6 +300,7 @@
                 instance.queues[name] = dispatcher.queue
 
             def serve() -> None:
+                member.desk.grants_changed()
                 for name in self.lists:
                     self.serve(instance, name)
 
@@ -328,6 +331,7 @@
         for name in self.services:
             self._next_arrival(name)
         self._report()
+        self._sample()
         if scenario.policy == EXACT:
             self._refresh()
         if self.lost is not None:
@@ -353,6 +357,30 @@
             self.events, (self.now_s + delay_s, next(self.order), action)
         )
 
+    # Losses
+
+    def _sample(self) -> None:
+        """Add up where the units of live regions are."""
+        self.after(SAMPLE_S, self._sample)
+        if self.fleet is None or self.now_s < self.scenario.warm_up_s:
+            return
+        units = self.result.units
+        units["samples"] += 1
+        for region, limit in self.limits.items():
+            if region == self.lost:
+                continue
+            units["limit"] += limit
+            units["running"] += self.region_load[region]
+            for instance in self.instances:
+                if not instance.alive or instance.member is None:
+                    continue
+                slots = instance.member.desk.units.held()[region]
+                load = instance.member.desk.region_units.held()[region]
+                units["slots"] += slots
+                units["load"] += load
+                units["load without slots"] += max(0, load - slots)
+                units["slots without load"] += max(0, slots - load)
+
     # Callers
 
     def _next_arrival(self, service: str) -> None:
@@ -769,7 +797,10 @@
                 idempotent=True,
                 tried=self.request.tried | {choice.target.name},
             )
-        model.serve(instance, self.spec.name)
+        # A unit of the region's load may serve another service.
+        for name in model.lists:
+            if len(instance.queues[name]):
+                model.serve(instance, name)
         if again:
             self.offer()
         else:
--- a/tools/measure_choice.py
+++ b/tools/measure_choice.py
@@ -76,6 +76,10 @@
         "wrongful_share": wrongful / sent if sent else None,
         "worst_share": min(result.good[w] / fair[w] for w in judged),
         "queued_at_targets": result.over_slots,
+        "units": {
+            name: count / result.units["limit"]
+            for name, count in result.units.items()
+        },
     }
 
 
@@ -174,6 +178,13 @@
     parts.append(f"{row['worst_share']:7.3f}")
     if row["policy"] == EXCHANGE:
         parts.append("  " + "; ".join(judge(row)))
+        parts.append(
+            "; units of load: "
+            + ", ".join(
+                f"{name} {row['units'][name]:.2f}"
+                for name in ("running", "load", "load without slots")
+            )
+        )
     return "".join(parts)
 
 
