--- a/packages/verbenaworks/src/verbenaworks/budget_taker.py
+++ b/packages/verbenaworks/src/verbenaworks/budget_taker.py
@@ -29,6 +29,10 @@
 LACK_GAP_S = 0.05
 LACK_GAP_MAX_S = 0.5
 
+# The same while units are wanted that others hold. Each unit that moves is
+# idle until the taker asks again.
+UNIT_GAP_MAX_S = 0.1
+
 # A budget nobody asked for during this time is returned.
 IDLE_S = 3.0
 
@@ -179,6 +183,17 @@
             case _:
                 return {}
 
+    def answered_wants(self, budget: str) -> Mapping[str, int]:
+        """Return the wants that the newest grant of units answers.
+
+        It is the same object until the next grant.
+        """
+        match self._holdings.get(budget):
+            case LevelHolding() as holding:
+                return holding.answered
+            case _:
+                return {}
+
     def state_wants(
         self, now_s: float, budget: str, wants: Mapping[str, int]
     ) -> None:
@@ -232,10 +247,10 @@
         if self._is_waiting:
             return self._sent_at_s + RETRY_S
         due_s = self._full_at_s + self._exchange_s
-        if self._surplus:
+        if any(map(self._has_surplus, self._holdings)):
             return min(due_s, self._sent_at_s + LACK_GAP_S)
         if any(holding.is_short for holding in self._holdings.values()):
-            return min(due_s, self._sent_at_s + self._lack_gap_s)
+            return min(due_s, self._sent_at_s + self._short_gap_s())
         return due_s
 
     def next_request(self, now_s: float) -> GrantRequest | None:
@@ -279,7 +294,7 @@
             names = [
                 name
                 for name, holding in self._holdings.items()
-                if holding.is_short or name in self._surplus
+                if holding.is_short or self._has_surplus(name)
             ]
             if names:
                 return names
@@ -309,6 +324,21 @@
                 self._surplus.add(grant.budget)
         return True
 
+    def _has_surplus(self, name: str) -> bool:
+        """Return whether a part of a budget is to be returned."""
+        holding = self._holdings[name]
+        return name in self._surplus or (
+            isinstance(holding, LevelHolding) and holding.has_surplus
+        )
+
+    def _short_gap_s(self) -> float:
+        if any(
+            isinstance(holding, LevelHolding) and holding.is_short
+            for holding in self._holdings.values()
+        ):
+            return min(self._lack_gap_s, UNIT_GAP_MAX_S)
+        return self._lack_gap_s
+
     def _greet(self, epoch: int) -> None:
         # The next request proves to the owner that it was sent after it
         # started to issue.
