State which of two regions' link rates counts

Cause: the setting did not say what happens where two regions differ.

Change: its description names the lower value, as the budgets use it.

--- a/packages/verbenaworks/src/verbenaworks/settings_schema.py
+++ b/packages/verbenaworks/src/verbenaworks/settings_schema.py
@@ -204,7 +204,7 @@
         levels=("deployment", "region"),
         description=(
             "Bandwidth in each direction of the links between a region and "
-            "each other region."
+            "each other region; between two regions, the lower value counts."
         ),
     ),
     FieldSpec(
