--- a/tests/test_link_path.py
+++ b/tests/test_link_path.py
@@ -10,7 +10,6 @@
 import pytest
 import urllib3
 
-from standins.caller import Caller
 from standins.deployments import MATUNDA
 from standins.local_deployment import LocalDeployment
 
@@ -34,7 +33,7 @@
     )
     try:
         deployment.start()
-        _until(lambda: _caller(deployment).call("uploads").status == 200)
+        _until(lambda: _send(deployment, 1).status == 200)
         deployment.verbena("set", "/", "link_bytes_per_s=2000000", "--wait")
         deployment.verbena("drain", "start", "/regions/nairobi", "--wait")
         yield deployment
@@ -42,15 +41,25 @@
         deployment.stop()
 
 
-def _caller(deployment: LocalDeployment) -> Caller:
-    settings = deployment.settings
-    nairobi = [
+def _send(
+    deployment: LocalDeployment, body_bytes: int, deadline_s: float = 30.0
+) -> urllib3.BaseHTTPResponse:
+    """Send a body to the instance in nairobi."""
+    address = next(
         address.caller
         for address in deployment.instances.values()
         if address.region == "nairobi"
-    ]
-    return Caller(
-        nairobi, settings.addresses["nairobi"], settings.keys["large1"]
+    )
+    return urllib3.request(
+        "PUT",
+        f"http://{address}/s/uploads/x",
+        body=b"y" * body_bytes,
+        headers={
+            "X-Verbena-Key": deployment.settings.keys["large1"],
+            "X-Request-Deadline-Ms": str(int(deadline_s * 1000)),
+        },
+        timeout=LIMIT_S,
+        retries=False,
     )
 
 
@@ -80,8 +89,8 @@
 ) -> None:
     """Guards against bytes between regions that no budget counts."""
     before = _samples(local, "verbenad_link_bytes_total")
-    result = _caller(local).call("uploads", "PUT", "/x", b"y" * BODY_BYTES)
-    assert result.status == 200, result.code
+    answer = _send(local, BODY_BYTES)
+    assert answer.status == 200, answer.data
     after = _samples(local, "verbenad_link_bytes_total")
     assert after - before == BODY_BYTES
     # The burst is 1 MiB, so two of three megabytes had to wait.
@@ -92,15 +101,9 @@
     local: LocalDeployment,
 ) -> None:
     """Guards against a cut-off body that the caller takes for sent."""
-    result = _caller(local).call(
-        "uploads",
-        "PUT",
-        "/x",
-        b"y" * 9_000_000,
-        headers={"X-Request-Deadline-Ms": "1500"},
-    )
-    assert result.code in ("link-full", "deadline-exceeded")
-    assert result.run == "outcome unknown"
+    answer = _send(local, 9_000_000, deadline_s=1.5)
+    assert answer.json()["code"] in ("link-full", "deadline-exceeded")
+    assert answer.json()["run"] == "outcome unknown"
 
 
 def test_status_says_what_a_shift_is_doing(local: LocalDeployment) -> None:
