--- a/tests/fake_budget_loop.py
+++ b/tests/fake_budget_loop.py
@@ -1,7 +1,7 @@
 """Takers of budgets whose owners answer in the same process."""
 
 from verbenaworks.budget_owner import BudgetOwner
-from verbenaworks.budget_spec import Budget
+from verbenaworks.budget_spec import Budget, shard_of
 from verbenaworks.budget_taker import BudgetTaker
 from verbenaworks.control_record import SHARDS
 
@@ -19,7 +19,12 @@
 class FakeLoop:
     """Takers whose owners answer at once."""
 
-    def __init__(self, budgets: list[Budget], now_s: list[float]) -> None:
+    def __init__(
+        self,
+        budgets: list[Budget],
+        now_s: list[float],
+        started_at_s: float = -1e6,
+    ) -> None:
         self._now_s = now_s
         self._takers = []
         self._owners = []
@@ -28,12 +33,19 @@
             taker.configure(0.0, budgets)
             taker.owner_changed(1)
             owner = BudgetOwner(
-                shard=shard, lease=_Lease(), started_at_s=-1e6, wait_s=0.0
+                shard=shard,
+                lease=_Lease(),
+                started_at_s=started_at_s,
+                wait_s=0.0,
             )
             owner.configure(0.0, budgets)
             self._takers.append(taker)
             self._owners.append(owner)
 
+    def demand(self, budget: str) -> tuple[int, int] | None:
+        """Return what the owner says of the demand for a budget."""
+        return self._owners[shard_of(budget)].demand(self._now_s[0], budget)
+
     def taker_of(self, shard: int) -> BudgetTaker:
         """Return the taker of a shard."""
         return self._takers[shard]
--- a/tests/test_link_usage.py
+++ b/tests/test_link_usage.py
@@ -4,14 +4,13 @@
 from types import SimpleNamespace
 from typing import Any
 
+from fake_budget_loop import FakeLoop
 from link_config import RATE, config_with_links
 from verbenad.budget_plan import link_parts, plan_budgets
 from verbenad.bus import Sender
 from verbenad.link_usage import LinkUsage
-from verbenaworks.budget_owner import DEMAND_KNOWN_S, BudgetOwner
+from verbenaworks.budget_owner import DEMAND_KNOWN_S
 from verbenaworks.budget_spec import shard_of
-from verbenaworks.budget_taker import BudgetTaker
-from verbenaworks.control_record import SHARDS
 from verbenaworks.link_messages import LinkUse
 from verbenaworks.link_meter import TOKEN_BYTES
 
@@ -34,53 +33,35 @@
 
 class _World:
     def __init__(self) -> None:
-        self.now_s = 100.0
+        self.clock = [100.0]
         self.config = config_with_links()
         self.lost: set[int] = set()
         budgets = plan_budgets(self.config)
-        lease = SimpleNamespace(epoch=1, is_valid=lambda now_s: True)
-        self.takers, self.owners = [], []
-        for shard in range(SHARDS):
-            taker = BudgetTaker(shard=shard, taker="e1", incarnation=1)
-            taker.configure(0.0, budgets)
-            taker.owner_changed(1)
-            owner = BudgetOwner(
-                shard=shard, lease=lease, started_at_s=100.0, wait_s=0.0
-            )
-            owner.configure(0.0, budgets)
-            self.takers.append(taker)
-            self.owners.append(owner)
+        self.loop = FakeLoop(budgets, self.clock, started_at_s=100.0)
         self.usage = LinkUsage(
             loop=SimpleNamespace(demand=self._demand),  # type: ignore[arg-type]
             bus=_Bus(),  # type: ignore[arg-type]
             directory=SimpleNamespace(  # type: ignore[arg-type]
                 owner=lambda shard: SimpleNamespace(bus_address="here")
             ),
-            now_s=lambda: self.now_s,
+            now_s=lambda: self.clock[0],
         )
 
     def _demand(self, budget: str) -> tuple[int, int] | None:
-        shard = shard_of(budget)
-        if shard in self.lost:
+        if shard_of(budget) in self.lost:
             return None
-        return self.owners[shard].demand(self.now_s, budget)
+        return self.loop.demand(budget)
 
     def run(self, duration_s: float, bytes_per_s: float = 0.0) -> None:
         """Let a taker want a rate of the link from near to far."""
         parts = link_parts(self.config, "near", "far")
+        share = round(bytes_per_s / TOKEN_BYTES / len(parts) / 4)
         for _ in range(round(duration_s * 4)):
-            self.now_s += 0.25
-            share = bytes_per_s / TOKEN_BYTES / len(parts) / 4
             for part in parts:
-                taker = self.takers[shard_of(part.name)]
-                taker.ask(
-                    self.now_s, part.name, "", lack=0, demand=round(share)
+                self.loop.taker_of(shard_of(part.name)).ask(
+                    self.clock[0], part.name, "", lack=0, demand=share
                 )
-            for taker, owner in zip(self.takers, self.owners, strict=True):
-                request = taker.next_request(self.now_s)
-                reply = request and owner.handle(self.now_s, request)
-                if reply:
-                    taker.accept(self.now_s, reply)
+            self.loop.advance(0.25)
 
     def measure(self) -> Any:
         self.usage.ask(self.config, "far")
