--- a/packages/verbenad/src/verbenad/daemon.py
+++ b/packages/verbenad/src/verbenad/daemon.py
@@ -311,6 +311,11 @@
             "Messages to other instances that could not be queued.",
             lambda: float(self._bus.dropped),
         )
+        gauge(
+            "verbenad_bus_redialed_total",
+            "Connections to other instances that were opened anew.",
+            lambda: float(self._bus.redialed),
+        )
         gauge(
             "verbenad_bus_failed_total",
             "Messages from other instances on which a handler failed.",
