Test that a call that finds others waiting counts as demand

Cause: the change of rate_gate had no test of its own. Change: a test, and the mutation "a call that finds others waiting is no demand", which is run with the others before the landing.

--- /dev/null
+++ b/tests/test_rate_gate.py
@@ -0,0 +1,54 @@
+"""Tokens of requests that wait for the budget's next exchange."""
+
+from types import SimpleNamespace
+
+import eventlet
+
+from verbenad.budget_plan import rate_parts
+from verbenad.rate_gate import RateGate
+from verbenaworks.budget_spec import shard_of
+from verbenaworks.budget_taker import BudgetTaker
+from verbenaworks.compiled_config import WorkspaceConfig
+from verbenaworks.control_record import SHARDS
+
+
+class _Loop:
+    """Takers of all shards; sends nothing."""
+
+    def __init__(self) -> None:
+        self.takers = [
+            BudgetTaker(shard=shard, taker="i", incarnation=1)
+            for shard in range(SHARDS)
+        ]
+
+    def taker_of(self, shard: int) -> BudgetTaker:
+        return self.takers[shard]
+
+    def kick(self, shard: int) -> None:
+        pass
+
+
+def test_call_that_finds_others_waiting_counts_as_demand() -> None:
+    """Guards against a queue whose calls the owner never hears of."""
+    workspace = WorkspaceConfig(
+        name="acme",
+        rate_per_s=2.0,
+        burst=4.0,
+        allowed_services=frozenset(),
+        policies={},
+    )
+    (part,) = rate_parts(workspace)
+    loop = _Loop()
+    taker = loop.taker_of(shard_of(part.name))
+    taker.configure(0.0, [part])
+    clock = SimpleNamespace(now_s=10.0)
+    gate = RateGate(instance="i", loop=loop, now_s=lambda: clock.now_s)
+    gate.set_config(SimpleNamespace(workspaces={"acme": workspace}))
+    calls = [eventlet.spawn(gate.take, "acme", 10.5) for _ in range(3)]
+    eventlet.sleep(0)
+    request = taker.next_request(10.0)
+    clock.now_s = 11.0
+    gate.granted()
+    assert [call.wait() for call in calls] == [False] * 3
+    assert request is not None
+    assert request.entries[0].tokens_wanted == 3
--- a/tools/mutations_budgets.py
+++ b/tools/mutations_budgets.py
@@ -232,4 +232,11 @@
         new="due_s = self._sent_at_s + self._exchange_s",
         test=_TAKER,
     ),
+    Mutation(
+        name="a call that finds others waiting is no demand",
+        path="packages/verbenad/src/verbenad/rate_gate.py",
+        old="is_retry = is_counted",
+        new="is_retry = True",
+        test="tests/test_rate_gate.py",
+    ),
 ]
