--- a/tools/mutations_budgets.py
+++ b/tools/mutations_budgets.py
@@ -267,4 +267,11 @@
         new="False,",
         test="tests/test_demand_table.py",
     ),
+    Mutation(
+        name="a call that finds others waiting is no demand",
+        path="packages/verbenad/src/verbenad/rate_gate.py",
+        old="is_retry = is_counted",
+        new="is_retry = True",
+        test="tests/test_rate_gate.py",
+    ),
 ]
--- a/tools/mutations_bus.py
+++ b/tools/mutations_bus.py
@@ -6,7 +6,6 @@
 _SILENT = "tests/test_bus.py::test_silent_connection_is_opened_anew"
 _LINK = "tests/test_peer_link.py"
 _BUDGETS = "tests/test_budget_loop.py"
-_REGIONS = "tests/test_region_units.py"
 
 MUTATIONS = [
     Mutation(
@@ -37,20 +36,6 @@
         new="                link.number(now_s, is_answer=True),\n",
         test=f"{_SILENT}[talks]",
     ),
-    Mutation(
-        name="an unused region is asked for without end",
-        path=f"{_SRC}/region_units.py",
-        old="if unused_s < IDLE_S:",
-        new="if unused_s >= 0.0:",
-        test=f"{_REGIONS}::test_an_unused_region_is_not_asked_for",
-    ),
-    Mutation(
-        name="a region in use is not asked for after a while",
-        path=f"{_SRC}/region_units.py",
-        old="if region in self._asked or self._in_use.get(region, 0):",
-        new="if region in self._asked:",
-        test=f"{_REGIONS}::test_an_unused_region_is_not_asked_for",
-    ),
     Mutation(
         name="a lack does not wake the budget loop",
         path=f"{_SRC}/budget_loop.py",
@@ -72,13 +57,6 @@
         new="periods = 1.0 + 0.0 * late_s",
         test="tests/test_loop_timers.py::test_periodic_timers_share_wake_ups",
     ),
-    Mutation(
-        name="an instance keeps a slot without its region's load",
-        path=f"{_SRC}/region_units.py",
-        old="elif region == self._own_region and unused_s < KEEP_ONE_S:",
-        new="elif unused_s < 0.0:",
-        test=f"{_REGIONS}::test_an_unused_region_is_not_asked_for",
-    ),
     Mutation(
         name="addresses of unknown senders are kept without bound",
         path=f"{_SRC}/bus.py",
