Share the health of targets between a few probers of each

Cause: every instance probed every target each 1.5 s.

Ruled out: fewer probes by a longer period, since a sign must be seen by each instance; heartbeats from each prober to each instance, which need about 130 KB/s of a prober at 1,300 instances.

Change: three probers a target, chosen by rendezvous hashing in the library (probe_assignment); changes are sent until they are acknowledged (health_sender); words are accepted in order and judged (shared_health); load reports and signs of life go out at a fixed rate of bytes (load_sender). The daemon's target_prober runs the probes and carries the messages. A word that a target is leaving acts at once; a word that it fails acts after an own probe. An instance probes for itself when it hears nobody for 1 s, or none of a target's probers.

--- a/packages/verbenad/src/verbenad/bus.py
+++ b/packages/verbenad/src/verbenad/bus.py
@@ -77,7 +77,8 @@
         self._now_s = now_s
         self._handlers: dict[type, Handler] = {}
         self._peers: dict[str, _Peer] = {}
-        self._heard_at_s: dict[str, float] = {}
+        # When each address last sent anything.
+        self.heard_at_s: dict[str, float] = {}
         self._inbox = pynng.Pull0(
             listen=f"tcp://{address}", recv_max_size=MAX_MESSAGE_BYTES
         )
@@ -138,7 +139,7 @@
         if not isinstance(envelope, BusEnvelope):
             self.malformed += 1
             return
-        self._heard_at_s[envelope.sender.address] = self._now_s()
+        self.heard_at_s[envelope.sender.address] = self._now_s()
         self._deliver(envelope.sender, envelope.body)
 
     def _deliver(self, sender: Sender, body: bytes) -> None:
@@ -161,7 +162,7 @@
         now_s = self._now_s()
         peer = self._peers.get(address)
         if peer is not None:
-            heard_at_s = self._heard_at_s.get(address, 0.0)
+            heard_at_s = self.heard_at_s.get(address, 0.0)
             if now_s - max(heard_at_s, peer.dialed_at_s) <= REDIAL_AFTER_S:
                 return peer
             peer.socket.close()
--- a/packages/verbenad/src/verbenad/daemon.py
+++ b/packages/verbenad/src/verbenad/daemon.py
@@ -44,6 +44,7 @@
 from verbenad.shift_loop import ShiftLoop
 from verbenad.store_claims import StoreClaims
 from verbenad.store_client import StoreClient
+from verbenad.target_prober import TICK_S as PROBER_TICK_S
 from verbenad.target_prober import TargetProber
 from verbenad.upstream_pool import UpstreamPool
 from verbenaworks.agreed_state import AgreedState
@@ -104,11 +105,11 @@
         every(POOL_PERIOD_S, self._pool.close_expired)
         every(GENERATION_PERIOD_S, self._claims.query_generations)
         every(LIST_PERIOD_S, self._read_list)
+        every(PROBER_TICK_S, self._prober.tick)
         every(SHIFT_PERIOD_S, self._shifts.tick)
         every(REPORT_PERIOD_S, self._report_self)
         every(FLUSH_PERIOD_S, self._lines.flush)
         self._fleet.start(self._timers)
-        eventlet.spawn_n(self._prober.run)
         self._admin.start()
         self._front.start()
 
@@ -222,11 +223,13 @@
             now_s=self._now_s,
         )
         self._prober = TargetProber(
+            instance=self._instance,
+            bus=self._bus,
             choice=self._desk.choice,
             forwarder=forwarder,
             connection_limit=self._desk.connection_limit,
             now_s=self._now_s,
-            instances=self._fleet.live_count,
+            random=self._random,
             on_change=self._desk.serve_one,
         )
         runner = CallRunner(
@@ -321,6 +324,35 @@
             lambda: float(self._lines.dropped_lines),
         )
 
+        source = self.metrics.counter_source
+        source(
+            "verbenad_target_probes_total",
+            "Health probes by reason: duty, check or alone.",
+            "why",
+            self._prober.probes,
+        )
+        source(
+            "verbenad_health_messages_total",
+            "Messages about the health and load of targets.",
+            "kind",
+            self._prober.messages,
+        )
+        gauge(
+            "verbenad_health_bytes_total",
+            "Bytes of sent messages about the health and load of targets.",
+            lambda: float(self._prober.sent_bytes),
+        )
+        gauge(
+            "verbenad_health_unacknowledged",
+            "Missing acknowledgements of changes in the health of targets.",
+            lambda: float(self._prober.unacknowledged),
+        )
+        gauge(
+            "verbenad_targets_probed_alone",
+            "Targets probed here because none of their probers is heard.",
+            lambda: float(self._prober.probing_alone()),
+        )
+
     def _on_state(self, state: AgreedState) -> None:
         if (
             self._config is None
@@ -341,13 +373,19 @@
         self._budgets.set_config(config)
         self._gate.set_config(config)
         self._desk.set_config(config)
-        self._prober.set_targets(self._desk.targets)
+        self._set_probed()
         self._table.set_config(config)
 
     def _on_members(self) -> None:
         self._table.set_instances(self._fleet.entry_instances())
         self._desk.set_instances(self._fleet.regions())
-        self._prober.set_targets(self._desk.targets)
+        self._prober.set_members(self._fleet.members())
+        self._set_probed()
+
+    def _set_probed(self) -> None:
+        self._prober.set_targets(
+            self._desk.all_targets, {t.name for t in self._desk.targets}
+        )
 
     def _on_granted(self) -> None:
         self._gate.granted()
--- a/packages/verbenad/src/verbenad/fleet.py
+++ b/packages/verbenad/src/verbenad/fleet.py
@@ -151,10 +151,6 @@
             return False
         return member.state is MemberState.ALIVE
 
-    def live_count(self) -> int:
-        """Return the number of running instances, this one included."""
-        return sum(m.is_running for m in self._membership.members())
-
     def regions(self) -> dict[str, str]:
         """Return the region of each running instance by name."""
         return {
--- a/packages/verbenad/src/verbenad/service_desk.py
+++ b/packages/verbenad/src/verbenad/service_desk.py
@@ -58,6 +58,11 @@
         self._plans: dict[str, Mapping[str, int]] = {}
         self._avoided: dict[str, float] = {}
 
+    @property
+    def all_targets(self) -> list[TargetInfo]:
+        """Return the targets of all services."""
+        return [t for targets in self._targets.values() for t in targets]
+
     @property
     def targets(self) -> list[TargetInfo]:
         """Return the targets that this instance may use."""
--- a/packages/verbenad/src/verbenad/target_prober.py
+++ b/packages/verbenad/src/verbenad/target_prober.py
@@ -1,107 +1,209 @@
-"""Asks backend servers for their health and load.
+"""Asks backend servers for their health and load, and shares the answers.
 
-A probe costs a target about 6 ms, so each instance spreads its probes over
-the period, and the period grows with the number of instances.
+Which targets this instance probes, and what follows from an answer, is
+decided by ``verbenaworks.shared_health``.
 """
 
-import itertools
-from collections.abc import Callable, Sequence
+from collections import Counter
+from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
+from random import Random
 
 import eventlet
 from result import Err, Ok
 
+from verbenad.bus import Bus, Sender
 from verbenad.forward_request import ForwardRequest
 from verbenad.forwarder import Forwarder
 from verbenad.upstream_answer import UpstreamAnswer
+from verbenaworks import encode
+from verbenaworks.control_record import InstanceId
 from verbenaworks.errors import VerbenaError
+from verbenaworks.health_messages import (
+    HealthMessage,
+    HealthNews,
+    HealthTaken,
+    LoadBatch,
+)
+from verbenaworks.health_sender import HealthSend
 from verbenaworks.load_report import (
     MAX_ANSWER_BYTES,
     Health,
     parse_health,
     parse_load,
 )
+from verbenaworks.member import Member
+from verbenaworks.shared_health import (
+    HealthAction,
+    HealthJudged,
+    LoadHeard,
+    ProbeNow,
+    SharedHealth,
+)
 from verbenaworks.target import TargetInfo
 from verbenaworks.target_choice import TargetChoice
+from verbenaworks.target_stats import REFUSAL_HOLD_S, Sign
 
-PROBE_PERIOD_S = 1.5
-# At 11 instances a target then answers 7 probes/s, or 4% of its time.
+TICK_S = 0.1
 PROBE_TIMEOUT_S = 1.0
-# In a large fleet the probes of all instances together keep to this rate.
-MAX_PROBES_PER_TARGET_PER_S = 10.0
-# Health must be known within seconds; reports of load lag anyway and weigh
-# less than own observations.
-HEALTH_PROBES_PER_LOAD = 4
 HEALTH_PATH = "/health"
 LOAD_PATH = "/load"
+# Refusals are this instance's own observation, which the probers of others
+# do not follow; their end is checked this often.
+REFUSAL_CHECK_PERIOD_S = 1.5
 
 
 class TargetProber:
-    """Probes of one instance.
+    """Probes of one instance and their exchange with the others.
 
-    :param instances: current number of instances in the fleet.
     :param on_change: called when a service's targets may have changed state.
     """
 
     def __init__(
         self,
         *,
+        instance: InstanceId,
+        bus: Bus,
         choice: TargetChoice,
         forwarder: Forwarder,
         connection_limit: Callable[[TargetInfo], int],
         now_s: Callable[[], float],
-        instances: Callable[[], int],
+        random: Random,
         on_change: Callable[[str], None],
     ) -> None:
+        self._bus = bus
         self._choice = choice
         self._now_s = now_s
-        self._instances = instances
         self._on_change = on_change
-        self._targets: Sequence[TargetInfo] = ()
+        self._targets: Mapping[str, TargetInfo] = {}
         self._forwarder = forwarder
         self._connection_limit = connection_limit
+        self._health = SharedHealth(
+            bus.address,
+            instance.incarnation,
+            bus.heard_at_s,
+            now_s(),
+            random,
+        )
+        self._next_refusal_check_s = 0.0
+        self._probes: Counter[str] = Counter()
+        self._messages: Counter[str] = Counter()
+        self.sent_bytes = 0
+        for message_type in (HealthNews, HealthTaken, LoadBatch):
+            bus.subscribe(message_type, self._on_message)
+
+    @property
+    def unacknowledged(self) -> int:
+        """Return how many acknowledgements of own changes are missing."""
+        return self._health.unacknowledged
+
+    def probing_alone(self) -> int:
+        """Return the number of targets none of whose probers is heard."""
+        return self._health.probing("alone")
+
+    def probes(self) -> Mapping[str, float]:
+        """Return the number of probes by their reason."""
+        return self._probes
+
+    def messages(self) -> Mapping[str, float]:
+        """Return the number of messages by direction and kind."""
+        return self._messages
+
+    def set_targets(
+        self, targets: Sequence[TargetInfo], in_use: Collection[str]
+    ) -> None:
+        """Set all targets, and the names of those that are used here."""
+        self._targets = {target.name: target for target in targets}
+        self._health.set_targets(self._now_s(), targets, in_use)
+
+    def set_members(self, members: Iterable[Member]) -> None:
+        """Take over all known members, this instance included."""
+        self._health.set_members(self._now_s(), members)
+
+    def tick(self) -> None:
+        """Do what is due; called every ``TICK_S`` seconds."""
+        now_s = self._now_s()
+        if now_s >= self._next_refusal_check_s:
+            self._next_refusal_check_s = now_s + REFUSAL_CHECK_PERIOD_S
+            self._check_refusals(now_s)
+        self._carry_out(self._health.tick(now_s))
+
+    def _check_refusals(self, now_s: float) -> None:
+        for target in self._targets.values():
+            stats = self._choice.stats(target.service, target.name)
+            if (
+                stats.signs & Sign.REFUSAL
+                and now_s >= stats.refused_at_s + REFUSAL_HOLD_S
+            ):
+                self._health.check(now_s, target.name)
+
+    def _on_message(self, sender: Sender, message: HealthMessage) -> None:
+        self._messages[f"received {type(message).__name__}"] += 1
+        self._carry_out(
+            self._health.on_message(self._now_s(), sender.address, message)
+        )
 
-    def set_targets(self, targets: Sequence[TargetInfo]) -> None:
-        """Set the targets to probe."""
-        self._targets = targets
-
-    def run(self) -> None:
-        """Probe all targets in turn, for ever."""
-        for number in itertools.count():
-            targets = self._targets
-            period_s = self._period_s()
-            with_load = number % HEALTH_PROBES_PER_LOAD == 0
-            for target in targets:
-                eventlet.spawn_n(self._probe, target, with_load)
-                eventlet.sleep(period_s / len(targets))
-            if not targets:
-                eventlet.sleep(PROBE_PERIOD_S)
-
-    def _period_s(self) -> float:
-        return max(
-            PROBE_PERIOD_S, self._instances() / MAX_PROBES_PER_TARGET_PER_S
+    def _carry_out(self, actions: list[HealthAction]) -> None:
+        for action in actions:
+            match action:
+                case ProbeNow():
+                    self._probes[action.why] += 1
+                    eventlet.spawn_n(self._probe, action)
+                case HealthSend():
+                    self._send(action)
+                case HealthJudged():
+                    self._judged(action)
+                case LoadHeard():
+                    self._load_heard(action)
+
+    def _send(self, send: HealthSend) -> None:
+        kind = type(send.message)
+        body = encode(send.message)
+        self._messages[f"sent {kind.__name__}"] += 1
+        self.sent_bytes += len(body)
+        self._bus.send_encoded(send.address, body, kind)
+
+    def _judged(self, judged: HealthJudged) -> None:
+        target = self._targets.get(judged.target)
+        if target is None:
+            return
+        self._choice.probed(
+            self._now_s(),
+            judged.asked_s,
+            target.service,
+            target.name,
+            judged.health,
         )
+        self._on_change(target.service)
 
-    def _probe(self, target: TargetInfo, with_load: bool) -> None:
+    def _load_heard(self, heard: LoadHeard) -> None:
+        target = self._targets.get(heard.target)
+        if target is not None:
+            self._choice.reported(
+                heard.measured_s, target.service, target.name, heard.report
+            )
+
+    def _probe(self, probe: ProbeNow) -> None:
+        target = self._targets.get(probe.target)
+        if target is None:
+            return
         asked_s = self._now_s()
-        health, load = Health.NO_ANSWER, None
+        health = Health.NO_ANSWER
         answer = self._get(target, HEALTH_PATH)
         if answer is not None:
             health = parse_health(*answer)
-        if answer is not None and with_load:
-            answer = self._get(target, LOAD_PATH)
-            load = parse_load(*answer) if answer is not None else None
-        try:
-            self._choice.probed(
-                self._now_s(), asked_s, target.service, target.name, health
-            )
-            if load is not None:
-                self._choice.reported(
-                    asked_s, target.service, target.name, load
-                )
-        except KeyError:
-            # The target was removed while the probe was under way.
+        self._carry_out(
+            self._health.probed(self._now_s(), asked_s, target.name, health)
+        )
+        if answer is None or not probe.with_load:
             return
-        self._on_change(target.service)
+        asked_s = self._now_s()
+        answer = self._get(target, LOAD_PATH)
+        load = parse_load(*answer) if answer is not None else None
+        # The target may have been removed while the probe was under way.
+        if load is None or target.name not in self._targets:
+            return
+        self._choice.reported(asked_s, target.service, target.name, load)
+        self._health.loaded(asked_s, target.name, load)
 
     def _get(self, target: TargetInfo, path: str) -> tuple[int, bytes] | None:
         host, _, port = target.address.rpartition(":")
--- /dev/null
+++ b/packages/verbenaworks/src/verbenaworks/probe_assignment.py
@@ -0,0 +1,145 @@
+"""Which instances probe which target.
+
+Each instance computes the same answer from the members that it knows, so no
+messages are needed. Of a target's probers, two are in its own region, in
+different failure domains, and one is in another region: a region or a domain
+that is cut off then never holds all of them.
+"""
+
+import hashlib
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+
+from verbenaworks.member import Member, MemberState
+from verbenaworks.target import TargetInfo
+
+PROBERS = 3
+_NEAR_PROBERS = 2
+_MASK = (1 << 64) - 1
+# Odd multipliers of the splitmix64 generator.
+_MIX_1 = 0xBF58476D1CE4E5B9
+_MIX_2 = 0x94D049BB133111EB
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Region:
+    members: tuple[Member, ...]
+    keys: tuple[tuple[str, int, MemberState], ...]
+
+
+class ProbeAssignment:
+    """Rendezvous hashing of targets over the members in their regions."""
+
+    def __init__(self) -> None:
+        self._regions: dict[str, _Region] = {}
+        self._hashes: dict[str, int] = {}
+        self._orders: dict[tuple[str, str], tuple[_Region, list[Member]]] = {}
+
+    def set_members(self, members: Iterable[Member]) -> None:
+        """Take over the members that this instance knows."""
+        regions: dict[str, list[Member]] = {}
+        for member in members:
+            if member.is_available and member.bus_address:
+                regions.setdefault(member.region, []).append(member)
+        old = self._regions
+        self._regions = {}
+        for name in sorted(regions):
+            group = tuple(sorted(regions[name], key=lambda m: m.name))
+            keys = tuple((m.name, m.incarnation, m.state) for m in group)
+            known = old.get(name)
+            # An unchanged region keeps its object and so its cached orders:
+            # a change of one member of 1,300 costs one region's hashes.
+            if known is not None and known.keys == keys:
+                self._regions[name] = known
+            else:
+                self._regions[name] = _Region(members=group, keys=keys)
+        self._orders = {
+            key: entry
+            for key, entry in self._orders.items()
+            if self._regions.get(key[1]) is entry[0]
+        }
+
+    def probers(self, target: TargetInfo) -> tuple[Member, ...]:
+        """Return the probers of a target, the most preferred first.
+
+        A suspected member keeps its duty but does not count, so that its
+        replacement starts before the member is declared dead.
+        """
+        far = sorted(
+            (name for name in self._regions if name != target.region),
+            key=lambda name: self._weight(target.name, name),
+        )
+        chosen: list[Member] = []
+        _pick(chosen, self._order(target.name, target.region), _NEAR_PROBERS)
+        for region in far:
+            if _live(chosen) >= PROBERS:
+                return tuple(chosen)
+            order = self._order(target.name, region)
+            _pick(chosen, order, _live(chosen) + 1)
+        for region in (target.region, *far):
+            _pick(chosen, self._order(target.name, region), PROBERS)
+        return tuple(chosen)
+
+    def _order(self, target: str, region: str) -> Sequence[Member]:
+        """Return a region's members, the highest weight first."""
+        group = self._regions.get(region)
+        if group is None:
+            return ()
+        entry = self._orders.get((target, region))
+        if entry is None:
+            members = sorted(
+                group.members,
+                key=lambda m: self._weight(target, m.name),
+                reverse=True,
+            )
+            entry = (group, members)
+            self._orders[target, region] = entry
+        return entry[1]
+
+    def _weight(self, target: str, name: str) -> int:
+        value = self._hash(target) ^ self._hash(name)
+        value = ((value ^ (value >> 30)) * _MIX_1) & _MASK
+        value = ((value ^ (value >> 27)) * _MIX_2) & _MASK
+        return value ^ (value >> 31)
+
+    def _hash(self, name: str) -> int:
+        value = self._hashes.get(name)
+        if value is None:
+            digest = hashlib.blake2b(name.encode(), digest_size=8).digest()
+            value = self._hashes[name] = int.from_bytes(digest)
+        return value
+
+
+def _live(chosen: Sequence[Member]) -> int:
+    return sum(m.state is MemberState.ALIVE for m in chosen)
+
+
+def _pick(chosen: list[Member], order: Sequence[Member], count: int) -> None:
+    """Append members until ``count`` of the chosen ones are alive.
+
+    Members of failure domains that are not covered yet come first.
+    """
+    missing = count - _live(chosen)
+    if missing <= 0:
+        return
+    domains = {
+        m.failure_domain for m in chosen if m.state is MemberState.ALIVE
+    }
+    skipped: list[Member] = []
+    for member in order:
+        if missing == 0:
+            return
+        if member in chosen:
+            continue
+        if member.failure_domain in domains:
+            skipped.append(member)
+            continue
+        chosen.append(member)
+        if member.state is MemberState.ALIVE:
+            domains.add(member.failure_domain)
+            missing -= 1
+    for member in skipped:
+        if missing == 0:
+            return
+        chosen.append(member)
+        missing -= member.state is MemberState.ALIVE
