Test shared probes in virtual time with seeded histories

Cause: the bound of 3 s from a sign at the health endpoint to the last new work now depends on messages between instances, on who probes and on the views of membership, so it needs proof under combined faults.

The tests kill, pause, blind and cut off probers, lose messages, let views differ and let targets leave, fail, recover and change their word; nine one-line faults are listed in tools/mutations_probes.py. HealthSender takes the number of members up to which it sends directly, so that both ways can be measured.

--- a/packages/verbenaworks/src/verbenaworks/health_sender.py
+++ b/packages/verbenaworks/src/verbenaworks/health_sender.py
@@ -55,9 +55,17 @@
     """Unacknowledged changes of one prober.
 
     :param own: bus address of this instance.
+    :param direct_limit: most members that get changes without a relay.
     """
 
-    def __init__(self, own: str, incarnation: int, rng: Random) -> None:
+    def __init__(
+        self,
+        own: str,
+        incarnation: int,
+        rng: Random,
+        direct_limit: int = DIRECT_LIMIT,
+    ) -> None:
+        self._direct_limit = direct_limit
         self._own = own
         self._incarnation = incarnation
         self._rng = rng
@@ -153,7 +161,7 @@
                 attempts.count = min(attempts.count + 1, 10)
         if not due:
             return []
-        if len(self._members) <= DIRECT_LIMIT:
+        if len(self._members) <= self._direct_limit:
             return [
                 self._direct(address, targets)
                 for address, targets in due.items()
--- /dev/null
+++ b/tests/test_shared_health.py
@@ -0,0 +1,328 @@
+"""Shared health of targets; seeded histories in virtual time."""
+
+from collections.abc import Iterable
+from dataclasses import replace
+from random import Random
+
+import pytest
+
+from health_harness import (
+    HealthFleet,
+    fleet_members,
+    fleet_targets,
+    restarted,
+)
+from verbenaworks.health_messages import (
+    HealthChange,
+    HealthNews,
+    HealthTaken,
+)
+from verbenaworks.health_sender import HealthSend, health_code
+from verbenaworks.load_report import Health
+from verbenaworks.member import Member, MemberState
+from verbenaworks.shared_health import (
+    HealthAction,
+    HealthJudged,
+    ProbeNow,
+    SharedHealth,
+)
+
+BOUND_S = 3.0
+SEEDS = range(8)
+SIGNS = (Health.LEAVING, Health.FAILING)
+TARGET = fleet_targets(1, 3, 6)[0]
+
+
+def make_fleet(seed: int, instances: int = 11) -> HealthFleet:
+    """Return a fleet whose probes have begun at random times."""
+    fleet = HealthFleet(
+        seed, fleet_members(instances, 3, 6), fleet_targets(12, 3, 6)
+    )
+    fleet.run(3.0 + fleet.rng.uniform(0.0, 1.5))
+    return fleet
+
+
+def show_sign(
+    fleet: HealthFleet, seed: int, sign: Health
+) -> tuple[str, float]:
+    """Let a target show a sign; return its name and the time."""
+    target = fleet.targets[seed % len(fleet.targets)].name
+    fleet.state[target] = sign
+    return target, fleet.timers.now_s()
+
+
+def check_bound(
+    fleet: HealthFleet,
+    target: str,
+    since_s: float,
+    names: Iterable[str] | None = None,
+) -> None:
+    """Check that these instances stopped in time and stay stopped."""
+    fleet.run(BOUND_S)
+    views = fleet.views(target)
+    names = list(views) if names is None else list(names)
+    late = [name for name in names if views[name] is Health.OK]
+    assert not late, f"{late} use {target} {BOUND_S} s after the sign"
+    fleet.run(6.0)
+    back = [n for n in names if fleet.views(target)[n] is Health.OK]
+    assert not back, f"{back} use {target} again"
+    assert fleet.last_change_s(target) >= since_s
+
+
+@pytest.mark.parametrize("sign", SIGNS)
+@pytest.mark.parametrize("dead", [0, 1, 2, 3])
+def test_dead_probers(sign: Health, dead: int) -> None:
+    """Guards against a sign that dies with the probers who saw it."""
+    for seed in SEEDS:
+        fleet = make_fleet(seed)
+        target, since_s = show_sign(fleet, seed, sign)
+        for name in fleet.probers(target)[:dead]:
+            fleet.kill(name)
+        check_bound(fleet, target, since_s)
+
+
+@pytest.mark.parametrize("sign", SIGNS)
+def test_paused_probers_and_a_dead_one(sign: Health) -> None:
+    """Guards against paused probers that count as heard."""
+    for seed in SEEDS:
+        fleet = make_fleet(seed)
+        target, since_s = show_sign(fleet, seed, sign)
+        dead, *paused = fleet.probers(target)
+        fleet.kill(dead)
+        for name in paused:
+            fleet.pause(name, 8.0)
+        running = fleet.nodes.keys() - set(paused)
+        check_bound(fleet, target, since_s, running)
+
+
+@pytest.mark.parametrize("sign", SIGNS)
+def test_blind_probers_and_a_dead_one(sign: Health) -> None:
+    """Guards against probers whose path to the target is broken."""
+    for seed in SEEDS:
+        fleet = make_fleet(seed)
+        target, since_s = show_sign(fleet, seed, sign)
+        blind, dead, _ = fleet.probers(target)
+        fleet.blind(blind)
+        fleet.kill(dead)
+        check_bound(fleet, target, since_s, fleet.nodes.keys() - {blind})
+
+
+@pytest.mark.parametrize("sign", SIGNS)
+def test_lost_messages(sign: Health) -> None:
+    """Guards against changes that are sent only once."""
+    for seed in SEEDS:
+        fleet = make_fleet(seed)
+        fleet.loss_share = 0.2
+        target, since_s = show_sign(fleet, seed, sign)
+        check_bound(fleet, target, since_s)
+
+
+@pytest.mark.parametrize("sign", SIGNS)
+def test_an_instance_that_is_cut_off(sign: Health) -> None:
+    """Guards against an instance that waits for news it cannot get."""
+    for seed in SEEDS:
+        fleet = make_fleet(seed)
+        target, since_s = show_sign(fleet, seed, sign)
+        names = sorted(fleet.nodes)
+        fleet.cut_off([names[seed % len(names)]])
+        check_bound(fleet, target, since_s)
+
+
+def test_a_region_that_is_cut_off_before() -> None:
+    """Guards against probers that only the other side can hear."""
+    for seed in SEEDS:
+        fleet = make_fleet(seed)
+        region = f"r{seed % 3:02}"
+        fleet.cut_off(
+            n
+            for n, node in fleet.nodes.items()
+            if node.member.region == region
+        )
+        fleet.run(8.0)
+        target, since_s = show_sign(fleet, seed, Health.LEAVING)
+        check_bound(fleet, target, since_s)
+
+
+def test_views_that_differ() -> None:
+    """Guards against probers that each take another for the prober."""
+    for seed in SEEDS:
+        members = fleet_members(11, 3, 6)
+        fleet = HealthFleet(seed, members, fleet_targets(12, 3, 6))
+        rng = Random(seed)
+        # Without the first news: some know only a part of the members.
+        for node in fleet.nodes.values():
+            part = [m for m in members if rng.random() < 0.6]
+            part += [node.member] * (node.member not in part)
+            node.health.set_members(0.0, part)
+        fleet.run(1.0)
+        target, since_s = show_sign(fleet, seed, Health.LEAVING)
+        check_bound(fleet, target, since_s)
+
+
+def test_one_blind_prober_removes_no_target() -> None:
+    """Guards against one broken network that empties all services."""
+    for seed in SEEDS:
+        fleet = make_fleet(seed)
+        blind = sorted(fleet.nodes)[seed % len(fleet.nodes)]
+        fleet.blind(blind)
+        fleet.run(15.0)
+        for target in fleet.targets:
+            fine = fleet.views(target.name)
+            del fine[blind]
+            assert set(fine.values()) == {Health.OK}, target.name
+        assert any(node.probes["check"] for node in fleet.nodes.values()), (
+            "the shared failures were not checked"
+        )
+
+
+def test_a_target_that_recovers_or_lies() -> None:
+    """Guards against targets that stay out after their health is good."""
+    for seed in SEEDS:
+        fleet = make_fleet(seed)
+        target, _ = show_sign(fleet, seed, SIGNS[seed % 2])
+        fleet.run(2.0 * fleet.rng.random())
+        for health in (Health.NO_ANSWER, Health.LEAVING, Health.FAILING):
+            fleet.state[target] = health
+            fleet.run(3.0 * fleet.rng.random())
+        fleet.state[target] = Health.OK
+        fleet.run(12.0)
+        assert set(fleet.views(target).values()) == {Health.OK}
+
+
+def test_recovery_while_the_prober_that_saw_the_sign_dies() -> None:
+    """Guards against the last word of a dead prober that stays for ever."""
+    for seed in SEEDS:
+        fleet = make_fleet(seed)
+        target, _ = show_sign(fleet, seed, Health.LEAVING)
+        fleet.run(2.0)
+        for name in fleet.probers(target):
+            fleet.kill(name)
+        fleet.state[target] = Health.OK
+        fleet.run(20.0)
+        assert set(fleet.views(target).values()) == {Health.OK}
+
+
+def test_a_restarted_instance_learns_what_is_leaving() -> None:
+    """Guards against a new run that sends work to a leaving target."""
+    fleet = make_fleet(3)
+    target, _ = show_sign(fleet, 3, Health.LEAVING)
+    fleet.run(4.0)
+    name = next(n for n in fleet.nodes if n not in fleet.probers(target))
+    member = restarted(fleet.nodes[name].member)
+    known = [n.member for n in fleet.nodes.values() if n.member.name != name]
+    fleet.kill(name)
+    fleet.start(
+        member, [*known, member], {m.name: m.region for m in [*known, member]}
+    )
+    check_bound(fleet, target, 0.0)
+
+
+def test_nothing_but_probes_and_batches_in_quiet_times() -> None:
+    """Guards against probes and bytes that grow with the fleet."""
+    for instances in (11, 22):
+        fleet = make_fleet(1, instances)
+        fleet.run(10.0)
+        probes = sum(fleet.target_probes.values())
+        sent = {n: node.sent_bytes for n, node in fleet.nodes.items()}
+        fleet.run(30.0)
+        rate = (sum(fleet.target_probes.values()) - probes) / 30 / 12
+        assert 2.0 <= rate <= 2.5
+        for name, node in fleet.nodes.items():
+            assert (node.sent_bytes - sent[name]) / 30 <= 350.0
+            assert node.health.probing("alone") == 0
+
+
+def _single() -> SharedHealth:
+    """Return an instance that does not probe the target itself."""
+    members = fleet_members(11, 3, 6)
+    for member in members:
+        health = SharedHealth(member.name, 1, {}, 0.0, Random(1))
+        health.set_members(0.0, members)
+        health.set_targets(0.0, [TARGET], {TARGET.name})
+        if not health.probing("duty"):
+            return health
+    raise AssertionError("all instances probe the target")
+
+
+def _prober(health: SharedHealth) -> Member:
+    return health._records[TARGET.name].probers[0]
+
+
+def _say(
+    health: SharedHealth, seq: int, said: Health, *, incarnation: int = 0
+) -> list[HealthAction]:
+    origin = _prober(health)
+    change = HealthChange(
+        target=TARGET.name, seq=seq, health=health_code(said)
+    )
+    news = HealthNews(
+        origin=origin.name,
+        incarnation=incarnation or origin.incarnation,
+        changes=(change, replace_target(change)),
+    )
+    return health.on_message(0.5, origin.name, news)
+
+
+def replace_target(change: HealthChange) -> HealthChange:
+    """Return the same change of a target that is not configured."""
+    return HealthChange(target="unknown", seq=change.seq, health=change.health)
+
+
+def _judged(actions: list[HealthAction]) -> list[Health]:
+    return [a.health for a in actions if isinstance(a, HealthJudged)]
+
+
+def test_words_are_accepted_in_order() -> None:
+    """Guards against a resent old word that undoes a newer one."""
+    health = _single()
+    assert _judged(_say(health, 2, Health.LEAVING)) == [Health.LEAVING]
+    assert _judged(_say(health, 1, Health.OK)) == []
+    older = _prober(health).incarnation - 1
+    assert _judged(_say(health, 9, Health.OK, incarnation=older)) == []
+    assert _judged(_say(health, 3, Health.OK)) == [Health.OK]
+
+
+def test_only_known_targets_are_acknowledged() -> None:
+    """Guards against the loss of a word that came before the target."""
+    taken = [
+        action.message.taken
+        for action in _say(_single(), 1, Health.LEAVING)
+        if isinstance(action, HealthSend)
+        and isinstance(action.message, HealthTaken)
+    ]
+    assert taken == [((TARGET.name, 1),)]
+
+
+def test_a_shared_failure_needs_an_own_failed_probe() -> None:
+    """Guards against a prober's network that decides for all."""
+    for own in (Health.OK, Health.FAILING, Health.NO_ANSWER):
+        health = _single()
+        assert _judged(_say(health, 1, Health.NO_ANSWER)) == []
+        probes = [a for a in health.tick(0.7) if isinstance(a, ProbeNow)]
+        assert [probe.why for probe in probes] == ["check"]
+        judged = _judged(health.probed(0.8, 0.7, TARGET.name, own))
+        expected = Health.OK if own is Health.OK else Health.FAILING
+        assert judged == [expected]
+
+
+def test_a_shared_good_word_does_not_date_from_now() -> None:
+    """Guards against an old good word that ends a later own refusal."""
+    health = _single()
+    _say(health, 1, Health.LEAVING)
+    actions = _say(health, 2, Health.OK)
+    assert [a.asked_s for a in actions if isinstance(a, HealthJudged)] == [0.0]
+
+
+def test_all_suspected_probers_start_own_probes_at_once() -> None:
+    """Guards against a wait for the death of all probers."""
+    health = _single()
+    health.set_members(
+        0.0,
+        [
+            replace(m, state=MemberState.SUSPECT)
+            if m.name != health._own
+            else m
+            for m in fleet_members(11, 3, 6)
+        ],
+    )
+    assert health.probing("duty") + health.probing("alone") == 1
--- /dev/null
+++ b/tools/mutations_probes.py
@@ -0,0 +1,73 @@
+"""One-line faults in the shared probes, and the test that finds each.
+
+Fields: name, path, old text, new text, test.
+"""
+
+_LIBRARY = "packages/verbenaworks/src/verbenaworks"
+_TEST = "tests/test_shared_health.py"
+
+MUTATIONS = [
+    (
+        "probes: a shared failure acts without an own probe",
+        f"{_LIBRARY}/shared_health.py",
+        "elif record.own in _FAILING:",
+        "elif record.own in _FAILING or healths & _FAILING:",
+        f"{_TEST}::test_one_blind_prober_removes_no_target",
+    ),
+    (
+        "probes: a shared sign of leaving is ignored",
+        f"{_LIBRARY}/shared_health.py",
+        "if Health.LEAVING in healths or record.own is Health.LEAVING:",
+        "if record.own is Health.LEAVING:",
+        f"{_TEST}::test_dead_probers",
+    ),
+    (
+        "probes: an older word replaces a newer one",
+        f"{_LIBRARY}/shared_health.py",
+        "if known is not None and (word.incarnation, word.seq) <= (",
+        "if known is not None and (word.incarnation, word.seq) == (",
+        f"{_TEST}::test_words_are_accepted_in_order",
+    ),
+    (
+        "probes: the word of a dead prober stays",
+        f"{_LIBRARY}/shared_health.py",
+        "and member.incarnation <= word.incarnation",
+        "and member.incarnation <= word.incarnation\n            or True",
+        f"{_TEST}::test_recovery_while_the_prober_that_saw_the_sign_dies",
+    ),
+    (
+        "probes: an instance that is cut off waits",
+        f"{_LIBRARY}/shared_health.py",
+        "self._is_isolated = now_s - heard_s > ISOLATED_S",
+        "self._is_isolated = False",
+        f"{_TEST}::test_an_instance_that_is_cut_off",
+    ),
+    (
+        "probes: a change is sent once",
+        f"{_LIBRARY}/health_sender.py",
+        "attempts.next_s = now_s + min(wait_s, _LONGEST_RESEND_S)",
+        "attempts.next_s = now_s + 1000 * wait_s",
+        "tests/test_health_sender.py",
+    ),
+    (
+        "probes: suspects count as probers",
+        f"{_LIBRARY}/probe_assignment.py",
+        "return sum(m.state is MemberState.ALIVE for m in chosen)",
+        "return len(chosen)",
+        "tests/test_probe_assignment.py",
+    ),
+    (
+        "probes: all probers may be in one failure domain",
+        f"{_LIBRARY}/probe_assignment.py",
+        "if member.failure_domain in domains:",
+        "if False:",
+        "tests/test_probe_assignment.py",
+    ),
+    (
+        "probes: load batches ignore their rate",
+        f"{_LIBRARY}/load_sender.py",
+        "self._credit_bytes -= size",
+        "self._credit_bytes -= 30",
+        "tests/test_load_sender.py",
+    ),
+]
