Print probes, their bytes and the spread of signs by fleet size

Cause: the gain of shared probes and the way to spread changes need figures at several sizes beside the old way.

Change: tools/measure_probes.py runs fleets of 11, 44, 330 and 1,300 instances in virtual time with fixed views of membership. It compares the old way's probes, by its own arithmetic, and direct sending with relays.

--- a/tools/health_harness.py
+++ b/tools/health_harness.py
@@ -46,6 +46,7 @@
     received_bytes: int = 0
     sent_messages: int = 0
     probes: Counter[str] = field(default_factory=Counter)
+    requests: int = 0
     loads: dict[str, float] = field(default_factory=dict)
     peer: str = ""
 
@@ -240,6 +241,7 @@
         name = probe.target
         asked_s = self.timers.now_s()
         node.probes[probe.why] += 1
+        node.requests += 1 + probe.with_load
         way_s = self.rng.uniform(*self.latency_s)
         own = self.seen.get((node.member.name, name))
 
--- /dev/null
+++ b/tools/measure_probes.py
@@ -0,0 +1,289 @@
+"""Measures probes, their bytes and the spread of signs in virtual time.
+
+Each fleet size is run with shared probes and compared with the old way, in
+which each instance probed each target that it uses, and with two ways to
+spread a change: directly to all, and by relays in each failure domain. Views
+of membership are fixed, so a silent prober is not replaced during a run.
+
+Usage: measure_probes.py [--sizes N ...] [--signs N] [--json FILE]
+"""
+
+import argparse
+import json
+import sys
+import time
+from collections.abc import Sequence
+from dataclasses import asdict, dataclass
+from pathlib import Path
+from statistics import mean
+
+from health_harness import HealthFleet, fleet_members, fleet_targets
+from verbenaworks.health_sender import DIRECT_LIMIT
+from verbenaworks.load_report import Health
+
+# Instances: regions, failure domains and targets.
+SIZES = {
+    11: (3, 6, 52),
+    44: (4, 8, 100),
+    330: (10, 31, 400),
+    1300: (10, 31, 400),
+}
+BOUND_S = 3.0
+IDLE_S = 8.0
+SIGN_S = 4.0
+# The old way: 1.5 s or more between the rounds of an instance, and at most
+# 10 rounds/s at a target; every fourth round also asked for the load.
+OLD_PERIOD_S = 1.5
+OLD_MOST_PER_TARGET_PER_S = 10.0
+OLD_REQUESTS_PER_ROUND = 1.25
+# Processor time of a probe at the instance that sends it (design, 10).
+PROBE_CPU_S = 0.001
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SizeFigures:
+    """Figures of one fleet size.
+
+    :ivar spread_s: longest time from a sign to the last instance.
+    """
+
+    instances: int
+    targets: int
+    old_per_target_per_s: float
+    per_target_per_s: float
+    old_work_share: float
+    worst_work_share: float
+    mean_bytes_per_s: float
+    worst_bytes_per_s: float
+    old_spread_s: float
+    spread_s: float
+    spread_one_dead_s: float
+    spread_failing_s: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SpreadFigures:
+    """Cost of one target's sign, told by all of its probers.
+
+    :ivar busiest_messages: sent by the instance that sent most.
+    """
+
+    instances: int
+    way: str
+    messages: int
+    sent_bytes: int
+    busiest_messages: int
+    spread_s: float
+
+
+def measure(
+    instances: int, signs: int
+) -> tuple[SizeFigures, list[SpreadFigures]]:
+    """Measure one fleet size."""
+    regions, domains, targets = SIZES[instances]
+    fleet = HealthFleet(
+        instances,
+        fleet_members(instances, regions, domains),
+        fleet_targets(targets, regions, domains),
+        runs_membership=False,
+    )
+    fleet.run(2.0)
+    requests = sum(fleet.target_probes.values())
+    before = {
+        name: (n.requests, n.sent_bytes + n.received_bytes)
+        for name, n in fleet.nodes.items()
+    }
+    fleet.run(IDLE_S)
+    rates = [
+        (n.requests - before[name][0]) / IDLE_S
+        for name, n in fleet.nodes.items()
+    ]
+    traffic = [
+        (n.sent_bytes + n.received_bytes - before[name][1]) / IDLE_S
+        for name, n in fleet.nodes.items()
+    ]
+    requests = sum(fleet.target_probes.values()) - requests
+    spreads = _spreads(fleet, instances)
+    ended = {s.way: s.spread_s for s in spreads}
+    leaving = [_sign(fleet, 2 + n, Health.LEAVING) for n in range(signs)]
+    failing = [
+        _sign(fleet, 2 + signs + n, Health.FAILING) for n in range(signs)
+    ]
+    one_dead = [
+        _sign(fleet, 2 + 2 * signs + n, Health.LEAVING, dead=1)
+        for n in range(signs)
+    ]
+    old_s = max(OLD_PERIOD_S, instances / OLD_MOST_PER_TARGET_PER_S)
+    users = mean(
+        sum(record.in_use for record in node.health._records.values())
+        for node in fleet.nodes.values()
+    )
+    old_rounds = users / old_s
+    figures = SizeFigures(
+        instances=instances,
+        targets=targets,
+        old_per_target_per_s=(
+            old_rounds * OLD_REQUESTS_PER_ROUND * instances / targets
+        ),
+        per_target_per_s=requests / IDLE_S / targets,
+        old_work_share=old_rounds * OLD_REQUESTS_PER_ROUND * PROBE_CPU_S,
+        worst_work_share=max(rates) * PROBE_CPU_S,
+        mean_bytes_per_s=mean(traffic),
+        worst_bytes_per_s=max(traffic),
+        old_spread_s=old_s,
+        spread_s=max([*leaving, *ended.values()]),
+        spread_one_dead_s=max(one_dead),
+        spread_failing_s=max(failing),
+    )
+    return figures, spreads
+
+
+def _spreads(fleet: HealthFleet, instances: int) -> list[SpreadFigures]:
+    """Tell of one target directly and of another by relays."""
+    figures = []
+    ways = (("direct", instances), ("relays", 0))
+    for number, (way, limit) in enumerate(ways):
+        for node in fleet.nodes.values():
+            node.health._sender._direct_limit = limit
+        messages = {n: x.sent_messages for n, x in fleet.nodes.items()}
+        sent = sum(x.sent_bytes for x in fleet.nodes.values())
+        loads = _load_rate(fleet)
+        spread_s = _sign(fleet, number, Health.LEAVING)
+        counts = {
+            name: node.sent_messages - messages[name]
+            for name, node in fleet.nodes.items()
+        }
+        figures.append(
+            SpreadFigures(
+                instances=instances,
+                way=way,
+                # Load batches went on meanwhile; they are not the sign's.
+                messages=round(sum(counts.values()) - loads[0] * SIGN_S),
+                sent_bytes=round(
+                    sum(x.sent_bytes for x in fleet.nodes.values())
+                    - sent
+                    - loads[1] * SIGN_S
+                ),
+                busiest_messages=max(counts.values()),
+                spread_s=spread_s,
+            )
+        )
+    for node in fleet.nodes.values():
+        node.health._sender._direct_limit = DIRECT_LIMIT
+    return figures
+
+
+def _load_rate(fleet: HealthFleet) -> tuple[float, float]:
+    """Return the messages and bytes per second without changes."""
+    nodes = fleet.nodes.values()
+    messages = sum(n.sent_messages for n in nodes)
+    sent = sum(n.sent_bytes for n in nodes)
+    fleet.run(IDLE_S)
+    return (
+        (sum(n.sent_messages for n in nodes) - messages) / IDLE_S,
+        (sum(n.sent_bytes for n in nodes) - sent) / IDLE_S,
+    )
+
+
+def _sign(
+    fleet: HealthFleet, number: int, sign: Health, dead: int = 0
+) -> float:
+    """Return the time from a sign to the last instance that uses it."""
+    # Steps that no target count divides reach targets of many domains.
+    target = fleet.targets[number * 7 % len(fleet.targets)].name
+    since_s = fleet.timers.now_s()
+    fleet.state[target] = sign
+    # Paused instead of ended, so that the next sign finds a whole fleet.
+    silent = fleet.probers(target)[:dead]
+    for name in silent:
+        fleet.pause(name, SIGN_S)
+    fleet.run(SIGN_S)
+    views = fleet.views(target)
+    if any(
+        views[name] is Health.OK
+        for name in fleet.users(target)
+        if name not in silent
+    ):
+        return float("inf")
+    return (
+        max(
+            at_s
+            for at_s, name, _ in fleet.judgements[target]
+            if name not in silent
+        )
+        - since_s
+    )
+
+
+def _print_sizes(rows: Sequence[SizeFigures]) -> None:
+    print(
+        "requests of probes per target and second; their work as a share of\n"
+        "a core (1 ms each): mean of the old way, worst instance of the new;\n"
+        "bytes/s of an instance in both directions; s from a sign to the\n"
+        "last instance, worst of the signs shown (old: its period)"
+    )
+    print(
+        "instances targets  /target/s old   new   work old     new"
+        "   bytes/s mean worst   s old   new one dead failing"
+    )
+    for r in rows:
+        print(
+            f"{r.instances:9} {r.targets:7} {r.old_per_target_per_s:14.2f}"
+            f" {r.per_target_per_s:5.2f} {r.old_work_share:10.2%}"
+            f" {r.worst_work_share:7.2%} {r.mean_bytes_per_s:14.0f}"
+            f" {r.worst_bytes_per_s:5.0f} {r.old_spread_s:7.1f}"
+            f" {r.spread_s:5.2f} {r.spread_one_dead_s:8.2f}"
+            f" {r.spread_failing_s:7.2f}"
+        )
+
+
+def _print_spreads(rows: Sequence[SpreadFigures]) -> None:
+    print("\none target's sign, told by its three probers")
+    print("instances way    messages     bytes busiest instance   s")
+    for r in rows:
+        print(
+            f"{r.instances:9} {r.way:6} {r.messages:8} {r.sent_bytes:9}"
+            f" {r.busiest_messages:16} {r.spread_s:5.2f}"
+        )
+
+
+def main() -> int:
+    """Print the figures; return 1 if the bound is missed."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--sizes", type=int, nargs="*", default=list(SIZES))
+    parser.add_argument("--signs", type=int, default=4)
+    parser.add_argument("--json", type=Path)
+    options = parser.parse_args()
+    sizes: list[SizeFigures] = []
+    spreads: list[SpreadFigures] = []
+    for instances in options.sizes:
+        since_s = time.monotonic()
+        figures, ways = measure(instances, options.signs)
+        sizes.append(figures)
+        spreads += ways
+        print(
+            f"{instances} instances: {time.monotonic() - since_s:.0f} s",
+            file=sys.stderr,
+        )
+    _print_sizes(sizes)
+    _print_spreads(spreads)
+    if options.json:
+        options.json.write_text(
+            json.dumps(
+                {
+                    "sizes": [asdict(row) for row in sizes],
+                    "spreads": [asdict(row) for row in spreads],
+                },
+                indent=1,
+            )
+        )
+    worst_s = max(
+        max(r.spread_s, r.spread_one_dead_s, r.spread_failing_s) for r in sizes
+    )
+    verdict = "met" if worst_s <= BOUND_S else "MISSED"
+    print(f"\nlongest spread {worst_s:.2f} s, target {BOUND_S} s: {verdict}")
+    return 0 if worst_s <= BOUND_S else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
