Probe at once when several members are suspected in a small fleet

Cause: when two to four of 11 instances were cut off together at the moment of a sign, they waited until membership had suspected each of the target's probers, one ping after the other.

Ruled out: frequent signs of life from each prober to all, which do not fit into the 3 KB/s; a shorter limit of silence, which load batches (one in about 7 s to each peer) cannot serve.

Change: two suspects at once in a fleet of up to 64 lead to own probes of all targets in use until the suspicions end. Larger fleets are left out: 170 instances that probe one target would take most of its time.

--- a/packages/verbenaworks/src/verbenaworks/shared_health.py
+++ b/packages/verbenaworks/src/verbenaworks/shared_health.py
@@ -44,6 +44,10 @@
 # instance that hears from nobody is cut off and cannot wait for membership,
 # which finds one lost member in each of its periods.
 ISOLATED_S = 1.0
+# So many members suspected at once in a small fleet may mean that this
+# instance and a few others are cut off together. Membership takes up to 4 s
+# to suspect all probers of a target then; own probes bridge that time.
+_SUSPECTS_IN_DOUBT = 2
 # A longer time between two ticks means that the process was paused; silence
 # then proves nothing.
 _PAUSE_S = 0.4
@@ -141,6 +145,7 @@
         self._own = own
         self._heard_at_s = heard_at_s
         self._is_isolated = False
+        self._is_in_doubt = False
         self._ticked_at_s = now_s
         self._awake_since_s = now_s
         self._rng = rng
@@ -185,6 +190,10 @@
             address: self._known_since_s.get(address, now_s)
             for address in others
         }
+        suspects = sum(m.state is MemberState.SUSPECT for m in others.values())
+        self._is_in_doubt = (
+            suspects >= _SUSPECTS_IN_DOUBT and len(others) <= DIRECT_LIMIT
+        )
         self._sender.set_members(now_s, others)
         self._loads.set_members(others)
         self._assignment.set_members(members)
@@ -349,7 +358,9 @@
         return ""
 
     def _is_heard(self, now_s: float, member: Member) -> bool:
-        if member.state is not MemberState.ALIVE or self._is_isolated:
+        if self._is_isolated or self._is_in_doubt:
+            return False
+        if member.state is not MemberState.ALIVE:
             return False
         if len(self._members) > DIRECT_LIMIT:
             # Batches do not reach all; membership's probes stand for them.
--- a/tests/test_shared_health.py
+++ b/tests/test_shared_health.py
@@ -128,6 +128,20 @@
         check_bound(fleet, target, since_s)
 
 
+def test_a_few_instances_that_are_cut_off_together() -> None:
+    """Guards against a wait until membership has lost all probers.
+
+    These seeds took up to 4.2 s before several suspects at once led to own
+    probes.
+    """
+    for seed in (25, 27, 91, 100):
+        fleet = make_fleet(seed)
+        target, since_s = show_sign(fleet, seed, SIGNS[seed % 2])
+        names = sorted(fleet.nodes)
+        fleet.cut_off(Random(seed).sample(names, 2 + seed % 3))
+        check_bound(fleet, target, since_s)
+
+
 def test_a_region_that_is_cut_off_before() -> None:
     """Guards against probers that only the other side can hear."""
     for seed in SEEDS:
--- a/tools/mutations_probes.py
+++ b/tools/mutations_probes.py
@@ -42,6 +42,13 @@
         "self._is_isolated = False",
         f"{_TEST}::test_an_instance_that_is_cut_off",
     ),
+    (
+        "probes: a few instances that are cut off together wait",
+        f"{_LIBRARY}/shared_health.py",
+        "suspects >= _SUSPECTS_IN_DOUBT and",
+        "suspects >= 1000 and",
+        f"{_TEST}::test_a_few_instances_that_are_cut_off_together",
+    ),
     (
         "probes: a change is sent once",
         f"{_LIBRARY}/health_sender.py",
