Test the daemon's side of shared probes

Cause: the daemon's target_prober had no test of its own. It carries shared words to the choice of target and ends the effect of own refusals, which the probers of others do not follow.

Change: tests with a fake bus and forwarder: a sign is told to all, a shared sign and shared loads reach the choice, a refusal ends with one own probe, a removed target is left alone.

--- /dev/null
+++ b/tests/test_target_prober.py
@@ -0,0 +1,205 @@
+"""The daemon's side of shared probes."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any
+
+import eventlet
+import pytest
+from result import Ok
+
+from choice_fakes import FakeUnits, chooser
+from health_harness import fleet_members, fleet_targets
+from verbenad.target_prober import TICK_S, TargetProber
+from verbenaworks import decode
+from verbenaworks.control_record import InstanceId
+from verbenaworks.health_messages import (
+    HealthChange,
+    HealthNews,
+    HealthTaken,
+    LoadBatch,
+    SharedLoad,
+)
+from verbenaworks.health_sender import health_code
+from verbenaworks.load_report import Health
+from verbenaworks.target_stats import REFUSAL_HOLD_S, Sign
+
+
+class _Body:
+    def __init__(self, data: bytes) -> None:
+        self._data = data
+
+    def __iter__(self) -> Iterator[bytes]:
+        yield self._data
+
+    def close(self) -> None:
+        """End the answer."""
+
+
+@dataclass
+class _Answer:
+    status: int
+    body: _Body
+
+
+@dataclass
+class _Forwarder:
+    """Answers each probe with what the test sets."""
+
+    health: bytes = b'{"status": "ok"}'
+    paths: list[str] = field(default_factory=list)
+
+    def attempt(self, request: Any, *_: Any, **__: Any) -> Any:
+        """Answer at once."""
+        self.paths.append(request.target)
+        data = self.health
+        if request.target == "/load":
+            data = b'{"in_flight": 4}'
+        return Ok(_Answer(200, _Body(data)))
+
+
+@dataclass
+class _Sender:
+    address: str
+
+
+class _Bus:
+    """Keeps the handlers and what was sent."""
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self.heard_at_s: dict[str, float] = {}
+        self.handlers: dict[type, Any] = {}
+        self.sent: list[tuple[str, Any]] = []
+
+    def subscribe(self, message_type: type, handler: Any) -> None:
+        """Keep a handler."""
+        self.handlers[message_type] = handler
+
+    def send_encoded(self, address: str, body: bytes, _type: type) -> None:
+        """Keep a message."""
+        self.sent.append((address, decode(body)))
+
+
+class _World:
+    """One prober among eleven instances and one target."""
+
+    def __init__(self, name: str) -> None:
+        self.now_s = 100.0
+        self.bus = _Bus(name)
+        self.forwarder = _Forwarder()
+        self.target = fleet_targets(1, 3, 6)[0]
+        self.choice = chooser(FakeUnits())
+        self.choice.set_targets(self.now_s, "s0", [self.target])
+        self.changed: list[str] = []
+        self.members = fleet_members(11, 3, 6)
+        self.prober = TargetProber(
+            instance=InstanceId(name=name, incarnation=1),
+            bus=self.bus,  # type: ignore[arg-type]
+            choice=self.choice,
+            forwarder=self.forwarder,  # type: ignore[arg-type]
+            connection_limit=lambda _: 1,
+            now_s=lambda: self.now_s,
+            random=Random(1),
+            on_change=self.changed.append,
+        )
+        self.prober.set_members(self.members)
+        self.prober.set_targets([self.target], {self.target.name})
+
+    def run(self, duration_s: float) -> None:
+        """Let time pass; others are heard all the time."""
+        for _ in range(round(duration_s / TICK_S)):
+            self.now_s += TICK_S
+            for member in self.members:
+                self.bus.heard_at_s[member.name] = self.now_s
+            self.prober.tick()
+            eventlet.sleep(0)
+
+    def hear(self, message: Any, sender: str = "i0000") -> None:
+        """Deliver a message."""
+        self.bus.handlers[type(message)](_Sender(sender), message)
+
+    @property
+    def signs(self) -> int:
+        """Return the signs that the target is leaving."""
+        return self.choice.stats("s0", self.target.name).signs
+
+
+def _world(*, on_duty: bool) -> _World:
+    for member in fleet_members(11, 3, 6):
+        world = _World(member.name)
+        world.run(3.0)
+        if bool(world.forwarder.paths) == on_duty:
+            return world
+    raise AssertionError("no such instance")
+
+
+def _news(world: _World, seq: int, health: Health) -> HealthNews:
+    change = HealthChange(
+        target=world.target.name, seq=seq, health=health_code(health)
+    )
+    return HealthNews(origin="i0000", incarnation=9**15, changes=(change,))
+
+
+def test_a_prober_tells_all_of_a_leaving_target() -> None:
+    """Guards against a sign that stays with the prober."""
+    world = _world(on_duty=True)
+    world.forwarder.health = b'{"status": "leaving"}'
+    world.run(2.0)
+    told = {a for a, m in world.bus.sent if isinstance(m, HealthNews)}
+    assert told == {m.name for m in world.members} - {world.bus.address}
+    assert world.signs == Sign.HEALTH
+    assert world.prober.unacknowledged == 10
+    assert world.prober.probes()["duty"] >= 3
+
+
+def test_a_shared_sign_reaches_the_choice() -> None:
+    """Guards against news that the choice of target does not get."""
+    world = _world(on_duty=False)
+    world.hear(_news(world, 1, Health.LEAVING))
+    assert world.signs == Sign.HEALTH
+    assert world.changed == ["s0"]
+    assert isinstance(world.bus.sent[-1][1], HealthTaken)
+    world.hear(_news(world, 2, Health.OK))
+    assert world.signs == 0
+    assert world.forwarder.paths == []
+
+
+def test_an_own_refusal_ends_with_an_own_probe() -> None:
+    """Guards against a target that stays out after one refusal."""
+    world = _world(on_duty=False)
+    stats = world.choice.stats("s0", world.target.name)
+    stats.refused(world.now_s)
+    world.run(REFUSAL_HOLD_S - 0.5)
+    assert world.signs == Sign.REFUSAL
+    assert world.forwarder.paths == []
+    world.run(3.0)
+    assert world.signs == 0
+    assert world.prober.probes()["check"] == 1
+    assert world.forwarder.paths == ["/health"]
+
+
+@pytest.mark.parametrize("age_ms", [200, -1])
+def test_shared_loads_reach_the_choice(age_ms: int) -> None:
+    """Guards against lost load reports, and ones from the future."""
+    world = _world(on_duty=False)
+    load = SharedLoad(
+        target=world.target.name, in_flight=3, queued=1, age_ms=age_ms
+    )
+    world.hear(LoadBatch(loads=(load,)))
+    stats = world.choice.stats("s0", world.target.name)
+    assert (stats.report is not None) == (age_ms >= 0)
+    if stats.report is not None:
+        assert stats.report_at_s == pytest.approx(world.now_s - 0.2)
+
+
+def test_a_removed_target_is_left_alone() -> None:
+    """Guards against news and answers of targets that are gone."""
+    world = _world(on_duty=True)
+    world.prober.set_targets([], set())
+    world.choice.set_targets(world.now_s, "s0", [])
+    paths = len(world.forwarder.paths)
+    world.hear(_news(world, 1, Health.LEAVING))
+    world.run(3.0)
+    assert len(world.forwarder.paths) == paths
