Forget good words of instances that are gone

Cause: an instance kept one word for each prober that had ever spoken of a target, also after the prober's end; replaced instances would add up.

Ruled out: dropping all words of gone instances, since the word that a target is leaving must hold until an own probe or a current prober ends it.

Change: good words go when their instance goes. The load batches that go on during a sign are now subtracted in measure_probes over the same time as they are counted; before, twice the real messages were printed.

After: the tests of shared health passed.

--- a/packages/verbenaworks/src/verbenaworks/shared_health.py
+++ b/packages/verbenaworks/src/verbenaworks/shared_health.py
@@ -199,6 +199,8 @@
         self._assignment.set_members(members)
         for record in self._records.values():
             record.probers = self._assignment.probers(record.info)
+            if record.words:
+                self._forget_good_words(record)
         self._review(now_s)
 
     def set_targets(
@@ -514,6 +516,14 @@
             record.next_probe_s = min(record.next_probe_s, first_s)
         self._judge(record, None)
 
+    def _forget_good_words(self, record: _Record) -> None:
+        """Drop good words of instances that are gone, so none pile up."""
+        record.words = {
+            address: word
+            for address, word in record.words.items()
+            if word.health is not Health.OK or address in self._members
+        }
+
     def _on_taken(self, message: HealthTaken) -> None:
         if message.origin == self._own:
             self._sender.taken(message)
--- a/tests/test_shared_health.py
+++ b/tests/test_shared_health.py
@@ -296,6 +296,20 @@
     assert _judged(_say(health, 3, Health.OK)) == [Health.OK]
 
 
+def test_good_words_of_gone_instances_are_forgotten() -> None:
+    """Guards against memory that grows with each replaced instance."""
+    health = _single()
+    origin = _prober(health).name
+    _say(health, 1, Health.LEAVING)
+    rest = [m for m in fleet_members(11, 3, 6) if m.name != origin]
+    health.set_members(1.0, rest)
+    assert origin in health._records[TARGET.name].words
+    health.set_members(1.0, fleet_members(11, 3, 6))
+    _say(health, 2, Health.OK)
+    health.set_members(2.0, rest)
+    assert not health._records[TARGET.name].words
+
+
 def test_only_known_targets_are_acknowledged() -> None:
     """Guards against the loss of a word that came before the target."""
     taken = [
--- a/tools/measure_probes.py
+++ b/tools/measure_probes.py
@@ -145,9 +145,9 @@
     for number, (way, limit) in enumerate(ways):
         for node in fleet.nodes.values():
             node.health._sender._direct_limit = limit
+        loads = _load_rate(fleet)
         messages = {n: x.sent_messages for n, x in fleet.nodes.items()}
         sent = sum(x.sent_bytes for x in fleet.nodes.values())
-        loads = _load_rate(fleet)
         spread_s = _sign(fleet, number, Health.LEAVING)
         counts = {
             name: node.sent_messages - messages[name]
