--- a/tests/test_target_prober.py
+++ b/tests/test_target_prober.py
@@ -1,17 +1,17 @@
 """The daemon's side of shared probes."""
 
-from collections.abc import Iterator
-from dataclasses import dataclass, field
 from random import Random
 from typing import Any
 
 import eventlet
 import pytest
-from result import Ok
 
 from choice_fakes import FakeUnits, chooser
 from health_harness import fleet_members, fleet_targets
+from verbenad.bus import Sender
+from verbenad.forwarder import Forwarder
 from verbenad.target_prober import TICK_S, TargetProber
+from verbenad.upstream_pool import UpstreamPool
 from verbenaworks import decode
 from verbenaworks.control_record import InstanceId
 from verbenaworks.health_messages import (
@@ -23,45 +23,19 @@
 )
 from verbenaworks.health_sender import health_code
 from verbenaworks.load_report import Health
+from verbenaworks.target import TargetInfo
 from verbenaworks.target_stats import REFUSAL_HOLD_S, Sign
 
 
-class _Body:
-    def __init__(self, data: bytes) -> None:
-        self._data = data
+class _Prober(TargetProber):
+    """Probes that are answered at once with what the test sets."""
 
-    def __iter__(self) -> Iterator[bytes]:
-        yield self._data
+    health = b'{"status": "ok"}'
+    paths: list[str]
 
-    def close(self) -> None:
-        """End the answer."""
-
-
-@dataclass
-class _Answer:
-    status: int
-    body: _Body
-
-
-@dataclass
-class _Forwarder:
-    """Answers each probe with what the test sets."""
-
-    health: bytes = b'{"status": "ok"}'
-    paths: list[str] = field(default_factory=list)
-
-    def attempt(self, request: Any, *_: Any, **__: Any) -> Any:
-        """Answer at once."""
-        self.paths.append(request.target)
-        data = self.health
-        if request.target == "/load":
-            data = b'{"in_flight": 4}'
-        return Ok(_Answer(200, _Body(data)))
-
-
-@dataclass
-class _Sender:
-    address: str
+    def _get(self, target: TargetInfo, path: str) -> tuple[int, bytes]:
+        self.paths.append(path)
+        return 200, self.health if path == "/health" else b'{"in_flight": 4}'
 
 
 class _Bus:
@@ -88,22 +62,23 @@
     def __init__(self, name: str) -> None:
         self.now_s = 100.0
         self.bus = _Bus(name)
-        self.forwarder = _Forwarder()
         self.target = fleet_targets(1, 3, 6)[0]
         self.choice = chooser(FakeUnits())
         self.choice.set_targets(self.now_s, "s0", [self.target])
         self.changed: list[str] = []
         self.members = fleet_members(11, 3, 6)
-        self.prober = TargetProber(
+        self.paths: list[str] = []
+        self.prober = _Prober(
             instance=InstanceId(name=name, incarnation=1),
             bus=self.bus,  # type: ignore[arg-type]
             choice=self.choice,
-            forwarder=self.forwarder,  # type: ignore[arg-type]
+            forwarder=Forwarder(UpstreamPool(now_s=lambda: self.now_s)),
             connection_limit=lambda _: 1,
             now_s=lambda: self.now_s,
             random=Random(1),
             on_change=self.changed.append,
         )
+        self.prober.paths = self.paths
         self.prober.set_members(self.members)
         self.prober.set_targets([self.target], {self.target.name})
 
@@ -118,7 +93,9 @@
 
     def hear(self, message: Any, sender: str = "i0000") -> None:
         """Deliver a message."""
-        self.bus.handlers[type(message)](_Sender(sender), message)
+        self.bus.handlers[type(message)](
+            Sender(name=sender, address=sender), message
+        )
 
     @property
     def signs(self) -> int:
@@ -130,7 +107,7 @@
     for member in fleet_members(11, 3, 6):
         world = _World(member.name)
         world.run(3.0)
-        if bool(world.forwarder.paths) == on_duty:
+        if bool(world.paths) == on_duty:
             return world
     raise AssertionError("no such instance")
 
@@ -145,7 +122,7 @@
 def test_a_prober_tells_all_of_a_leaving_target() -> None:
     """Guards against a sign that stays with the prober."""
     world = _world(on_duty=True)
-    world.forwarder.health = b'{"status": "leaving"}'
+    world.prober.health = b'{"status": "leaving"}'
     world.run(2.0)
     told = {a for a, m in world.bus.sent if isinstance(m, HealthNews)}
     assert told == {m.name for m in world.members} - {world.bus.address}
@@ -163,7 +140,7 @@
     assert isinstance(world.bus.sent[-1][1], HealthTaken)
     world.hear(_news(world, 2, Health.OK))
     assert world.signs == 0
-    assert world.forwarder.paths == []
+    assert world.paths == []
 
 
 def test_an_own_refusal_ends_with_an_own_probe() -> None:
@@ -173,11 +150,11 @@
     stats.refused(world.now_s)
     world.run(REFUSAL_HOLD_S - 0.5)
     assert world.signs == Sign.REFUSAL
-    assert world.forwarder.paths == []
+    assert world.paths == []
     world.run(3.0)
     assert world.signs == 0
     assert world.prober.probes()["check"] == 1
-    assert world.forwarder.paths == ["/health"]
+    assert world.paths == ["/health"]
 
 
 @pytest.mark.parametrize("age_ms", [200, -1])
@@ -199,7 +176,7 @@
     world = _world(on_duty=True)
     world.prober.set_targets([], set())
     world.choice.set_targets(world.now_s, "s0", [])
-    paths = len(world.forwarder.paths)
+    paths = len(world.paths)
     world.hear(_news(world, 1, Health.LEAVING))
     world.run(3.0)
-    assert len(world.forwarder.paths) == paths
+    assert len(world.paths) == paths
