Send directly to those that two relays did not reach

Cause: a new history with 72 instances, 8 of them dead and 10% of messages lost left a live instance without acknowledgement for 9 s: the rest of a domain was one live and one or two dead instances, and a random relay of that rest was often a dead one.

Ruled out: relays from outside the rest, which again send one message each.

--- a/packages/verbenaworks/src/verbenaworks/health_sender.py
+++ b/packages/verbenaworks/src/verbenaworks/health_sender.py
@@ -27,6 +27,7 @@
 # After this many direct attempts every second one goes through a helper,
 # because only the path between the two may be broken.
 _DIRECT_ATTEMPTS = 2
+_RELAY_ATTEMPTS = 2
 _CODES = tuple(Health)
 
 
@@ -166,7 +167,19 @@
                 self._direct(address, targets)
                 for address, targets in due.items()
             ]
-        return self._by_relays(due)
+        # The few that two relays did not reach are sent to one by one: as
+        # long as a dead member is not known as such, a random relay of a
+        # small rest would often be the dead one.
+        rest = {
+            address: targets
+            for address, targets in due.items()
+            if max(targets.values()) >= _RELAY_ATTEMPTS
+        }
+        return self._by_relays(
+            {a: targets for a, targets in due.items() if a not in rest}
+        ) + [
+            self._direct(address, targets) for address, targets in rest.items()
+        ]
 
     def _direct(self, address: str, targets: dict[str, int]) -> HealthSend:
         count = max(targets.values())
--- a/tests/test_shared_health.py
+++ b/tests/test_shared_health.py
@@ -157,6 +157,29 @@
         check_bound(fleet, target, since_s)
 
 
+def test_relays_of_a_large_fleet_that_die_and_lose_messages() -> None:
+    """Guards against a domain that hears nothing when its relay is dead."""
+    for seed in range(4):
+        fleet = HealthFleet(
+            seed,
+            fleet_members(72, 3, 6),
+            fleet_targets(12, 3, 6),
+            runs_membership=False,
+        )
+        fleet.run(3.0)
+        fleet.loss_share = 0.1
+        target, since_s = show_sign(fleet, seed, SIGNS[seed % 2])
+        names = fleet.nodes.keys() - set(fleet.probers(target)[1:])
+        for name in Random(seed).sample(sorted(names), 8):
+            fleet.kill(name)
+        check_bound(fleet, target, since_s)
+        running = set(fleet.nodes)
+        for node in fleet.nodes.values():
+            # Fixed views keep the dead; all others have acknowledged.
+            for news in node.health._sender._news.values():
+                assert not news.pending.keys() & running
+
+
 def test_views_that_differ() -> None:
     """Guards against probers that each take another for the prober."""
     for seed in SEEDS:
--- a/tools/mutations_probes.py
+++ b/tools/mutations_probes.py
@@ -49,6 +49,20 @@
         "suspects >= 1000 and",
         f"{_TEST}::test_a_few_instances_that_are_cut_off_together",
     ),
+    (
+        "probes: a relay keeps the news",
+        f"{_LIBRARY}/shared_health.py",
+        "if address in self._members and address != self._own:",
+        "if False:",
+        f"{_TEST}::test_relays_of_a_large_fleet_that_die_and_lose_messages",
+    ),
+    (
+        "probes: a relay keeps the acknowledgements",
+        f"{_LIBRARY}/shared_health.py",
+        "self._acks[key].update(message.takers)",
+        "self._acks[key].update(())",
+        f"{_TEST}::test_relays_of_a_large_fleet_that_die_and_lose_messages",
+    ),
     (
         "probes: a change is sent once",
         f"{_LIBRARY}/health_sender.py",
