--- a/tools/mutations_probes.py
+++ b/tools/mutations_probes.py
@@ -63,6 +63,20 @@
         "self._acks[key].update(())",
         f"{_TEST}::test_relays_of_a_large_fleet_that_die_and_lose_messages",
     ),
+    (
+        "probes: a target that refused once stays out",
+        "packages/verbenad/src/verbenad/target_prober.py",
+        "if now_s >= self._next_refusal_check_s:",
+        "if False:",
+        "tests/test_target_prober.py",
+    ),
+    (
+        "probes: a target that is not configured yet is acknowledged",
+        f"{_LIBRARY}/shared_health.py",
+        "taken=tuple((c.target, c.seq) for c in known),",
+        "taken=tuple((c.target, c.seq) for c in message.changes),",
+        f"{_TEST}::test_only_known_targets_are_acknowledged",
+    ),
     (
         "probes: a change is sent once",
         f"{_LIBRARY}/health_sender.py",
