--- a/tests/test_shared_health.py
+++ b/tests/test_shared_health.py
@@ -128,6 +128,23 @@
         check_bound(fleet, target, since_s)
 
 
+def test_an_instance_of_a_large_fleet_that_hears_nobody() -> None:
+    """Guards against waiting for membership, which suspects one by one."""
+    members = fleet_members(72, 3, 6)
+    heard_at_s: dict[str, float] = {}
+    health = SharedHealth("i0071", 1, heard_at_s, 0.0, Random(1))
+    health.set_members(0.0, members)
+    targets = fleet_targets(12, 3, 6)
+    health.set_targets(0.0, targets, {t.name for t in targets})
+    duties = health.probing("duty")
+    for tick in range(50):
+        heard_at_s["i0000"] = min(tick / 10, 3.0)
+        health.tick(tick / 10)
+        if tick <= 35:
+            assert health.probing("alone") == 0
+    assert health.probing("alone") == 12 - duties > 0
+
+
 def test_a_few_instances_that_are_cut_off_together() -> None:
     """Guards against a wait until membership has lost all probers.
 
--- a/tools/mutations_probes.py
+++ b/tools/mutations_probes.py
@@ -40,7 +40,7 @@
         f"{_LIBRARY}/shared_health.py",
         "self._is_isolated = now_s - heard_s > ISOLATED_S",
         "self._is_isolated = False",
-        f"{_TEST}::test_an_instance_that_is_cut_off",
+        f"{_TEST}::test_an_instance_of_a_large_fleet_that_hears_nobody",
     ),
     (
         "probes: a few instances that are cut off together wait",
