--- a/packages/verbenad/src/verbenad/bus.py
+++ b/packages/verbenad/src/verbenad/bus.py
@@ -85,6 +85,8 @@
         # The peer whose message is being handled; what is sent to it
         # meanwhile is an answer.
         self._answered: str | None = None
+        # When each address last sent anything.
+        self.heard_at_s: dict[str, float] = {}
         self._inbox = pynng.Pull0(
             listen=f"tcp://{listen_address or address}",
             recv_max_size=MAX_MESSAGE_BYTES,
@@ -156,8 +158,10 @@
         except WireError:
             self.malformed += 1
             return MALFORMED
+        now_s = self._now_s()
         link = self._link(address)
-        link.heard(self._now_s(), frame.number, frame.acknowledged)
+        link.heard(now_s, frame.number, frame.acknowledged)
+        self.heard_at_s[address] = now_s
         sender = Sender(name=frame.name, address=address)
         return self._deliver(sender, frame.body)
 
@@ -194,6 +198,7 @@
         for address in self._links:
             if address not in self._sockets:
                 del self._links[address]
+                self.heard_at_s.pop(address, None)
                 return
 
     def _socket(
