--- a/tools/health_harness.py
+++ b/tools/health_harness.py
@@ -6,7 +6,9 @@
 from random import Random
 from typing import Any
 
-from verbenad.bus import BusEnvelope, Sender
+import msgspec
+
+from verbenad.bus_frame import BusFrame, encode_frame, pack_address
 from verbenaworks.connection_plan import connection_plan
 from verbenaworks.health_messages import HealthNews, HealthTaken, LoadBatch
 from verbenaworks.health_sender import HealthSend
@@ -268,10 +270,13 @@
 
     def _send(self, node: Node, address: str, body: bytes) -> None:
         name = node.member.name
-        data = encode(
-            BusEnvelope(
-                sender=Sender(name=name, address=node.member.bus_address),
-                body=body,
+        data = encode_frame(
+            BusFrame(
+                name=name,
+                address=pack_address(node.member.bus_address),
+                number=0,
+                acknowledged=0,
+                body=msgspec.Raw(body),
             )
         )
         message = decode(body)
