--- a/tools/measure_load.py
+++ b/tools/measure_load.py
@@ -19,6 +19,7 @@
 import time
 from collections.abc import Iterator
 from dataclasses import asdict, dataclass
+from math import floor
 from pathlib import Path
 
 import msgspec
@@ -266,14 +267,16 @@
 
     def _region_share(self, began_s: float) -> float:
         """Return the peak of runs in a region against its limit."""
-        limits: dict[str, float] = {}
+        slots_by_region: dict[str, int] = {}
         runs = []
         for service in self._local.deployment.services:
             service_s = self._service_s[service.name]
             for number in range(1, service.targets + 1):
                 name = f"{service.name}/t{number}"
                 region = self._local.region_of(name)
-                limits[region] = limits.get(region, 0.0) + service.slots
+                slots_by_region[region] = (
+                    slots_by_region.get(region, 0) + service.slots
+                )
                 history = self._local.get_json(
                     f"{self._local.target_url(name)}/admin/history"
                 )
@@ -289,8 +292,8 @@
                 ]
         peaks = peak_in_flight(runs)
         return max(
-            peaks.get(region, 0) / (limit * (1 - HEADROOM_SHARE))
-            for region, limit in limits.items()
+            peaks.get(region, 0) / (slots - floor(slots * HEADROOM_SHARE))
+            for region, slots in slots_by_region.items()
         )
 
 
