Bound no first wait by a default time; divide rates into two parts

Until the first answer of a service was measured, a pooled connection counted as silent after three times a default of 0.05 s; the run at the backend server went on while the request was tried again.

Change: two parts, each with a burst of 8 at least; an unknown usual time bounds the wait only by half of the time left.

--- a/packages/verbenad/src/verbenad/budget_plan.py
+++ b/packages/verbenad/src/verbenad/budget_plan.py
@@ -11,9 +11,11 @@
 STORE_CLAIMS_BUDGET = "runs/store-claims"
 STORE_CLAIMS_PER_S = 100
 # The parts of a workspace's rate and of a region's load belong to different
-# shards, so that the death of an owner withholds only a part of them.
-RATE_PARTS = 4
-MIN_PART_BURST = 4
+# shards, so that the death of an owner withholds only a part of them. More
+# parts of a rate mean more refusals inside it: a small burst is divided among
+# parts and instances into depths of 0 or 1.
+RATE_PARTS = 2
+MIN_PART_BURST = 8
 REGION_PARTS = 8
 LINK_PARTS = 4
 # Routers queue about this much of a link's traffic; a longer burst would be
--- a/packages/verbenad/src/verbenad/call_runner.py
+++ b/packages/verbenad/src/verbenad/call_runner.py
@@ -79,7 +79,7 @@
     """Runs requests on backend servers.
 
     :param dispatchers: by service name.
-    :param usual_s: usual service time of a service.
+    :param usual_s: usual service time of a service, none if unknown.
     :param avoid: called with a target on which an attempt failed.
     :param links: links to other regions, if they are limited.
     :param check: called before each attempt; raises Refused if the request
@@ -94,7 +94,7 @@
         retries: Callable[[str], RetryBudget],
         crashes: CrashReports,
         log: DecisionLog,
-        usual_s: Callable[[str], float],
+        usual_s: Callable[[str], float | None],
         connection_limit: Callable[[TargetInfo], int],
         avoid: Callable[[TargetInfo], None],
         check: Callable[[Call], None],
@@ -277,10 +277,10 @@
     def _silent_after_s(self, call: Call) -> float:
         usual_s = self._usual_s(call.service.name)
         left_s = call.deadline_s - self._now_s()
-        return min(
-            max(SILENT_FACTOR * usual_s, SILENT_MIN_S),
-            SILENT_MAX_SHARE_OF_TIME_LEFT * left_s,
-        )
+        longest_s = SILENT_MAX_SHARE_OF_TIME_LEFT * left_s
+        if usual_s is None:
+            return longest_s
+        return min(max(SILENT_FACTOR * usual_s, SILENT_MIN_S), longest_s)
 
     def _may_retry(
         self,
--- a/packages/verbenad/src/verbenad/service_desk.py
+++ b/packages/verbenad/src/verbenad/service_desk.py
@@ -22,7 +22,6 @@
 
 WANTS_PERIOD_S = 0.25
 AVOID_S = 1.0
-_DEFAULT_SERVICE_S = 0.05
 
 
 class ServiceDesk:
@@ -183,9 +182,9 @@
         """Return the retry budget of a service."""
         return self._retries[service]
 
-    def usual_s(self, service: str) -> float:
-        """Return the usual service time of a service."""
-        return self.choice.service_time(service).mean_s or _DEFAULT_SERVICE_S
+    def usual_s(self, service: str) -> float | None:
+        """Return the usual service time of a service, none if unknown."""
+        return self.choice.service_time(service).mean_s
 
     def connection_limit(self, target: TargetInfo) -> int:
         """Return how many connections may be open to a target."""
--- a/tests/test_call_runner.py
+++ b/tests/test_call_runner.py
@@ -147,9 +147,16 @@
 def test_slow_answer_is_not_taken_for_a_silent_connection() -> None:
     """Guards against a second run of each request of a slow service.
 
-    A limit of 2 s was below the usual time of uploads that take 4 s.
+    A limit of 2 s was below the usual time of uploads that take 4 s. Before
+    the first answer, the wait was three times a default time.
     """
-    for usual_s, expected_s in ((0.01, 0.2), (0.5, 1.5), (1.2, 3.6), (4.0, 5)):
+    for usual_s, expected_s in (
+        (0.01, 0.2),
+        (0.5, 1.5),
+        (1.2, 3.6),
+        (4.0, 5.0),
+        (None, 5.0),
+    ):
         forwarder = _Forwarder()
         runner = _runner(
             _OneTarget(),
--- a/tools/measure_budgets.py
+++ b/tools/measure_budgets.py
@@ -45,7 +45,7 @@
 # The same with requests every 0.5 s; not the design, but a trial of it.
 TRIAL = "trial, 0.5 s"
 # The rate of a workspace in the parts that the daemon makes of it.
-PARTS = "four parts"
+PARTS = "parts as in the daemon"
 WAYS = (SHARED, PARTS, FIXED, LOCAL, TRIAL)
 GRANTED = (SHARED, PARTS, TRIAL)
 SEEDS = 5
