--- a/tools/mutations_budgets.py
+++ b/tools/mutations_budgets.py
@@ -150,8 +150,10 @@
     _fault(
         name="owner acts without a valid lease",
         module="budget_owner.py",
-        old="if not self._lease.is_valid(now_s):",
-        new="if False:",
+        old="if not self._lease.is_valid(now_s):\n"
+        "            return None\n"
+        "        if self._lease.epoch",
+        new="if self._lease.epoch",
         test=_OWNER,
     ),
     _fault(
