Ask for a region's free load without creating holdings

In a profile of 3,200 requests at one of 11 instances, 0.62 of 4.7 s went into 131,000 questions for free units: since region load follows the slots, most of a region's eight parts are empty, and each question read the clock and made a holding.

Ruled out: links (no request crosses one here) and the budget loop (not among the 45 largest).

Change: one clock reading for each region; a question creates nothing.

Before: 5.04 million calls in the profile, 0.62 s in these questions.

--- a/packages/verbenad/src/verbenad/divided_units.py
+++ b/packages/verbenad/src/verbenad/divided_units.py
@@ -44,13 +44,16 @@
         self._holds: dict[tuple[str, str], list[Hold]] = {}
         self._used: Counter[str] = Counter()
         self._groups: dict[str, Sequence[TargetInfo]] = {}
+        self._group_budgets: dict[str, Sequence[BudgetHandle]] = {}
         self._splits: dict[str, UnitSplit] = {}
         self._wants: dict[str, dict[str, int]] = {}
         self._shares: dict[str, Counter[str]] = {}
 
     def set_targets(self, service: str, targets: Sequence[TargetInfo]) -> None:
         """Set the members of a group."""
-        self._groups[service] = [t for t in targets if not t.draining]
+        members = [t for t in targets if not t.draining]
+        self._groups[service] = members
+        self._group_budgets[service] = [self._budget(t.name) for t in members]
         self._splits.setdefault(service, UnitSplit(self._place))
         self._restate(service)
 
@@ -79,6 +82,14 @@
         budget = self._budget(target)
         return budget.taker.available(self._now_s(), budget.name)
 
+    def any_available(self, service: str) -> bool:
+        """Return whether a member has a granted unit that is not in use."""
+        now_s = self._now_s()
+        for budget in self._group_budgets.get(service, ()):
+            if budget.taker.available(now_s, budget.name) > 0:
+                return True
+        return False
+
     def regions_with_units(self) -> set[str]:
         """Return the regions of members of which units are granted.
 
--- a/packages/verbenad/src/verbenad/region_units.py
+++ b/packages/verbenad/src/verbenad/region_units.py
@@ -63,10 +63,7 @@
         It returns 1 for any number of them: the choice asks this for each
         target, and counting all parts would cost more than the choice.
         """
-        for part in self._parts.members(target):
-            if self._parts.available(part.name) > 0:
-                return 1
-        return 0
+        return int(self._parts.any_available(target))
 
     def take(self, target: str, workspace: str) -> bool:
         """Put one unit of a region in use; false if none is available."""
--- a/packages/verbenaworks/src/verbenaworks/budget_taker.py
+++ b/packages/verbenaworks/src/verbenaworks/budget_taker.py
@@ -169,11 +169,8 @@
 
     def available(self, now_s: float, budget: str) -> int:
         """Return the granted units that are not in use, or the tokens."""
-        match self._holding(budget):
-            case LevelHolding() | RateHolding() as holding:
-                return holding.available(now_s)
-            case _:
-                return 0
+        holding = self._holdings.get(budget)
+        return 0 if holding is None else holding.available(now_s)
 
     def granted_parts(self, now_s: float, budget: str) -> Mapping[str, int]:
         """Return the granted units of a level budget by workspace."""
--- a/packages/verbenaworks/src/verbenaworks/level_holding.py
+++ b/packages/verbenaworks/src/verbenaworks/level_holding.py
@@ -67,7 +67,9 @@
 
     def available(self, now_s: float) -> int:
         """Return the granted units that are not in use."""
-        self.expire(now_s)
+        # The choice asks for each of its candidates.
+        if now_s >= self._expires_at_s:
+            self.expire(now_s)
         return max(0, self._amount - self._in_use)
 
     def granted_parts(self, now_s: float) -> Mapping[str, int]:
