Call what a prober tells of a target a health report

The field's term in place of a private one. The tests of the module, the sender and the prober pass; the lists of faults still match the code.

--- a/packages/verbenaworks/src/verbenaworks/health_messages.py
+++ b/packages/verbenaworks/src/verbenaworks/health_messages.py
@@ -10,7 +10,7 @@
 
 
 class HealthChange(msgspec.Struct, array_like=True, frozen=True, kw_only=True):
-    """The newest word of one prober on one target.
+    """The newest report of one prober on one target.
 
     :ivar seq: raised by the prober with each change of this target.
     :ivar health: position in the order of :class:`Health`.
--- a/packages/verbenaworks/src/verbenaworks/health_sender.py
+++ b/packages/verbenaworks/src/verbenaworks/health_sender.py
@@ -80,7 +80,7 @@
         return sum(len(news.pending) for news in self._news.values())
 
     def last(self, target: str) -> Health:
-        """Return what was said last; the first word is taken as good."""
+        """Return what was said last; the first report is taken as good."""
         news = self._news.get(target)
         return news.health if news is not None else Health.OK
 
@@ -122,14 +122,14 @@
     def retire(self, target: str) -> None:
         """Note that this instance no longer probes a target.
 
-        The last word still goes to those that miss it, but not to new
+        The last report still goes to those that miss it, but not to new
         members, which hear from the current probers.
         """
         if target in self._news:
             self._retired.add(target)
 
     def is_retired(self, target: str) -> bool:
-        """Return whether the last word on a target is not kept up."""
+        """Return whether the last report on a target is not kept up."""
         return target in self._retired
 
     def drop(self, target: str) -> None:
--- a/packages/verbenaworks/src/verbenaworks/shared_health.py
+++ b/packages/verbenaworks/src/verbenaworks/shared_health.py
@@ -1,10 +1,10 @@
 """What an instance knows of the health of targets, shared by their probers.
 
 Each target is probed by a few instances, which tell all others what changes.
-An instance acts at once on a word that a target is leaving. It acts on a word
-that a target fails only after an own probe failed too, because the fault may
-be in the prober's network. It probes a target itself while none of the
-target's probers is heard.
+An instance acts at once on a report that a target is leaving. It acts on a
+report that a target fails only after an own probe failed too, because the
+fault may be in the prober's network. It probes a target itself while none of
+the target's probers is heard.
 """
 
 from collections import defaultdict
@@ -101,7 +101,7 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class _Word:
+class _HealthReport:
     incarnation: int
     seq: int
     health: Health
@@ -113,7 +113,7 @@
     info: TargetInfo
     in_use: bool
     probers: tuple[Member, ...] = ()
-    words: dict[str, _Word] = field(default_factory=dict)
+    reports: dict[str, _HealthReport] = field(default_factory=dict)
     own: Health = Health.OK
     own_asked_s: float = 0.0
     lost: int = 0
@@ -199,7 +199,7 @@
         self._assignment.set_members(members)
         for record in self._records.values():
             record.probers = self._assignment.probers(record.info)
-            if record.words:
+            if record.reports:
                 self._forget_good_words(record)
         self._review(now_s)
 
@@ -258,11 +258,11 @@
             return []
         record.own_asked_s = asked_s
         if self._note_own(record, health):
-            record.words = {
-                address: word
-                for address, word in record.words.items()
-                if not self._is_orphan(record, address, word)
-                or word.heard_s >= asked_s
+            record.reports = {
+                address: report
+                for address, report in record.reports.items()
+                if not self._is_orphan(record, address, report)
+                or report.heard_s >= asked_s
             }
             self._share(now_s, record)
             self._judge(record, asked_s)
@@ -350,11 +350,11 @@
             return "alone"
         if record.is_check_wanted or record.own is not Health.OK:
             return "check"
-        for address, word in record.words.items():
-            if word.health is Health.OK:
+        for address, report in record.reports.items():
+            if report.health is Health.OK:
                 continue
-            if word.health in _FAILING or self._is_orphan(
-                record, address, word
+            if report.health in _FAILING or self._is_orphan(
+                record, address, report
             ):
                 return "check"
         return ""
@@ -421,10 +421,10 @@
         return True
 
     def _fails_elsewhere(self, record: _Record) -> bool:
-        return any(w.health in _FAILING for w in record.words.values())
+        return any(w.health in _FAILING for w in record.reports.values())
 
     def _share(self, now_s: float, record: _Record) -> None:
-        """Tell all others if this instance's word on the target changed."""
+        """Tell all others if this instance's report on the target changed."""
         name = record.info.name
         last = self._sender.last(name)
         if record.own is last and (
@@ -440,7 +440,7 @@
             return
         self._sender.change(now_s, name, record.own)
 
-    # Words of others.
+    # Reports of others.
 
     def _on_news(self, now_s: float, sender: str, message: HealthNews) -> None:
         if message.origin == self._own:
@@ -457,7 +457,7 @@
                 now_s,
                 message.origin,
                 change.target,
-                _Word(
+                _HealthReport(
                     incarnation=message.incarnation,
                     seq=change.seq,
                     health=health,
@@ -490,38 +490,38 @@
                 )
 
     def _accept(
-        self, now_s: float, origin: str, target: str, word: _Word
+        self, now_s: float, origin: str, target: str, report: _HealthReport
     ) -> None:
         record = self._records[target]
-        known = record.words.get(origin)
-        if known is not None and (word.incarnation, word.seq) <= (
+        known = record.reports.get(origin)
+        if known is not None and (report.incarnation, report.seq) <= (
             known.incarnation,
             known.seq,
         ):
             return
-        record.words[origin] = word
+        record.reports[origin] = report
         if (
-            word.health is Health.OK
+            report.health is Health.OK
             and record.why != "duty"
             and not any(
-                w.health is not Health.OK for w in record.words.values()
+                w.health is not Health.OK for w in record.reports.values()
             )
         ):
             # The probers see the target more often than this instance does.
             record.own = Health.OK
         self._schedule(now_s, record)
-        if word.health in _FAILING and record.next_probe_s is not None:
+        if report.health in _FAILING and record.next_probe_s is not None:
             # A check that is under way may be far from its next probe.
             first_s = now_s + self._check_spread_s() * self._rng.random()
             record.next_probe_s = min(record.next_probe_s, first_s)
         self._judge(record, None)
 
     def _forget_good_words(self, record: _Record) -> None:
-        """Drop good words of instances that are gone, so none pile up."""
-        record.words = {
-            address: word
-            for address, word in record.words.items()
-            if word.health is not Health.OK or address in self._members
+        """Drop OK reports of instances that are gone, so none pile up."""
+        record.reports = {
+            address: report
+            for address, report in record.reports.items()
+            if report.health is not Health.OK or address in self._members
         }
 
     def _on_taken(self, message: HealthTaken) -> None:
@@ -568,10 +568,10 @@
         """Tell the choice of target what holds now.
 
         :param asked_s: time of the own probe that caused this, none for a
-            word of another. A word of another must not end the effect of a
+            report of another. A report of another must not end the effect of a
             refusal that this instance got after the prober's probe.
         """
-        healths = {word.health for word in record.words.values()}
+        healths = {report.health for report in record.reports.values()}
         if Health.LEAVING in healths or record.own is Health.LEAVING:
             judged = Health.LEAVING
         elif record.own in _FAILING:
@@ -593,11 +593,13 @@
             )
         )
 
-    def _is_orphan(self, record: _Record, address: str, word: _Word) -> bool:
-        """Return whether a word's prober has ended or has lost its duty."""
+    def _is_orphan(
+        self, record: _Record, address: str, report: _HealthReport
+    ) -> bool:
+        """Return whether a report's prober has ended or has lost its duty."""
         return not any(
             member.bus_address == address
-            and member.incarnation <= word.incarnation
+            and member.incarnation <= report.incarnation
             for member in record.probers
         )
 
--- a/tests/test_health_sender.py
+++ b/tests/test_health_sender.py
@@ -47,7 +47,7 @@
 
 
 def test_a_newer_change_supersedes() -> None:
-    """Guards against an old word that is sent after a newer one."""
+    """Guards against an old report that is sent after a newer one."""
     sender = _sender(fleet_members(1, 1, 1))
     sender.change(0.0, "t", Health.LEAVING)
     sender.change(0.1, "t", Health.OK)
--- a/tests/test_shared_health.py
+++ b/tests/test_shared_health.py
@@ -244,7 +244,7 @@
 
 
 def test_recovery_while_the_prober_that_saw_the_sign_dies() -> None:
-    """Guards against the last word of a dead prober that stays for ever."""
+    """Guards against the last report of a dead prober that stays for ever."""
     for seed in SEEDS:
         fleet = make_fleet(seed)
         target, _ = show_sign(fleet, seed, Health.LEAVING)
@@ -327,7 +327,7 @@
 
 
 def test_words_are_accepted_in_order() -> None:
-    """Guards against a resent old word that undoes a newer one."""
+    """Guards against a resent old report that undoes a newer one."""
     health = _single()
     assert _judged(_say(health, 2, Health.LEAVING)) == [Health.LEAVING]
     assert _judged(_say(health, 1, Health.OK)) == []
@@ -343,15 +343,15 @@
     _say(health, 1, Health.LEAVING)
     rest = [m for m in fleet_members(11, 3, 6) if m.name != origin]
     health.set_members(1.0, rest)
-    assert origin in health._records[TARGET.name].words
+    assert origin in health._records[TARGET.name].reports
     health.set_members(1.0, fleet_members(11, 3, 6))
     _say(health, 2, Health.OK)
     health.set_members(2.0, rest)
-    assert not health._records[TARGET.name].words
+    assert not health._records[TARGET.name].reports
 
 
 def test_only_known_targets_are_acknowledged() -> None:
-    """Guards against the loss of a word that came before the target."""
+    """Guards against the loss of a report that came before the target."""
     taken = [
         action.message.taken
         for action in _say(_single(), 1, Health.LEAVING)
@@ -374,7 +374,7 @@
 
 
 def test_a_shared_good_word_does_not_date_from_now() -> None:
-    """Guards against an old good word that ends a later own refusal."""
+    """Guards against an old OK report that ends a later own refusal."""
     health = _single()
     _say(health, 1, Health.LEAVING)
     actions = _say(health, 2, Health.OK)
--- a/tools/mutations_probes.py
+++ b/tools/mutations_probes.py
@@ -22,17 +22,17 @@
         f"{_TEST}::test_dead_probers",
     ),
     (
-        "probes: an older word replaces a newer one",
+        "probes: an older report replaces a newer one",
         f"{_LIBRARY}/shared_health.py",
-        "if known is not None and (word.incarnation, word.seq) <= (",
-        "if known is not None and (word.incarnation, word.seq) == (",
+        "if known is not None and (report.incarnation, report.seq) <= (",
+        "if known is not None and (report.incarnation, report.seq) == (",
         f"{_TEST}::test_words_are_accepted_in_order",
     ),
     (
-        "probes: the word of a dead prober stays",
+        "probes: the report of a dead prober stays",
         f"{_LIBRARY}/shared_health.py",
-        "and member.incarnation <= word.incarnation",
-        "and member.incarnation <= word.incarnation\n            or True",
+        "and member.incarnation <= report.incarnation",
+        "and member.incarnation <= report.incarnation\n            or True",
         f"{_TEST}::test_recovery_while_the_prober_that_saw_the_sign_dies",
     ),
     (
