Let one piece of code serve where logic stood twice

Cause: a read of the whole change found logic that it had written again.

Change, without a change of behaviour: - handles_in_order: the rate gate and the link gate rotated the parts of a divided budget by the same hash. - LinkedBody: the two bodies of an attempt on a link have one class, and their reservation and charge one path. - RateHolding counts demand in one place; Forwarder._fail takes may_have_run, in place of failures built by hand beside it; RunGuard passes the ticket instead of asserting it again. - target_infos of the service desk serves the model of the choice, compile_changes four copies of "apply changes to an empty configuration", and quantile three tools. - The backend server stand-in loses connections in one function; the waits of two test modules are one. An unused method of the model's timers is gone. - "Good words", left over in the shared health, are OK reports.

Left as they are: two definitions of a percentile (the load experiment uses the nearest rank, as its test says), and the repeated field lists of messages and codecs.

The first run after the change ended at the collection of tests/test_metrics.py: a new tool was named like the package "quantile" that aioprometheus imports; it is sample_quantile now.

--- a/packages/standins/src/standins/backend_app.py
+++ b/packages/standins/src/standins/backend_app.py
@@ -77,21 +77,16 @@
         peer = (environ["REMOTE_ADDR"], environ["REMOTE_PORT"])
         self._connections[peer] = connection
         if peer in self._silenced:
-            return self._stay_silent(environ, peer)
+            # Until the target crashes.
+            return _lose(environ, lambda: peer in self._silenced)
         if self._faults.unreachable:
-            return self._lose(environ)
+            return _lose(environ, self._is_unreachable)
         if path == "/health":
             return self._health(start_response)
         if path == "/load":
             return self._load(start_response)
         return self._serve(environ, start_response)
 
-    def _stay_silent(self, environ: Environ, peer: object) -> Iterable[bytes]:
-        """Give no answer until the target crashes."""
-        while peer in self._silenced:
-            eventlet.sleep(0.05)
-        return abort_connection(environ)
-
     def _serve(
         self, environ: Environ, start_response: StartResponse
     ) -> Iterable[bytes]:
@@ -130,15 +125,12 @@
             return abort_connection(environ)
         if self._faults.unreachable:
             self._history[index] = replace(run, outcome="answer lost")
-            return self._lose(environ)
+            return _lose(environ, self._is_unreachable)
         self._history[index] = replace(run, outcome="answered")
         return self._answer(start_response, run, query)
 
-    def _lose(self, environ: Environ) -> Iterable[bytes]:
-        """Keep a connection without an answer until the cut ends."""
-        while self._faults.unreachable:
-            eventlet.sleep(0.05)
-        return abort_connection(environ)
+    def _is_unreachable(self) -> bool:
+        return self._faults.unreachable
 
     def _answer(
         self, start_response: StartResponse, run: BackendRun, query: str
@@ -248,6 +240,13 @@
         return json_answer(start_response, "404 Not Found", {})
 
 
+def _lose(environ: Environ, is_lost: Callable[[], bool]) -> Iterable[bytes]:
+    """Give no answer while a connection is lost, and end it then."""
+    while is_lost():
+        eventlet.sleep(0.05)
+    return abort_connection(environ)
+
+
 def _read_body(environ: Environ) -> tuple[str, int, bool]:
     digest, size, tail, has_marker = hashlib.sha256(), 0, b"", False
     while chunk := environ["wsgi.input"].read(CHUNK_BYTES):
--- a/packages/verbenad/src/verbenad/forwarder.py
+++ b/packages/verbenad/src/verbenad/forwarder.py
@@ -352,12 +352,10 @@
         if link is None or link.send(size_bytes, self._deadline_s):
             return
         self._check_cancelled(may_have_run=may_have_run)
-        raise _FailureError(
-            AttemptFailed(
-                kind=FailureKind.LINK_FULL,
-                may_have_run=may_have_run,
-                message="the link had no room for the request's body",
-            )
+        raise self._fail(
+            FailureKind.LINK_FULL,
+            "the link had no room for the request's body",
+            may_have_run=may_have_run,
         )
 
     def _charge_answer(self, size_bytes: int, begun: bool) -> None:
@@ -449,17 +447,19 @@
     def _check_cancelled(self, *, may_have_run: bool = False) -> None:
         cancellation = self._request.cancellation
         if cancellation is not None and cancellation.cancelled:
-            raise _FailureError(
-                AttemptFailed(
-                    kind=FailureKind.CALLER_GONE,
-                    may_have_run=may_have_run,
-                    message="the caller has gone",
-                )
+            raise self._fail(
+                FailureKind.CALLER_GONE,
+                "the caller has gone",
+                may_have_run=may_have_run,
             )
 
-    def _fail(self, kind: FailureKind, message: str) -> _FailureError:
+    def _fail(
+        self, kind: FailureKind, message: str, *, may_have_run: bool = False
+    ) -> _FailureError:
         return _FailureError(
-            AttemptFailed(kind=kind, may_have_run=False, message=message)
+            AttemptFailed(
+                kind=kind, may_have_run=may_have_run, message=message
+            )
         )
 
     def _body_failure(
--- a/packages/verbenad/src/verbenad/link_gate.py
+++ b/packages/verbenad/src/verbenad/link_gate.py
@@ -5,21 +5,20 @@
 than its current read.
 """
 
-import zlib
 from collections import Counter, deque
 from collections.abc import Callable, Iterable, Mapping
 
 import eventlet
 from eventlet.event import Event
 
-from verbenad.budget_handle import budget_handle
+from verbenad.budget_handle import handles_in_order
 from verbenad.budget_loop import BudgetLoop
 from verbenad.budget_plan import link_burst, link_bytes_per_s, link_name
 from verbenad.budget_plan import link_parts as plan_link_parts
 from verbenaworks.body_sizes import BodySizes
 from verbenaworks.choice_result import Why
 from verbenaworks.compiled_config import CompiledConfig
-from verbenaworks.link_hold import LinkHold
+from verbenaworks.link_hold import LinkedBody, LinkHold
 from verbenaworks.link_meter import (
     CARRY_BYTES,
     TOKEN_BYTES,
@@ -56,8 +55,8 @@
 class LinkGate:
     """Links from and to the region of this instance; a ``LinkPool``.
 
-    :param instance: name of this instance; instances begin with different
-        parts of a link's budget.
+    :param instance: name of this instance; decides with which part of a
+        link's budget it begins.
     """
 
     def __init__(
@@ -118,28 +117,28 @@
         now_s = self._now_s()
         out, back = self._pair(region)
         hold = LinkHold(service=service, region=region)
-        if out is not None:
-            size = min(self.sizes.request_bytes(service), out.room_bytes)
-            out.meter.reserve(now_s, size)
-            hold.request_bytes = size
-        if back is not None:
-            size = min(self.sizes.answer_bytes(service), back.room_bytes)
-            back.meter.reserve(now_s, size)
-            hold.answer_bytes = size
+        for line, body, usual in (
+            (out, hold.request, self.sizes.request_bytes(service)),
+            (back, hold.answer, self.sizes.answer_bytes(service)),
+        ):
+            if line is not None:
+                body.reserved_bytes = min(usual, line.room_bytes)
+                line.meter.reserve(now_s, body.reserved_bytes)
         return hold
 
     def release(self, hold: LinkHold, *, completed: bool) -> None:
         """Give up what is left; learn the sizes of a completed attempt."""
         now_s = self._now_s()
         out, back = self._pair(hold.region)
-        if out is not None:
-            out.meter.release(now_s, hold.request_bytes)
-        if back is not None:
-            back.meter.release(now_s, hold.answer_bytes)
-        hold.request_bytes = hold.answer_bytes = 0
+        for line, body in (out, hold.request), (back, hold.answer):
+            if line is not None:
+                line.meter.release(now_s, body.reserved_bytes)
+            body.reserved_bytes = 0
         if completed:
             self.sizes.learn(
-                hold.service, hold.sent_bytes, hold.received_bytes
+                hold.service,
+                hold.request.charged_bytes,
+                hold.answer.charged_bytes,
             )
 
     def charge_request(
@@ -153,15 +152,10 @@
 
         :param until_s: monotonic time at which the wait ends without them.
         """
-        reserved = min(size_bytes, hold.request_bytes)
         line, _ = self._pair(hold.region)
-        if not self._charge(
-            line, hold, size_bytes, reserved, until_s, is_cancelled
-        ):
-            return False
-        hold.request_bytes -= reserved
-        hold.sent_bytes += size_bytes
-        return True
+        return self._charge(
+            line, hold, hold.request, size_bytes, until_s, is_cancelled
+        )
 
     def charge_answer(
         self,
@@ -171,15 +165,10 @@
         is_cancelled: Callable[[], bool],
     ) -> bool:
         """Wait for the tokens of a part of an answer's body."""
-        reserved = min(size_bytes, hold.answer_bytes)
         _, line = self._pair(hold.region)
-        if not self._charge(
-            line, hold, size_bytes, reserved, until_s, is_cancelled
-        ):
-            return False
-        hold.answer_bytes -= reserved
-        hold.received_bytes += size_bytes
-        return True
+        return self._charge(
+            line, hold, hold.answer, size_bytes, until_s, is_cancelled
+        )
 
     def state_wants(
         self, regions: Iterable[str], waiting: Mapping[str, int]
@@ -249,20 +238,44 @@
         self,
         line: _Line | None,
         hold: LinkHold,
+        body: LinkedBody,
         size_bytes: int,
-        reserved_bytes: int,
         until_s: float,
         is_cancelled: Callable[[], bool],
     ) -> bool:
-        if line is None or size_bytes == 0:
-            return True
-        # What was reserved may pass bodies that wait for more.
+        reserved_bytes = min(size_bytes, body.reserved_bytes)
         if (
-            not line.waiting or reserved_bytes == size_bytes
-        ) and line.meter.charge(
-            self._now_s(), size_bytes, reserved_bytes=reserved_bytes
+            line is not None
+            and size_bytes > 0
+            and not self._pass(line, size_bytes, reserved_bytes)
+            and not self._wait_charged(
+                line, hold, size_bytes, reserved_bytes, until_s, is_cancelled
+            )
         ):
-            return True
+            return False
+        body.reserved_bytes -= reserved_bytes
+        body.charged_bytes += size_bytes
+        return True
+
+    def _pass(self, line: _Line, size_bytes: int, reserved_bytes: int) -> bool:
+        """Charge bytes at once, unless other bodies come first."""
+        # What was reserved may pass bodies that wait for more.
+        if line.waiting and reserved_bytes != size_bytes:
+            return False
+        return line.meter.charge(
+            self._now_s(), size_bytes, reserved_bytes=reserved_bytes
+        )
+
+    def _wait_charged(
+        self,
+        line: _Line,
+        hold: LinkHold,
+        size_bytes: int,
+        reserved_bytes: int,
+        until_s: float,
+        is_cancelled: Callable[[], bool],
+    ) -> bool:
+        """Wait in line, and note for how long."""
         began_s = self._now_s()
         try:
             return self._wait(
@@ -325,13 +338,11 @@
         return renewed
 
     def _line(self, config: CompiledConfig, source: str, target: str) -> _Line:
-        handles = [
-            budget_handle(self._loop, part.name)
-            for part in plan_link_parts(config, source, target)
-        ]
-        name = f"{self._instance}/{link_name(source, target)}"
-        first = zlib.crc32(name.encode()) % len(handles)
-        handles = handles[first:] + handles[:first]
+        handles = handles_in_order(
+            self._loop,
+            plan_link_parts(config, source, target),
+            f"{self._instance}/{link_name(source, target)}",
+        )
         return _Line(
             LinkMeter([LinkPart(h.taker, h.name) for h in handles]),
             tuple(handle.shard for handle in handles),
--- a/packages/verbenad/src/verbenad/rate_gate.py
+++ b/packages/verbenad/src/verbenad/rate_gate.py
@@ -5,14 +5,17 @@
 instance.
 """
 
-import zlib
 from collections import Counter
 from collections.abc import Callable, Sequence
 
 import eventlet
 from eventlet.event import Event
 
-from verbenad.budget_handle import BudgetHandle, budget_handle
+from verbenad.budget_handle import (
+    BudgetHandle,
+    budget_handle,
+    handles_in_order,
+)
 from verbenad.budget_loop import BudgetLoop
 from verbenad.budget_plan import STORE_CLAIMS_BUDGET, rate_parts
 from verbenaworks.compiled_config import CompiledConfig
@@ -29,8 +32,8 @@
 class RateGate:
     """Takes tokens for requests.
 
-    :param instance: name of this instance; instances begin with different
-        parts of a budget, so that each part serves few of them.
+    :param instance: name of this instance; decides with which part of a
+        rate it begins.
     """
 
     def __init__(
@@ -47,12 +50,10 @@
     def set_config(self, config: CompiledConfig) -> None:
         """Take over the parts of all workspaces' rates."""
         self._parts = {
-            workspace.name: self._in_order(
-                [
-                    budget_handle(self._loop, part.name)
-                    for part in rate_parts(workspace)
-                ],
-                workspace.name,
+            workspace.name: handles_in_order(
+                self._loop,
+                rate_parts(workspace),
+                f"{self._instance}/{workspace.name}",
             )
             for workspace in config.workspaces.values()
         }
@@ -139,10 +140,3 @@
             (part.taker.wait_s(now_s, part.name) for part in parts),
             default=MAX_RETRY_AFTER_S,
         )
-
-    def _in_order(
-        self, parts: list[BudgetHandle], workspace: str
-    ) -> list[BudgetHandle]:
-        start = zlib.crc32(f"{self._instance}/{workspace}".encode())
-        first = start % len(parts)
-        return parts[first:] + parts[:first]
--- a/packages/verbenad/src/verbenad/run_guard.py
+++ b/packages/verbenad/src/verbenad/run_guard.py
@@ -82,31 +82,31 @@
     def answered(self, claim: RunClaim, answer: StoredAnswer | None) -> None:
         """Record that the request ran and was answered."""
         if claim.ticket is not None:
-            self._report(claim, ReportAnswered, answer=answer)
+            self._report(claim, claim.ticket, ReportAnswered, answer=answer)
 
     def not_run(self, claim: RunClaim) -> None:
         """Record that the request provably did not run."""
         if claim.ticket is None:
             self._store_claims.release(claim.key)
         else:
-            self._report(claim, ReportNotRun)
+            self._report(claim, claim.ticket, ReportNotRun)
 
     def unknown(self, claim: RunClaim) -> None:
         """Record that the request may have run."""
         if claim.ticket is not None:
-            self._report(claim, ReportUnknown)
+            self._report(claim, claim.ticket, ReportUnknown)
 
     def _report(
         self,
         claim: RunClaim,
+        ticket: RunTicket,
         kind: type[ReportAnswered | ReportNotRun | ReportUnknown],
         **content: StoredAnswer | None,
     ) -> None:
-        assert claim.ticket is not None
         self._claims.report(
             kind(
-                shard=claim.ticket.shard,
-                epoch=claim.ticket.epoch,
+                shard=ticket.shard,
+                epoch=ticket.epoch,
                 key=claim.key,
                 attempt_id=claim.attempt_id,
                 **content,
--- a/packages/verbenad/src/verbenad/service_desk.py
+++ b/packages/verbenad/src/verbenad/service_desk.py
@@ -83,7 +83,7 @@
         for name in self.dispatchers.keys() - config.services.keys():
             del self.dispatchers[name], self._targets[name]
         for service in config.services.values():
-            targets = _target_infos(service)
+            targets = target_infos(service)
             if self._targets.get(service.name) != targets:
                 self._targets[service.name] = targets
                 self._set_targets(service.name, targets)
@@ -234,7 +234,8 @@
         self.choice.set_connection_plan(service, plan)
 
 
-def _target_infos(service: ServiceConfig) -> tuple[TargetInfo, ...]:
+def target_infos(service: ServiceConfig) -> tuple[TargetInfo, ...]:
+    """Return the targets of a service as the choice sees them."""
     return tuple(
         TargetInfo(
             name=f"{service.name}/{target.name}",
--- a/packages/verbenaworks/src/verbenaworks/link_hold.py
+++ b/packages/verbenaworks/src/verbenaworks/link_hold.py
@@ -1,23 +1,29 @@
 """Reservation of one attempt on the links to another region."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+
+
+@dataclass(kw_only=True, slots=True)
+class LinkedBody:
+    """One body of an attempt on the link that it passes.
+
+    :ivar reserved_bytes: what is left of the reservation.
+    :ivar charged_bytes: bytes of the body that were charged.
+    """
+
+    reserved_bytes: int = 0
+    charged_bytes: int = 0
 
 
 @dataclass(kw_only=True, slots=True)
 class LinkHold:
     """Bytes reserved on the links to and from a region for one attempt.
 
-    :ivar request_bytes: what is left of the reservation for the request's
-        body; ``answer_bytes`` likewise.
-    :ivar sent_bytes: charged bytes of the request's body;
-        ``received_bytes`` of the answer's.
     :ivar waited_s: how long the bodies waited for tokens.
     """
 
     service: str
     region: str
-    request_bytes: int = 0
-    answer_bytes: int = 0
-    sent_bytes: int = 0
-    received_bytes: int = 0
+    request: LinkedBody = field(default_factory=LinkedBody)
+    answer: LinkedBody = field(default_factory=LinkedBody)
     waited_s: float = 0.0
--- a/packages/verbenaworks/src/verbenaworks/rate_holding.py
+++ b/packages/verbenaworks/src/verbenaworks/rate_holding.py
@@ -51,10 +51,7 @@
         self.expire(now_s)
         self._asked_at_s = now_s
         if not retry:
-            meter = self._meters.get(workspace)
-            if meter is None:
-                meter = self._meters[workspace] = DemandMeter()
-            meter.add(now_s, amount)
+            self._count_demand(now_s, workspace, amount)
         if self._bucket.take(now_s, amount):
             if retry and self._waiting:
                 self._waiting.popleft()
@@ -81,10 +78,7 @@
         """Note demand, and tokens that the next request should ask for."""
         self._asked_at_s = now_s
         if demand:
-            meter = self._meters.get(workspace)
-            if meter is None:
-                meter = self._meters[workspace] = DemandMeter()
-            meter.add(now_s, demand)
+            self._count_demand(now_s, workspace, demand)
         self._lack = max(self._lack, lack)
 
     def wait_s(self, now_s: float, amount: int) -> float:
@@ -128,6 +122,12 @@
             tokens_wanted=missing,
         )
 
+    def _count_demand(self, now_s: float, workspace: str, amount: int) -> None:
+        meter = self._meters.get(workspace)
+        if meter is None:
+            meter = self._meters[workspace] = DemandMeter()
+        meter.add(now_s, amount)
+
     def _waiting_amounts(self, now_s: float) -> Counter[str]:
         """Return the amounts that callers wait for, by workspace."""
         self._drop_refused(now_s)
--- a/packages/verbenaworks/src/verbenaworks/shared_health.py
+++ b/packages/verbenaworks/src/verbenaworks/shared_health.py
@@ -200,7 +200,7 @@
         for record in self._records.values():
             record.probers = self._assignment.probers(record.info)
             if record.reports:
-                self._forget_good_words(record)
+                self._forget_ok_reports(record)
         self._review(now_s)
 
     def set_targets(
@@ -421,7 +421,9 @@
         return True
 
     def _fails_elsewhere(self, record: _Record) -> bool:
-        return any(w.health in _FAILING for w in record.reports.values())
+        return any(
+            report.health in _FAILING for report in record.reports.values()
+        )
 
     def _share(self, now_s: float, record: _Record) -> None:
         """Tell all others if this instance's report on the target changed."""
@@ -504,7 +506,8 @@
             report.health is Health.OK
             and record.why != "duty"
             and not any(
-                w.health is not Health.OK for w in record.reports.values()
+                other.health is not Health.OK
+                for other in record.reports.values()
             )
         ):
             # The probers see the target more often than this instance does.
@@ -516,7 +519,7 @@
             record.next_probe_s = min(record.next_probe_s, first_s)
         self._judge(record, None)
 
-    def _forget_good_words(self, record: _Record) -> None:
+    def _forget_ok_reports(self, record: _Record) -> None:
         """Drop OK reports of instances that are gone, so none pile up."""
         record.reports = {
             address: report
--- a/tests/test_link_path.py
+++ b/tests/test_link_path.py
@@ -4,7 +4,6 @@
 """
 
 import re
-import time
 from collections.abc import Callable, Iterator
 
 import pytest
@@ -12,6 +11,7 @@
 
 from standins.deployments import MATUNDA
 from standins.local_deployment import LocalDeployment
+from waiting import until
 
 BASE_PORT = 18800
 LIMIT_S = 60.0
@@ -64,10 +64,7 @@
 
 
 def _until(is_done: Callable[[], bool]) -> None:
-    end_s = time.monotonic() + LIMIT_S
-    while not is_done():
-        assert time.monotonic() < end_s, "not reached in time"
-        time.sleep(0.05)
+    until(is_done, LIMIT_S)
 
 
 def _samples(deployment: LocalDeployment, metric: str) -> float:
--- a/tests/test_lookup_table.py
+++ b/tests/test_lookup_table.py
@@ -2,12 +2,10 @@
 
 from dataclasses import replace
 
-from result import Ok
-
+from standins.compiled_changes import compile_changes
 from verbenad.lookup_table import LookupTable
-from verbenaworks.compiled_config import CompiledConfig, compile_config
-from verbenaworks.config_document import ConfigDocument
-from verbenaworks.edit import Change, CreateBranch, Edit, SetValue
+from verbenaworks.compiled_config import CompiledConfig
+from verbenaworks.edit import Change, CreateBranch, SetValue
 from verbenaworks.entry_lookup import EntryInstance
 
 BLOCKS = 100
@@ -39,14 +37,7 @@
             SetValue(path=path, field=field, value=value)  # type: ignore[arg-type]
             for field, value in values.items()
         ]
-    edit = Edit(
-        edit_id="e", operator="o", read_revision=0, changes=tuple(changes)
-    )
-    match ConfigDocument().apply_edit(edit):
-        case Ok(document):
-            return compile_config(document)
-        case other:
-            raise AssertionError(other)
+    return compile_changes(changes)
 
 
 def _table(config: CompiledConfig) -> LookupTable:
--- a/tests/test_region_units.py
+++ b/tests/test_region_units.py
@@ -2,16 +2,14 @@
 
 from random import Random
 
-from result import Ok
-
 from fake_budget_loop import FakeLoop
+from standins.compiled_changes import compile_changes
 from verbenad.divided_units import DividedUnits
 from verbenad.region_units import RegionUnits
 from verbenaworks.budget_spec import Budget, LevelBudget
 from verbenaworks.budget_taker import IDLE_S
-from verbenaworks.compiled_config import CompiledConfig, compile_config
-from verbenaworks.config_document import ConfigDocument
-from verbenaworks.edit import CreateBranch, Edit, SetValue
+from verbenaworks.compiled_config import CompiledConfig
+from verbenaworks.edit import CreateBranch, SetValue
 from verbenaworks.near_table import Place
 from verbenaworks.target import TargetInfo
 
@@ -37,14 +35,7 @@
             ("slots", 100),
         ):
             changes.append(SetValue(path=path, field=field, value=value))
-    edit = Edit(
-        edit_id="e", operator="o", read_revision=0, changes=tuple(changes)
-    )
-    match ConfigDocument().apply_edit(edit):
-        case Ok(document):
-            return compile_config(document)
-        case other:
-            raise AssertionError(other)
+    return compile_changes(changes)
 
 
 def test_slots_are_asked_for_elsewhere_when_a_region_grants_nothing() -> None:
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -16,6 +16,7 @@
 from standins.deployment_settings import BLOCKS_PER_REGION
 from standins.deployments import MATUNDA
 from standins.local_deployment import LocalDeployment
+from waiting import until
 
 BASE_PORT = 18400
 LIMIT_S = 90.0
@@ -52,10 +53,7 @@
 
 
 def _until(is_done: Callable[[], bool]) -> None:
-    end_s = time.monotonic() + LIMIT_S
-    while not is_done():
-        assert time.monotonic() < end_s, "not reached in time"
-        time.sleep(0.05)
+    until(is_done, LIMIT_S)
 
 
 def _history(deployment: LocalDeployment) -> list[dict[str, object]]:
--- a/tools/choice_model.py
+++ b/tools/choice_model.py
@@ -25,6 +25,7 @@
 )
 from standins.deployments import Deployment
 from verbenad.budget_plan import region_parts
+from verbenad.service_desk import target_infos
 from verbenaworks.admission_queue import AdmissionQueue
 from verbenaworks.attempt_outcome import (
     Completed,
@@ -225,19 +226,8 @@
         self.targets: dict[str, Target] = {}
         self.lists: dict[str, tuple[TargetInfo, ...]] = {}
         for service in config.services.values():
-            infos = [
-                TargetInfo(
-                    name=f"{service.name}/{target.name}",
-                    service=service.name,
-                    address=target.address,
-                    region=target.region,
-                    failure_domain=target.failure_domain,
-                    slots=target.slots,
-                    connections=target.connections,
-                )
-                for target in service.targets.values()
-            ]
-            self.lists[service.name] = tuple(infos)
+            infos = target_infos(service)
+            self.lists[service.name] = infos
             self.targets.update({i.name: Target(i) for i in infos})
         self.regions = regions
         self.lost = regions[-1] if scenario.lose_region else None
--- a/tools/measure_agreement.py
+++ b/tools/measure_agreement.py
@@ -14,6 +14,7 @@
 
 from agreement_harness import STORE, Cluster
 from membership_harness import MemberNetwork
+from sample_quantile import quantile
 from verbenaworks.member import Member, MemberState
 
 Row = dict[str, Any]
@@ -111,12 +112,6 @@
     return bool(node.agreement.is_fresh(node.clock.now_s()))
 
 
-def percentile(values: list[float], share: float) -> float:
-    """Return the smallest value that ``share`` of the values reach."""
-    ordered = sorted(values)
-    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
-
-
 def row(
     name: str,
     size: int,
@@ -157,8 +152,8 @@
     name = f"edit in force, {deployment}"
     target = 2.0 if size <= 11 else 11.0
     return [
-        row(f"{name}, p50", size, percentile(delays_s, 0.5), "s"),
-        row(f"{name}, p99", size, percentile(delays_s, 0.99), "s", target),
+        row(f"{name}, p50", size, quantile(delays_s, 0.5), "s"),
+        row(f"{name}, p99", size, quantile(delays_s, 0.99), "s", target),
         row(f"{name}, max", size, max(delays_s), "s"),
     ]
 
@@ -364,7 +359,7 @@
         row(
             "dead instance known to all, median",
             size,
-            percentile(all_s, 0.5),
+            quantile(all_s, 0.5),
             "s",
         ),
         row("dead instance known to all, max", size, max(all_s), "s"),
--- a/tools/measure_links.py
+++ b/tools/measure_links.py
@@ -22,6 +22,7 @@
 from typing import Any
 
 from measure_budgets import INSTANCES, SHARED, Fleet
+from sample_quantile import quantile
 from standins.delay_link import SharedRate
 from verbenad.budget_plan import link_burst, link_parts
 from verbenaworks.body_sizes import BodySizes
@@ -328,24 +329,22 @@
             LINK_BYTES_PER_S * WINDOW_S
             + link_burst(LINK_BYTES_PER_S) * TOKEN_BYTES
         ),
-        small_p50_ms=_quantile(in_time, 0.5, 2_000),
-        small_p99_ms=_quantile(in_time, 0.99, 2_000),
-        large_p99_ms=_quantile(in_time, 0.99, 2_000_000),
+        small_p50_ms=_quantile_ms(in_time, 0.5, 2_000),
+        small_p99_ms=_quantile_ms(in_time, 0.99, 2_000),
+        large_p99_ms=_quantile_ms(in_time, 0.99, 2_000_000),
         queue_ms=fleet.queue_s * 1000,
         kept_out=fleet.kept_out / count,
         late=1 - len(in_time) / max(1, len(settled)),
     )
 
 
-def _quantile(bodies: list[_Body], part: float, size: int) -> float:
-    times = sorted(
+def _quantile_ms(bodies: list[_Body], part: float, size: int) -> float:
+    times_s = [
         (body.done_s or 0.0) - body.at_s
         for body in bodies
         if body.size == size
-    )
-    if not times:
-        return float("nan")
-    return 1000 * times[min(len(times) - 1, int(part * len(times)))]
+    ]
+    return 1000 * quantile(times_s, part) if times_s else float("nan")
 
 
 def main() -> None:
--- a/tools/measure_path.py
+++ b/tools/measure_path.py
@@ -25,6 +25,7 @@
 
 import measure_edge
 from demo import free_base_port
+from sample_quantile import quantile
 from standins.caller import Caller
 from standins.deployments import DEPLOYMENTS
 from standins.local_deployment import BOOTSTRAP_TOKEN, LocalDeployment
@@ -217,8 +218,8 @@
             (path_us - idle_us) / bare_us,
             "x",
         )
-        self._add("latency p50", _quantile(latencies, 0.5) * 1000, "ms")
-        self._add("latency p99", _quantile(latencies, 0.99) * 1000, "ms")
+        self._add("latency p50", quantile(latencies, 0.5) * 1000, "ms")
+        self._add("latency p99", quantile(latencies, 0.99) * 1000, "ms")
 
     def _lookup(self, service: str) -> None:
         name, instance = next(iter(self._local.instances.items()))
@@ -260,7 +261,7 @@
             times_s.append(time.monotonic() - began_s)
         self._add(
             "edit in force on 11 instances, median",
-            _quantile(times_s, 0.5),
+            quantile(times_s, 0.5),
             "s",
         )
         self._add(
@@ -447,11 +448,6 @@
     connection.close()
 
 
-def _quantile(values: list[float], share: float) -> float:
-    ordered = sorted(values)
-    return ordered[min(int(len(ordered) * share), len(ordered) - 1)]
-
-
 def _until(is_done: Callable[[], bool]) -> None:
     end_s = time.monotonic() + WAIT_LIMIT_S
     while not is_done():
--- a/tools/model_exchange.py
+++ b/tools/model_exchange.py
@@ -9,8 +9,7 @@
 from random import Random
 from typing import Any
 
-from result import Ok
-
+from standins.compiled_changes import compile_changes
 from standins.deployment_settings import deployment_settings, target_names
 from standins.deployments import Deployment
 from verbenad.budget_loop import TICK_S, BudgetLoop
@@ -18,10 +17,9 @@
 from verbenad.directory import OwnerView
 from verbenad.service_desk import WANTS_PERIOD_S, ServiceDesk
 from verbenaworks.budget_spec import OWNER_WAIT_S
-from verbenaworks.compiled_config import CompiledConfig, compile_config
-from verbenaworks.config_document import ConfigDocument
+from verbenaworks.compiled_config import CompiledConfig
 from verbenaworks.control_record import SHARDS, InstanceId
-from verbenaworks.edit import CreateBranch, Edit, SetValue
+from verbenaworks.edit import CreateBranch, SetValue
 from verbenaworks.near_table import Place
 from verbenaworks.shard_assignment import rendezvous_owner
 
@@ -55,14 +53,7 @@
             SetValue(path=path, field=name, value=value)
             for name, value in values.items()
         ]
-    edit = Edit(
-        edit_id="e", operator="o", read_revision=0, changes=tuple(changes)
-    )
-    match ConfigDocument().apply_edit(edit):
-        case Ok(document):
-            return compile_config(document)
-        case refused:
-            raise ValueError(refused)
+    return compile_changes(changes)
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -199,24 +190,6 @@
         self._fleet.after(delay_s, fire)
         return timer
 
-    def every(
-        self, period_s: float, callback: Callable[[], None]
-    ) -> InstanceTimer:
-        """Call back periodically."""
-
-        def repeat() -> None:
-            self._fleet.after(period_s, fire)
-            callback()
-
-        timer = InstanceTimer(repeat)
-
-        def fire() -> None:
-            if self._name not in self._fleet.dead:
-                timer.fire()
-
-        self._fleet.after(period_s, fire)
-        return timer
-
 
 class ExchangeInstance:
     """The budget loop and the service desk of one instance."""
