--- a/Makefile
+++ b/Makefile
@@ -3,9 +3,9 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
 DEPLOYMENT ?= matunda
-SOURCES := packages tests tools
+SOURCES := packages platform tests tools
 SRC := $(CURDIR)/packages
-export PYTHONPATH := $(SRC)/verbenaworks/src:$(SRC)/verbenad/src:$(SRC)/verbena/src:$(SRC)/standins/src
+export PYTHONPATH := $(SRC)/verbenaworks/src:$(SRC)/verbenad/src:$(SRC)/verbena/src:$(SRC)/standins/src:$(CURDIR)/platform
 export EVENTLET_NO_GREENDNS := yes
 export PYTHONHASHSEED := 0
 
@@ -35,7 +35,7 @@
 	$(BIN)/ruff check --fix $(SOURCES)
 
 types: $(VENV)/ready
-	$(BIN)/mypy --no-error-summary $(wildcard packages/*/src)
+	$(BIN)/mypy --no-error-summary $(wildcard packages/*/src) platform/verbena_platform
 
 unit: $(VENV)/ready
 	$(BIN)/python -m pytest
--- a/packages/verbenad/src/verbenad/attempt_failed.py
+++ b/packages/verbenad/src/verbenad/attempt_failed.py
@@ -12,6 +12,7 @@
     CONNECTION_LIMIT = "overloaded"
     CONNECT_FAILED = "connect-failed"
     REFUSED_NOT_RUN = "backend-refused"
+    MISDIRECTED = "backend-misdirected"
     CLOSED = "backend-closed"
     SILENT = "backend-silent"
     DEADLINE = "deadline-exceeded"
--- a/packages/verbenad/src/verbenad/forward_request.py
+++ b/packages/verbenad/src/verbenad/forward_request.py
@@ -20,6 +20,10 @@
     :param idempotent: whether the request may be sent twice.
     :param cancellation: closes the connection to the backend server.
     :param link: charges the bodies if they pass between regions.
+    :param server_id: identity that the backend server must have.
+    :param workspace: workspace to state to the backend server.
+    :param work_until_s: monotonic time at which the backend server should
+        give up; none for the attempt's deadline.
     """
 
     request_id: str
@@ -31,3 +35,6 @@
     idempotent: bool
     cancellation: Cancellation | None = None
     link: LinkTransfer | None = None
+    server_id: str = ""
+    workspace: str = ""
+    work_until_s: float | None = None
--- a/packages/verbenad/src/verbenad/forwarded_headers.py
+++ b/packages/verbenad/src/verbenad/forwarded_headers.py
@@ -43,10 +43,15 @@
     """The path contains the caller's key and cannot go without it."""
 
 
-def request_headers(headers: Headers, keys: frozenset[str]) -> Headers:
+def request_headers(
+    headers: Headers,
+    keys: frozenset[str],
+    written: frozenset[str] = frozenset(),
+) -> Headers:
     """Return the end-to-end fields of a request without the key.
 
     :param keys: the key texts that were sent with the request.
+    :param written: further names that are left out.
     """
     named: frozenset[str] = frozenset()
     for name, value in headers:
@@ -59,7 +64,7 @@
             # Backend servers in the CGI tradition read an underscore as a
             # hyphen.
             key = key.replace("_", "-")
-        if key in _REQUEST_DROPPED or key in named:
+        if key in _REQUEST_DROPPED or key in named or key in written:
             continue
         if keys and _carries(field[1], keys):
             continue
@@ -76,14 +81,28 @@
     return [field for field in headers if field[0].lower() not in dropped]
 
 
-def sent_keys(headers: Headers, target: str) -> frozenset[str]:
-    """Return the key texts that were sent with a request."""
+def sent_keys(
+    headers: Headers,
+    target: str,
+    key_header: str = KEY_HEADER,
+    *,
+    in_query: bool = True,
+) -> frozenset[str]:
+    """Return the key texts that were sent with a request.
+
+    :param key_header: lower-case name of the field with the key.
+    :param in_query: whether the query may carry the key.
+    """
     keys = set()
+    length = len(key_header)
     for name, value in headers:
-        if len(name) == 13 and name.lower().replace("_", "-") == KEY_HEADER:
+        if (
+            len(name) == length
+            and name.lower().replace("_", "-") == key_header
+        ):
             keys.add(value)
     _, mark, query = target.partition("?")
-    if mark:
+    if mark and in_query:
         for part in _PARAMETER_SEPARATORS.split(query):
             name, _, value = part.partition("=")
             if _is_key_parameter(name):
--- a/packages/verbenad/src/verbenad/forwarder.py
+++ b/packages/verbenad/src/verbenad/forwarder.py
@@ -11,6 +11,7 @@
 
 from verbenad.answer_head import AnswerHead, parse_answer_head
 from verbenad.attempt_failed import AttemptFailed, FailureKind
+from verbenad.field_names import OWN_FIELDS, FieldNames
 from verbenad.forward_request import ForwardRequest
 from verbenad.forwarded_headers import (
     KeyInPathError,
@@ -19,6 +20,7 @@
     sent_keys,
     target_without_key,
 )
+from verbenad.http_syntax import values_of
 from verbenad.protocol_errors import (
     AnswerTruncatedError,
     BodyError,
@@ -43,6 +45,7 @@
 
     :param via_name: name of this entry instance in the Via field.
     :param answer_stall_s: longest wait for the next byte of a body.
+    :param names: header fields between the instance and backend servers.
     :param accept_unsized_answers: whether to pass on answers that end with
         the connection. A crash of the backend server may look like the end
         of such an answer, so promise 5 does not hold for them.
@@ -50,6 +53,7 @@
 
     via_name: str = "verbenad"
     answer_stall_s: float = 30.0
+    names: FieldNames = OWN_FIELDS
     accept_unsized_answers: bool = False
     answer_head: HeadLimits = field(
         default_factory=lambda: HeadLimits(
@@ -84,6 +88,9 @@
         self.counters: Counter[str] = Counter()
         self._now_s = now_s
         self._via = f"1.1 {self.settings.via_name}"
+        names = self.settings.names
+        self.written = names.written
+        self.key_header = names.key.lower()
 
     def attempt(
         self,
@@ -275,10 +282,44 @@
     def _read_final_head(self, connection: UpstreamConnection) -> AnswerHead:
         for _ in range(_MAX_INTERIM_ANSWERS):
             head = self._read_head(connection, self._first_byte_s(connection))
-            if head.status >= 200:
+            if head.status < 200:
+                continue
+            if self._is_own(head):
                 return head
+            self._skip_answer(connection, head)
         raise MalformedAnswerError("the answer has too many interim heads")
 
+    def _is_own(self, head: AnswerHead) -> bool:
+        """Whether the answer belongs to this request.
+
+        :raises MalformedAnswerError: if a success does not say so.
+        """
+        names = self._forwarder.settings.names
+        if not names.echoes_request_id:
+            return True
+        ids = values_of(head.headers, names.request_id.lower())
+        if ids:
+            return ids == [self._request.request_id]
+        if head.status < 300:
+            raise MalformedAnswerError("the answer names no request")
+        return True
+
+    def _skip_answer(
+        self, connection: UpstreamConnection, head: AnswerHead
+    ) -> None:
+        """Read past a late answer to an earlier request."""
+        self._forwarder.counters["foreign_answers"] += 1
+        if not head.sized:
+            raise MalformedAnswerError("a foreign answer states no length")
+        body = AnswerBody(
+            connection.stream,
+            head,
+            stall_s=self._left_s(),
+            on_end=lambda complete: None,
+        )
+        while body.read_some():
+            pass
+
     def _first_byte_s(self, connection: UpstreamConnection) -> float:
         left_s = self._left_s()
         if self._bounded_wait(connection):
@@ -328,14 +369,17 @@
             on_end=functools.partial(self._end, connection, keep),
             charge=self._charge_answer if self._request.link else None,
         )
-        if head.status == 503 and _says_not_run(head):
+        if self._says_not_run(head):
             raise self._refused(body, head)
+        if not self._is_sealed(head):
+            raise MalformedAnswerError("the answer has no seal")
         headers = answer_headers(head.headers, head.connection_fields)
         if head.status == 204:
             headers = [
                 item for item in headers if item[0].lower() != "content-length"
             ]
-        headers.append(("Via", self._forwarder.via))
+        if settings.names.adds_via:
+            headers.append(("Via", self._forwarder.via))
         self._answered = True
         return UpstreamAnswer(
             status=head.status,
@@ -346,6 +390,20 @@
             length=head.length,
         )
 
+    def _says_not_run(self, head: AnswerHead) -> bool:
+        names = self._forwarder.settings.names
+        if head.status == 421 and names.expected_server is not None:
+            return True
+        if head.status != 503 and names is OWN_FIELDS:
+            return False
+        return "1" in values_of(head.headers, names.not_run.lower())
+
+    def _is_sealed(self, head: AnswerHead) -> bool:
+        seal = self._forwarder.settings.names.seal
+        if seal is None or head.status >= 300:
+            return True
+        return bool(values_of(head.headers, seal.lower()))
+
     def _charge_request(self, size_bytes: int, *, may_have_run: bool) -> None:
         """Wait for the link before a part of the request's body is sent."""
         link = self._request.link
@@ -380,9 +438,12 @@
             with contextlib.suppress(AnswerTruncatedError):
                 while body.read_some():
                     pass
+        kind = FailureKind.REFUSED_NOT_RUN
+        if head.status == 421:
+            kind = FailureKind.MISDIRECTED
         return _FailureError(
             AttemptFailed(
-                kind=FailureKind.REFUSED_NOT_RUN,
+                kind=kind,
                 may_have_run=False,
                 message="the backend server refused without running it",
                 retry_after_s=_retry_after_s(head),
@@ -405,9 +466,18 @@
 
     def _head_lines(self) -> list[str]:
         request = self._request
-        keys = sent_keys(request.headers, request.target)
+        names = self._forwarder.settings.names
+        in_query = names.key_parameter is not None
+        keys = sent_keys(
+            request.headers,
+            request.target,
+            self._forwarder.key_header,
+            in_query=in_query,
+        )
+        target = request.target
         try:
-            target = target_without_key(request.target, keys)
+            if in_query:
+                target = target_without_key(target, keys)
         except KeyInPathError:
             raise self._fail(
                 FailureKind.KEY_IN_PATH, "the path contains the key"
@@ -416,10 +486,17 @@
             f"{request.method} {target} HTTP/1.1",
             f"Host: {request.host}",
         ]
-        for name, value in request_headers(request.headers, keys):
+        for name, value in request_headers(
+            request.headers, keys, self._forwarder.written
+        ):
             lines.append(f"{name}: {value}")
-        lines.append(f"X-Request-Id: {request.request_id}")
-        lines.append(f"Via: {self._forwarder.via}")
+        lines.append(f"{names.request_id}: {request.request_id}")
+        if names.expected_server is not None and request.server_id:
+            lines.append(f"{names.expected_server}: {request.server_id}")
+        if names.workspace is not None and request.workspace:
+            lines.append(f"{names.workspace}: {request.workspace}")
+        if names.adds_via:
+            lines.append(f"Via: {self._forwarder.via}")
         return lines
 
     def _encode_head(
@@ -428,8 +505,12 @@
         body: RequestBody | bytes | None,
         chunked: bool,
     ) -> bytes:
-        left_ms = max(1, int(self._left_s() * 1000))
-        lines.append(f"X-Request-Deadline-Ms: {left_ms}")
+        left_s = self._left_s()
+        if self._request.work_until_s is not None:
+            left_s = self._request.work_until_s - self._forwarder.now_s()
+        left_ms = max(1, int(left_s * 1000))
+        name = self._forwarder.settings.names.deadline_ms
+        lines.append(f"{name}: {left_ms}")
         if chunked:
             lines.append("Transfer-Encoding: chunked")
         elif isinstance(body, bytes):
@@ -518,13 +599,6 @@
     return len(body or b"")
 
 
-def _says_not_run(head: AnswerHead) -> bool:
-    return any(
-        name.lower() == "x-not-run" and value == "1"
-        for name, value in head.headers
-    )
-
-
 def _retry_after_s(head: AnswerHead) -> float | None:
     for name, value in head.headers:
         if name.lower() == "retry-after" and value.isdecimal():
--- a/packages/verbenad/src/verbenad/front.py
+++ b/packages/verbenad/src/verbenad/front.py
@@ -17,6 +17,7 @@
 from verbenad.front_limits import FrontLimits
 from verbenad.http_protocol import HttpProtocol
 from verbenad.listener import BACKLOG, Listener
+from verbenad.pipelined_protocol import PipelinedProtocol
 from verbenad.refusal import NOT_RUN, refuse
 from verbenad.response_writer import ResponseWriter
 from verbenad.socket_stream import SocketStream
@@ -50,6 +51,8 @@
     :param application: the WSGI application.
     :param host: IP address to listen on.
     :param port: port to listen on; 0 lets the system choose.
+    :param pipelined: whether requests without a body that wait on one
+        connection run at the same time; answers keep their order.
     """
 
     def __init__(
@@ -59,8 +62,10 @@
         host: str,
         port: int,
         limits: FrontLimits | None = None,
+        pipelined: bool = False,
     ) -> None:
         self.application = application
+        self._protocol = PipelinedProtocol if pipelined else HttpProtocol
         self.limits = limits or FrontLimits()
         self.draining = False
         self.connections: set[HttpProtocol] = set()
@@ -110,7 +115,7 @@
         """Cut off all connections and cancel their requests."""
         for connection in list(self.connections):
             connection.stream.shutdown()
-            connection.caller.cancellation.cancel()
+            connection.cancel_requests()
 
     def opened(self, connection: HttpProtocol) -> None:
         """Register a connection."""
@@ -130,7 +135,7 @@
         wsgi.server(
             self._listener,
             self.application,
-            protocol=functools.partial(HttpProtocol, front=self),
+            protocol=functools.partial(self._protocol, front=self),
             custom_pool=eventlet.GreenPool(
                 self.limits.connections + _POOL_SLACK
             ),
@@ -222,7 +227,7 @@
         for descriptor, events in poll.poll(0):
             if events & _GONE:
                 self.count("gone_callers")
-                by_descriptor[descriptor].caller.cancellation.cancel()
+                by_descriptor[descriptor].cancel_requests()
 
 
 def _listen(host: str, port: int) -> socket.socket:
--- a/packages/verbenad/src/verbenad/http_protocol.py
+++ b/packages/verbenad/src/verbenad/http_protocol.py
@@ -57,6 +57,7 @@
         self.stream = SocketStream(self.connection)
         self.caller = CallerConnection(self.stream)
         self.idle = False
+        self._timed_out = False
         self._reset = False
         self._linger = False
         # The server would otherwise close connections on its own that it
@@ -94,6 +95,10 @@
         self.stream.shutdown()
         return True
 
+    def cancel_requests(self) -> None:
+        """Cancel what runs, because the caller has gone."""
+        self.caller.cancellation.cancel()
+
     def finish(self) -> None:
         """Close the connection."""
         sock = self.connection
@@ -116,9 +121,13 @@
             eventlet.sleep(0)
             return True
         self.idle = True
+        self._timed_out = False
         self.front.idle[self] = None
         try:
             return self.stream.refill(self.limits.idle_s) > 0
+        except TimeoutError:
+            self._timed_out = True
+            return False
         except OSError:
             return False
         finally:
@@ -309,7 +318,12 @@
                 return
             left_bytes -= len(data)
 
-    def _environ(self, head: RequestHead, body: RequestBody) -> dict[str, Any]:
+    def _environ(
+        self,
+        head: RequestHead,
+        body: RequestBody,
+        caller: CallerConnection | None = None,
+    ) -> dict[str, Any]:
         path, _, query = head.target.partition("?")
         client = self.client_address
         environ: dict[str, Any] = {
@@ -334,7 +348,7 @@
             "wsgi.multiprocess": False,
             "wsgi.run_once": False,
             "verbena.head": head,
-            "verbena.caller": self.caller,
+            "verbena.caller": caller or self.caller,
         }
         _add_headers(environ, head)
         return environ
--- a/packages/verbenad/src/verbenad/refusal.py
+++ b/packages/verbenad/src/verbenad/refusal.py
@@ -267,6 +267,11 @@
             "this request crashed backend servers",
             "do not send it again; report it to the operators",
         ),
+        "crash-pause": _kind(
+            503,
+            "this request crashed backend servers and is held back",
+            "change the request, or report it to the operators",
+        ),
         "suspect-busy": _kind(
             503,
             "another suspect request is running",
@@ -308,6 +313,11 @@
             "the backend server refused the request without running it",
             "retry later",
         ),
+        "backend-misdirected": _kind(
+            503,
+            "another backend server has the address now",
+            "retry later",
+        ),
         "backend-closed": _kind(
             502,
             "the backend server closed the connection before its answer",
--- /dev/null
+++ b/packages/verbenad/src/verbenad/steering/request_record.py
@@ -0,0 +1,46 @@
+"""The log line of one request."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AttemptRecord:
+    """One attempt and what it was decided on.
+
+    :ivar load: requests at the server as known at the time.
+    :ivar outcome: ``answered`` or why there was no answer.
+    """
+
+    server: str
+    load: float
+    predicted_ms: int
+    warm: bool
+    outcome: str
+    took_ms: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RequestRecord:
+    """How one request ended and why.
+
+    The class has no field for headers or bodies, so that a key cannot get
+    into the log.
+
+    :ivar config_age_ms: age of the last proof that the version is in force.
+    :ivar code: code of the refusal; empty if a server's answer was returned.
+    """
+
+    time: str
+    channel: str
+    request_id: str
+    route: str
+    workspace: str
+    service: str
+    config_version: int
+    config_age_ms: int
+    left_ms: int
+    attempts: tuple[AttemptRecord, ...]
+    status: int
+    code: str
+    run: str
+    took_ms: int
--- /dev/null
+++ b/packages/verbenad/src/verbenad/steering/steering_daemon.py
@@ -0,0 +1,411 @@
+"""One entry instance on a platform: its parts and how they are connected."""
+
+import secrets
+import sys
+import time
+from dataclasses import dataclass
+from random import Random
+
+import eventlet
+import logbook
+
+from verbenad.field_names import FieldNames
+from verbenad.forwarder import Forwarder, ForwarderSettings
+from verbenad.front import Front
+from verbenad.front_limits import FrontLimits
+from verbenad.json_lines_handler import JsonLinesHandler
+from verbenad.line_writer import LineWriter
+from verbenad.loop_timers import LoopTimers
+from verbenad.metrics import Metrics
+from verbenad.request_body import BodyLimits
+from verbenad.request_head import HeadLimits
+from verbenad.steering.crash_notes import CrashNotes
+from verbenad.steering.peer_exchange import PeerExchange
+from verbenad.steering.platform_link import PlatformLink
+from verbenad.steering.platform_pages import PageNames, PlatformPages
+from verbenad.steering.platform_port import PlatformPort
+from verbenad.steering.request_log import RequestLog
+from verbenad.steering.request_runner import RequestRunner
+from verbenad.steering.steering_gateway import SteeringGateway
+from verbenad.steering.steering_settings import (
+    SteeringSettings,
+    check_address,
+)
+from verbenad.steering.steering_state import SteeringState
+from verbenad.upstream_pool import PoolSettings, UpstreamPool
+from verbenaworks.steering.cold_allowance import ColdAllowance
+from verbenaworks.steering.confirmation import Confirmation
+from verbenaworks.steering.entry_directory import EntryDirectory
+from verbenaworks.steering.instance_record import InstanceRecord
+from verbenaworks.steering.placement import Placement
+from verbenaworks.steering.retry_allowance import RetryAllowance
+from verbenaworks.steering.server_table import ServerTable
+from verbenaworks.steering.service_times import ServiceTimes
+from verbenaworks.steering.steering_config import SteeringConfig
+from verbenaworks.steering.workspace_shares import WorkspaceShares
+
+EXPIRE_PERIOD_S = 0.2
+POOL_PERIOD_S = 1.0
+FLUSH_PERIOD_S = 0.5
+# Connections to backend servers: several round trips between regions.
+CONNECT_S = 0.3
+# A server that acknowledges nothing for this long has lost the connection.
+SILENT_S = 1.5
+IDLE_S = 5.0
+# The registration outlives the time for which keys are accepted without the
+# store by this much.
+LEASE_MARGIN_S = 0.5
+# Parts of the time to shut down: callers still come, callers are refused,
+# and the rest for what runs.
+SERVE_SHARE = 0.4
+FINISH_SHARE = 0.93
+# Callers keep a lookup answer for this share of the longest time.
+LOOKUP_TTL_SHARE = 0.4
+# Descriptors that are not for callers: files, the store, peers, servers.
+OTHER_DESCRIPTORS = 900
+MIN_CALLER_CONNECTIONS = 100
+PAGE_CONNECTIONS = 200
+# Connections to one server that each instance may open, beside its part.
+MIN_CONNECTIONS = 4
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PlatformNames:
+    """Names that the platform gives to fields and pages.
+
+    :param object_cookie: cookie that names the object of a request.
+    """
+
+    fields: FieldNames
+    pages: PageNames
+    object_cookie: str
+
+
+class SteeringDaemon:
+    """An entry instance.
+
+    :param settings: checked process settings.
+    :param port: calls to the platform.
+    :param names: names on the platform's interfaces.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: SteeringSettings,
+        port: PlatformPort,
+        names: PlatformNames,
+    ) -> None:
+        self._settings = settings
+        self._names = names
+        self._timers = LoopTimers()
+        self._random = Random(secrets.randbits(64))
+        self._leaving = False
+        self._refuses_new = False
+        self._lines = LineWriter(sys.stdout.fileno())
+        JsonLinesHandler(self._lines, level=logbook.INFO).push_application()
+        self._log = logbook.Logger("verbenad")
+        self._own = InstanceRecord(
+            name=settings.name,
+            # Compared only between runs of one name.
+            incarnation=time.time_ns() // 1_000_000,
+            region=settings.region,
+            failure_domain=settings.failure_domain,
+            caller_address=settings.caller_address,
+            peer_address=settings.peer_address,
+            capacity=settings.processor_share,
+        )
+        self._build_decisions()
+        self._build_serving(port)
+        self._build_pages()
+
+    def start(self) -> None:
+        """Start all parts; returns at once."""
+        every = self._timers.every
+        every(EXPIRE_PERIOD_S, self._state.expire)
+        every(POOL_PERIOD_S, self._tidy)
+        every(FLUSH_PERIOD_S, self._lines.flush)
+        self._link.start()
+        self._peers.start()
+        self._front.start()
+        for page_front in self._page_fronts:
+            page_front.start()
+        self._log.info(
+            "started",
+            extra={
+                "instance": self._own.name,
+                "incarnation": self._own.incarnation,
+                "failure_domain": self._own.failure_domain,
+            },
+        )
+
+    def reload(self, settings: SteeringSettings) -> None:
+        """Take settings that changed while the process runs."""
+        if settings == self._settings:
+            self._log.info("settings read again, nothing changed")
+            return
+        self._settings = settings
+        self._state.confirmation.set_bound(settings.bounds.revoke_s)
+        self._retries.set_limits(
+            ratio=settings.bounds.retry_ratio,
+            slack=settings.bounds.retry_slack,
+            window_s=settings.bounds.retry_window_s,
+        )
+        self._log.info("settings changed")
+
+    def shut_down(self) -> bool:
+        """Leave the directory and finish all requests; return whether it did.
+
+        Callers that still come are served until they have had time to look
+        up other instances, then refused.
+        """
+        total_s = self._settings.bounds.shutdown_s
+        started_s = self._now_s()
+        self._log.info("stopping", extra={"running": len(self._front.running)})
+        self._leaving = True
+        self._link.withdraw()
+        self._peers.tell_now()
+        self._front.drain()
+        eventlet.sleep(SERVE_SHARE * total_s)
+        self._refuses_new = True
+        left_s = FINISH_SHARE * total_s - (self._now_s() - started_s)
+        finished = self._front.close(max(0.1, left_s))
+        self._log.info("stopped", extra={"finished": finished})
+        self._lines.flush()
+        return finished
+
+    def _now_s(self) -> float:
+        # Goes on while the machine is suspended, unlike the monotonic clock.
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+    def _build_decisions(self) -> None:
+        settings = self._settings
+        bounds = settings.bounds
+        self._table = ServerTable()
+        self._directory = EntryDirectory(self._own)
+        self._colds = ColdAllowance(settings.name)
+        self._shares = WorkspaceShares(settings.name)
+        self._retries = RetryAllowance(
+            ratio=bounds.retry_ratio,
+            slack=bounds.retry_slack,
+            window_s=bounds.retry_window_s,
+        )
+        self._placement = Placement(
+            region=settings.region,
+            failure_domain=settings.failure_domain,
+            table=self._table,
+            times=ServiceTimes(),
+            colds=self._colds,
+            random=self._random,
+        )
+        self._crashes = CrashNotes(
+            f"{self._own.name}/{self._own.incarnation}", self._now_s
+        )
+        self._state = SteeringState(
+            table=self._table,
+            directory=self._directory,
+            confirmation=Confirmation(bounds.revoke_s),
+            now_s=self._now_s,
+            on_config=self._on_config,
+            on_members=self._on_members,
+        )
+
+    def _build_serving(self, port: PlatformPort) -> None:
+        settings = self._settings
+        self._link = PlatformLink(
+            port=port,
+            state=self._state,
+            record=self._own,
+            lease_s=self._state.confirmation.limit_s + LEASE_MARGIN_S,
+            now_s=self._now_s,
+            random=self._random,
+        )
+        self._peers = PeerExchange(
+            own=self._own,
+            directory=self._directory,
+            table=self._table,
+            placement=self._placement,
+            shares=self._shares,
+            crashes=self._crashes,
+            is_usable=self._is_usable,
+            is_leaving=lambda: self._leaving,
+            now_s=self._now_s,
+        )
+        self._pool = UpstreamPool(
+            PoolSettings(
+                connect_s=CONNECT_S, idle_s=IDLE_S, silent_s=SILENT_S
+            ),
+            now_s=self._now_s,
+        )
+        runner = RequestRunner(
+            placement=self._placement,
+            forwarder=Forwarder(
+                self._pool,
+                ForwarderSettings(
+                    names=self._names.fields, accept_unsized_answers=True
+                ),
+                now_s=self._now_s,
+            ),
+            retries=self._retries,
+            crashes=self._crashes,
+            connection_limit=self._connection_limit,
+            cold_per_s=self._cold_per_s,
+            now_s=self._now_s,
+        )
+        self._metrics = Metrics()
+        self._requests = RequestLog(self._lines, self._metrics)
+        gateway = SteeringGateway(
+            names=self._names.fields,
+            object_cookie=self._names.object_cookie,
+            state=self._state,
+            shares=self._shares,
+            runner=runner,
+            crashes=self._crashes,
+            refuses_new=lambda: self._refuses_new,
+            record=self._requests.record,
+            now_s=self._now_s,
+            random=self._random,
+        )
+        host, port_number = check_address(
+            "caller_address", settings.caller_address
+        )
+        self._front = Front(
+            gateway,
+            host=host,
+            port=port_number,
+            limits=self._caller_limits(None),
+            pipelined=True,
+        )
+
+    def _build_pages(self) -> None:
+        settings = self._settings
+        self._declare_gauges()
+        pages = PlatformPages(
+            names=self._names.pages,
+            lookup=self._lookup,
+            lookup_ttl_s=LOOKUP_TTL_SHARE * settings.bounds.lookup_ttl_s,
+            why_not_ready=self._why_not_ready,
+            metrics=self._metrics.render,
+        )
+        self._page_fronts = []
+        for address in (
+            settings.ready_address,
+            settings.lookup_address,
+            settings.metrics_address,
+        ):
+            host, port = check_address("address", address)
+            self._page_fronts.append(
+                Front(
+                    pages,
+                    host=host,
+                    port=port,
+                    limits=FrontLimits(connections=PAGE_CONNECTIONS),
+                )
+            )
+
+    def _declare_gauges(self) -> None:
+        gauge = self._metrics.gauge_source
+        gauge(
+            "verbenad_config_version",
+            "Version of the operator's document in force.",
+            lambda: float(
+                self._state.config.version if self._state.config else 0
+            ),
+        )
+        gauge(
+            "verbenad_config_age_seconds",
+            "Age of the last proof that the version is in force.",
+            lambda: min(1e6, self._state.confirmation.age_s(self._now_s())),
+        )
+        gauge(
+            "verbenad_requests_running",
+            "Connections of callers with a request in progress.",
+            lambda: float(len(self._front.running)),
+        )
+        gauge(
+            "verbenad_backend_servers",
+            "Backend servers that the platform lists.",
+            lambda: float(len(self._table)),
+        )
+        gauge(
+            "verbenad_log_lines_dropped_total",
+            "Log lines lost because standard output stalled.",
+            lambda: float(self._lines.dropped_lines),
+        )
+
+    def _on_config(self, config: SteeringConfig) -> None:
+        self._shares.set_workspaces(self._now_s(), config.workspaces)
+        self._front.limits = self._caller_limits(config)
+
+    def _on_members(self) -> None:
+        names = self._directory.names
+        self._colds.set_instances(names)
+        self._retries.set_instances(len(names))
+        self._shares.set_members(self._now_s(), names)
+        self._log.info("instances changed", extra={"instances": list(names)})
+
+    def _tidy(self) -> None:
+        self._pool.close_expired()
+        self._placement.forget_gone(self._table.ids)
+
+    def _is_usable(self) -> bool:
+        state = self._state
+        return (
+            not self._leaving
+            and state.config is not None
+            and state.confirmation.is_valid(self._now_s())
+        )
+
+    def _why_not_ready(self) -> str | None:
+        if self._leaving:
+            return "the instance is shutting down"
+        if self._state.config is None:
+            return "no configuration is known yet"
+        return None
+
+    def _lookup(self, host: str, region: str) -> list[str] | None:
+        config = self._state.config
+        if config is None:
+            return None
+        homes: frozenset[str] = frozenset()
+        for route in config.routes_of(host):
+            homes |= route.home_regions
+        return self._directory.addresses(
+            self._now_s(),
+            region=region,
+            home_regions=homes,
+            own_usable=self._is_usable(),
+            own_leaving=self._leaving,
+        )
+
+    def _connection_limit(self, service: str) -> int:
+        config = self._state.config
+        spec = config.services.get(service) if config else None
+        if spec is None:
+            return MIN_CONNECTIONS
+        part = spec.connection_limit // len(self._directory.names)
+        return max(MIN_CONNECTIONS, part)
+
+    def _cold_per_s(self, service: str) -> float:
+        config = self._state.config
+        spec = config.services.get(service) if config else None
+        return spec.cold_per_s if spec else 1.0
+
+    def _caller_limits(self, config: SteeringConfig | None) -> FrontLimits:
+        connections = max(
+            MIN_CALLER_CONNECTIONS,
+            self._settings.descriptors - OTHER_DESCRIPTORS,
+        )
+        if config is None:
+            return FrontLimits(connections=connections)
+        limits = config.limits
+        return FrontLimits(
+            connections=connections,
+            idle_s=limits.idle_s,
+            head_s=limits.header_s,
+            head=HeadLimits(
+                line_bytes=limits.header_bytes,
+                block_bytes=limits.header_bytes,
+            ),
+            body=BodyLimits(body_bytes=limits.body_bytes),
+        )
--- /dev/null
+++ b/packages/verbenad/src/verbenad/steering/steering_settings.py
@@ -0,0 +1,85 @@
+"""Process settings of an entry instance on a platform."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from verbenaworks.errors import SettingError
+
+_REMEDY = "correct the settings file and start the process again"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SteeringBounds:
+    """Bounds that the users set.
+
+    :param revoke_s: time in which a withdrawn key must stop working.
+    :param retry_ratio: repeats per request, over the fleet.
+    :param retry_slack: repeats per window beyond the ratio.
+    :param retry_window_s: window of the two.
+    :param shutdown_s: time from the request to stop to the end by force.
+    :param lookup_ttl_s: longest time that callers keep a lookup answer.
+    """
+
+    revoke_s: float
+    retry_ratio: float
+    retry_slack: float
+    retry_window_s: float
+    shutdown_s: float
+    lookup_ttl_s: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SteeringSettings:
+    """Checked settings.
+
+    :param regions: region of each failure domain.
+    :param peer_address: where other instances send datagrams.
+    :param processor_share: share of a core, times its speed.
+    :param descriptors: file descriptors that the process may open.
+    """
+
+    name: str
+    region: str
+    failure_domain: str
+    regions: Mapping[str, str]
+    caller_address: str
+    ready_address: str
+    lookup_address: str
+    peer_address: str
+    metrics_address: str
+    processor_share: float
+    descriptors: int
+    bounds: SteeringBounds
+
+    def __post_init__(self) -> None:
+        """Check what the types do not say.
+
+        :raises SettingError: if a value does not fit.
+        """
+        for name in (
+            "caller_address",
+            "ready_address",
+            "lookup_address",
+            "peer_address",
+        ):
+            check_address(name, getattr(self, name))
+        if self.failure_domain not in self.regions:
+            raise SettingError(
+                f"failure_domain {self.failure_domain!r} has no region",
+                _REMEDY,
+            )
+        if self.bounds.revoke_s <= 0:
+            raise SettingError("revoke_s must be positive", _REMEDY)
+
+
+def check_address(name: str, address: str) -> tuple[str, int]:
+    """Return IP address and port.
+
+    :raises SettingError: if the text is not ``IP:port``.
+    """
+    host, colon, port = address.rpartition(":")
+    if not colon or not host or not port.isdecimal() or int(port) > 65535:
+        raise SettingError(
+            f"{name} is {address!r}, which is not IP:port", _REMEDY
+        )
+    return host, int(port)
--- /dev/null
+++ b/packages/verbenad/src/verbenad/steering/steering_state.py
@@ -0,0 +1,144 @@
+"""What an instance knows, and how changes of the platform become known."""
+
+from collections.abc import Callable, Iterable
+
+import logbook
+
+from verbenaworks.steering.changes import (
+    Change,
+    ChangeBatch,
+    ConfigPublished,
+    DomainEvacuation,
+    InstanceRegistered,
+    InstanceRemoved,
+    ServerRemoved,
+    ServerReported,
+    Unreadable,
+)
+from verbenaworks.steering.confirmation import Confirmation
+from verbenaworks.steering.entry_directory import EntryDirectory
+from verbenaworks.steering.server_table import ServerTable
+from verbenaworks.steering.steering_config import SteeringConfig
+
+_log = logbook.Logger("verbenad.state")
+
+
+class SteeringState:
+    """Configuration, servers and instances in force at this instance.
+
+    :param on_config: called with each newer configuration.
+    :param on_members: called when the registered instances changed.
+    """
+
+    def __init__(
+        self,
+        *,
+        table: ServerTable,
+        directory: EntryDirectory,
+        confirmation: Confirmation,
+        now_s: Callable[[], float],
+        on_config: Callable[[SteeringConfig], None],
+        on_members: Callable[[], None],
+    ) -> None:
+        self.table = table
+        self.directory = directory
+        self.confirmation = confirmation
+        self.config: SteeringConfig | None = None
+        self._now_s = now_s
+        self._on_config = on_config
+        self._on_members = on_members
+
+    def store_returned(self) -> None:
+        """Enter that the store answers again after an outage."""
+        now_s = self._now_s()
+        self.table.store_returned(now_s)
+        self.directory.store_returned(now_s)
+
+    def apply(self, batch: ChangeBatch) -> None:
+        """Take changes of the platform."""
+        names = self.directory.names
+        for change in batch.changes:
+            self._apply(change)
+        if batch.complete:
+            self._keep_only(batch.changes)
+        if self.directory.names != names:
+            self._on_members()
+
+    def expire(self) -> None:
+        """Drop what has lapsed; call it regularly."""
+        now_s = self._now_s()
+        names = self.directory.names
+        self.table.expire(now_s)
+        self.directory.expire(now_s)
+        if self.directory.names != names:
+            self._on_members()
+
+    def _apply(self, change: Change) -> None:
+        now_s = self._now_s()
+        match change:
+            case ConfigPublished(config=config):
+                self._publish(config)
+            case ServerReported(server=server):
+                taken = self.table.report(now_s, server)
+                _log.info(
+                    "backend server reported",
+                    extra={
+                        "server": server.server_id,
+                        "service": server.service,
+                        "draining": server.draining,
+                        "cold_left_s": server.cold_left_s,
+                        "taken": taken,
+                    },
+                )
+            case ServerRemoved(server_id=server_id):
+                self.table.remove(now_s, server_id)
+                _log.info(
+                    "backend server removed", extra={"server": server_id}
+                )
+            case DomainEvacuation(failure_domain=domain, evacuated=evacuated):
+                self.table.evacuate(domain, evacuated)
+                _log.info(
+                    "failure domain evacuated"
+                    if evacuated
+                    else "failure domain back",
+                    extra={"failure_domain": domain},
+                )
+            case InstanceRegistered(record=record):
+                self.directory.register(record)
+            case InstanceRemoved(name=name):
+                self.directory.remove(now_s, name)
+            case Unreadable(item=item, reason=reason):
+                _log.warning(
+                    "item ignored", extra={"item": item, "reason": reason}
+                )
+
+    def _publish(self, config: SteeringConfig) -> None:
+        held = self.config
+        if held is not None and config.version <= held.version:
+            return
+        self.config = config
+        _log.info(
+            "configuration in force",
+            extra={
+                "version": config.version,
+                "before": held.version if held else None,
+                "routes": len(config.routes),
+            },
+        )
+        self._on_config(config)
+
+    def _keep_only(self, changes: Iterable[Change]) -> None:
+        now_s = self._now_s()
+        servers, instances, domains = set(), set(), set()
+        for change in changes:
+            match change:
+                case ServerReported(server=server):
+                    servers.add(server.server_id)
+                case InstanceRegistered(record=record):
+                    instances.add(record.name)
+                case DomainEvacuation(failure_domain=domain):
+                    domains.add(domain)
+        self.table.keep_only(now_s, servers)
+        self.directory.keep_only(now_s, instances)
+        for domain in self.table.evacuated - domains:
+            self.table.evacuate(domain, False)
--- a/packages/verbenad/src/verbenad/upstream_connection.py
+++ b/packages/verbenad/src/verbenad/upstream_connection.py
@@ -1,5 +1,6 @@
 """One connection to a backend server."""
 
+import socket
 from typing import Any
 
 from urllib3.connection import HTTPConnection
@@ -7,6 +8,10 @@
 from verbenad.socket_stream import SocketStream
 from verbenad.target_address import TargetAddress
 
+# Seconds of silence before the first probe of the connection, and between
+# probes; the kernel takes whole seconds.
+_KEEPALIVE_S = 1
+
 
 class UpstreamConnection:
     """An open connection and what the pool knows about it.
@@ -14,6 +19,8 @@
     :param address: IP address and port of the backend server.
     :param timeout_s: time to connect.
     :param source_ip: own address to connect from.
+    :param silent_s: time after which a peer that does not acknowledge data
+        or probes is taken as lost; none for the system's defaults.
     :raises urllib3.exceptions.HTTPError: if it cannot be opened.
     """
 
@@ -24,6 +31,7 @@
         address: TargetAddress,
         timeout_s: float,
         source_ip: str | None = None,
+        silent_s: float | None = None,
     ) -> None:
         self.address = address
         self._http = HTTPConnection(
@@ -31,6 +39,10 @@
             address[1],
             timeout=timeout_s,
             source_address=(source_ip, 0) if source_ip else None,
+            socket_options=[
+                *HTTPConnection.default_socket_options,
+                *silence_options(silent_s),
+            ],
         )
         self._http.connect()
         sock: Any = self._http.sock
@@ -42,3 +54,17 @@
         """Close the connection."""
         self.stream.shutdown()
         self._http.close()
+
+
+def silence_options(silent_s: float | None) -> list[tuple[int, int, int]]:
+    """Return socket options that end a connection whose peer is silent."""
+    if silent_s is None:
+        return []
+    tcp = socket.IPPROTO_TCP
+    return [
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (tcp, socket.TCP_KEEPIDLE, _KEEPALIVE_S),
+        (tcp, socket.TCP_KEEPINTVL, _KEEPALIVE_S),
+        (tcp, socket.TCP_KEEPCNT, max(1, round(silent_s / _KEEPALIVE_S))),
+        (tcp, socket.TCP_USER_TIMEOUT, int(silent_s * 1000)),
+    ]
--- a/packages/verbenad/src/verbenad/upstream_pool.py
+++ b/packages/verbenad/src/verbenad/upstream_pool.py
@@ -27,12 +27,15 @@
     :param non_idempotent_idle_s: a request that must not be repeated uses a
         pooled connection only if it was idle for less than this, because the
         backend server may be closing an older one at that moment.
+    :param silent_s: time after which a backend server that acknowledges
+        nothing is taken as lost; none for the system's defaults.
     """
 
     connect_s: float = 1.0
     idle_s: float = 15.0
     source_ip: str | None = None
     non_idempotent_idle_s: float = 1.0
+    silent_s: float | None = None
 
 
 class ConnectFailure(Enum):
@@ -180,7 +183,10 @@
         opened = False
         try:
             connection = UpstreamConnection(
-                address, connect_s, self.settings.source_ip
+                address,
+                connect_s,
+                self.settings.source_ip,
+                self.settings.silent_s,
             )
             opened = True
         except (HTTPError, OSError) as error:
--- /dev/null
+++ b/packages/verbenaworks/src/verbenaworks/steering/backend_server.py
@@ -0,0 +1,34 @@
+"""A backend server as its last report describes it."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class BackendServer:
+    """One incarnation of a backend server.
+
+    :param server_id: identity that the server checks on each request.
+    :param address: IP address and port.
+    :param region: region of the failure domain.
+    :param slots: requests that it runs at the same time.
+    :param draining: whether it takes no new requests.
+    :param cold_left_s: how long it stays cold, at the time of the report.
+    :param sequence: grows with each report of the incarnation.
+    :param born_ms: Unix time of its start; 0 if not known.
+    """
+
+    server_id: str
+    service: str
+    address: tuple[str, int]
+    failure_domain: str
+    region: str
+    slots: int
+    draining: bool
+    cold_left_s: float
+    sequence: int
+    born_ms: int = 0
+
+    @property
+    def generation(self) -> tuple[int, int]:
+        """Order of the reports of one server."""
+        return (self.born_ms, self.sequence)
--- /dev/null
+++ b/packages/verbenaworks/src/verbenaworks/steering/changes.py
@@ -0,0 +1,85 @@
+"""Changes that the platform tells an instance of."""
+
+from dataclasses import dataclass
+
+from verbenaworks.steering.backend_server import BackendServer
+from verbenaworks.steering.instance_record import InstanceRecord
+from verbenaworks.steering.steering_config import SteeringConfig
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ConfigPublished:
+    """The operator published a document."""
+
+    config: SteeringConfig
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class DomainEvacuation:
+    """A failure domain is to get no requests, or gets them again."""
+
+    failure_domain: str
+    evacuated: bool
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ServerReported:
+    """A backend server reported its state."""
+
+    server: BackendServer
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ServerRemoved:
+    """The report of a backend server is gone or cannot be read."""
+
+    server_id: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class InstanceRegistered:
+    """An entry instance registered itself."""
+
+    record: InstanceRecord
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class InstanceRemoved:
+    """The registration of an entry instance ended."""
+
+    name: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Unreadable:
+    """An item could not be decoded; what was known before stays.
+
+    :param reason: what is wrong with it.
+    """
+
+    item: str
+    reason: str
+
+
+Change = (
+    ConfigPublished
+    | DomainEvacuation
+    | ServerReported
+    | ServerRemoved
+    | InstanceRegistered
+    | InstanceRemoved
+    | Unreadable
+)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ChangeBatch:
+    """Changes up to a revision of the platform's store.
+
+    :param complete: whether these are all items, so that what is not named
+        does not exist.
+    """
+
+    changes: tuple[Change, ...]
+    revision: int
+    complete: bool = False
--- /dev/null
+++ b/packages/verbenaworks/src/verbenaworks/steering/entry_directory.py
@@ -0,0 +1,141 @@
+"""Which instances callers should use."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from verbenaworks.steering.instance_record import InstanceRecord
+
+# Registrations that expired while the store was away are renewed within two
+# seconds of its return.
+LAPSE_GRACE_S = 2.5
+# An instance that other instances have heard of and that is silent for this
+# long is not named; its registration ends later.
+SILENT_S = 2.0
+MAX_ADDRESSES = 64
+
+
+@dataclass(kw_only=True, slots=True)
+class _Member:
+    record: InstanceRecord
+    heard_at_s: float | None = None
+    usable: bool = True
+    leaving: bool = False
+    drop_at_s: float | None = None
+
+
+class EntryDirectory:
+    """Registered instances and what is heard of them.
+
+    :param own: this instance.
+    """
+
+    def __init__(self, own: InstanceRecord) -> None:
+        self._own = own
+        self._members: dict[str, _Member] = {}
+        self._back_at_s = float("-inf")
+
+    def store_returned(self, now_s: float) -> None:
+        """Enter that the store answers again after an outage."""
+        self._back_at_s = now_s
+
+    def register(self, record: InstanceRecord) -> None:
+        """Enter a registration."""
+        held = self._members.get(record.name)
+        if held is not None and held.record == record:
+            held.drop_at_s = None
+            return
+        if record.name != self._own.name:
+            self._members[record.name] = _Member(record=record)
+
+    def remove(self, now_s: float, name: str) -> None:
+        """Enter that a registration ended."""
+        member = self._members.get(name)
+        if member is None:
+            return
+        grace_end_s = self._back_at_s + LAPSE_GRACE_S
+        if now_s < grace_end_s and not member.leaving:
+            member.drop_at_s = grace_end_s
+            return
+        del self._members[name]
+
+    def keep_only(self, now_s: float, names: Iterable[str]) -> None:
+        """Remove all registrations that a complete listing does not name."""
+        listed = set(names)
+        for name in [n for n in self._members if n not in listed]:
+            self.remove(now_s, name)
+
+    def expire(self, now_s: float) -> None:
+        """Remove registrations whose grace has ended."""
+        for name, member in list(self._members.items()):
+            if member.drop_at_s is not None and now_s >= member.drop_at_s:
+                del self._members[name]
+
+    def heard(
+        self,
+        now_s: float,
+        name: str,
+        incarnation: int,
+        *,
+        usable: bool,
+        leaving: bool,
+    ) -> bool:
+        """Enter a sign of life; false if the sender is not registered.
+
+        :param usable: whether it can serve requests that carry keys.
+        :param leaving: whether it is shutting down.
+        """
+        member = self._members.get(name)
+        if member is None or member.record.incarnation != incarnation:
+            return False
+        member.heard_at_s = now_s
+        member.usable = usable
+        member.leaving = member.leaving or leaving
+        return True
+
+    @property
+    def names(self) -> tuple[str, ...]:
+        """Names of the registered instances, this one included."""
+        return tuple(sorted({*self._members, self._own.name}))
+
+    @property
+    def peers(self) -> tuple[InstanceRecord, ...]:
+        """Registered instances other than this one."""
+        return tuple(m.record for m in self._members.values())
+
+    def addresses(
+        self,
+        now_s: float,
+        *,
+        region: str,
+        home_regions: frozenset[str],
+        own_usable: bool,
+        own_leaving: bool,
+    ) -> list[str]:
+        """Return the addresses that a caller should use.
+
+        Instances in the caller's region come alone, where there are any, then
+        those in its home regions, then all.
+
+        :param region: region of the caller.
+        :param home_regions: regions in which its requests may run.
+        """
+        own = _Member(
+            record=self._own,
+            heard_at_s=now_s,
+            usable=own_usable,
+            leaving=own_leaving,
+        )
+        present = [m for m in (own, *self._members.values()) if not m.leaving]
+        alive = [m for m in present if self._is_heard(now_s, m)] or present
+        chosen = [m for m in alive if m.usable] or alive
+        near = [m for m in chosen if m.record.region == region]
+        if not near and home_regions:
+            near = [m for m in chosen if m.record.region in home_regions]
+        records = [m.record for m in near or chosen]
+        return sorted(r.caller_address for r in records)[:MAX_ADDRESSES]
+
+    def _is_heard(self, now_s: float, member: _Member) -> bool:
+        if member.heard_at_s is None:
+            # Registered so recently that nothing was heard yet.
+            return True
+        return now_s - member.heard_at_s <= SILENT_S
--- /dev/null
+++ b/packages/verbenaworks/src/verbenaworks/steering/instance_record.py
@@ -0,0 +1,22 @@
+"""What an entry instance registers about itself."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class InstanceRecord:
+    """An entry instance that callers may use.
+
+    :param incarnation: differs between two runs under one name.
+    :param caller_address: where callers connect.
+    :param peer_address: where other instances send datagrams.
+    :param capacity: processor share, relative to other instances.
+    """
+
+    name: str
+    incarnation: int
+    region: str
+    failure_domain: str
+    caller_address: str
+    peer_address: str
+    capacity: float
--- /dev/null
+++ b/packages/verbenaworks/src/verbenaworks/steering/peer_report.py
@@ -0,0 +1,25 @@
+"""What entry instances tell one another several times a second."""
+
+import msgspec
+
+from verbenaworks.wire import wire_message
+
+
+@wire_message
+class PeerReport(msgspec.Struct, array_like=True, frozen=True, kw_only=True):
+    """State of one instance.
+
+    :ivar usable: whether it can serve requests that carry keys.
+    :ivar in_flight: its unanswered requests, by a short hash of the server.
+    :ivar demand: requests per second, by workspace.
+    :ivar crashes: recent crashes as pairs of request digest and crash id.
+    """
+
+    name: str
+    incarnation: int
+    number: int
+    usable: bool
+    leaving: bool
+    in_flight: dict[int, int]
+    demand: dict[str, float]
+    crashes: tuple[tuple[str, str], ...]
--- /dev/null
+++ b/packages/verbenaworks/src/verbenaworks/steering/placement.py
@@ -0,0 +1,304 @@
+"""Chooses the backend server for a request, or refuses it.
+
+Servers are compared by the predicted time to the answer: distance, work,
+waiting for a slot, and what the server's recent slowness and failures add. A
+server that knows the request's object works much less, so requests for one
+object meet at the first server in its rendezvous order and leave it only
+where waiting there costs more than an unknown object elsewhere.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import Enum, auto
+from random import Random
+
+from verbenaworks.steering.backend_server import BackendServer
+from verbenaworks.steering.cold_allowance import ColdAllowance
+from verbenaworks.steering.rendezvous import rendezvous_order
+from verbenaworks.steering.route import Route
+from verbenaworks.steering.server_table import ServerTable
+from verbenaworks.steering.service_times import ServiceTimes
+from verbenaworks.steering.target_load import TargetLoad
+
+# Servers of an object's order that are compared; more cost time and hardly
+# ever win.
+ORDERED_CANDIDATES = 6
+# Servers drawn at random beside them, so that free ones are found in a large
+# service whose first choices are all busy.
+RANDOM_CANDIDATES = 2
+# Round trips to another failure domain and another region, in seconds; only
+# their order of magnitude matters beside service times.
+DOMAIN_RTT_S = 0.003
+REGION_RTT_S = 0.030
+# A server that has just started works about this many times as long.
+COLD_SLOWNESS = 2.0
+# Objects that a server is assumed to remember.
+KEPT_OBJECTS = 24
+# A failing server costs a repeat; this many service times a failure.
+FAILURE_COST = 3.0
+MAX_ORDERS = 4096
+
+
+class RejectReason(Enum):
+    """Why no server was chosen."""
+
+    NO_SERVER = auto()
+    NO_TIME = auto()
+    COLD = auto()
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PlacementRequest:
+    """What the choice depends on.
+
+    :param thing: object of the request; empty if it has none.
+    :param left_s: time until the caller stops waiting.
+    :param home_regions: regions in which it may run; empty for all.
+    :param tried: servers that have had this request.
+    """
+
+    route: Route
+    service: str
+    thing: str
+    left_s: float
+    home_regions: frozenset[str]
+    tried: frozenset[str] = frozenset()
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Placed:
+    """A chosen server.
+
+    :ivar expected_s: time without waiting that was assumed.
+    :ivar predicted_s: predicted time to the answer.
+    :ivar warm: whether the server is assumed to know the object.
+    :ivar waits: whether all slots of the server were taken.
+    """
+
+    server: BackendServer
+    expected_s: float
+    predicted_s: float
+    warm: bool
+    waits: bool
+    load: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Rejected:
+    """No server was chosen.
+
+    :ivar retry_after_s: when a retry may find room.
+    """
+
+    reason: RejectReason
+    retry_after_s: float
+    predicted_s: float | None = None
+
+
+class Placement:
+    """Chooses servers for one instance.
+
+    :param region: region of this instance.
+    :param failure_domain: its failure domain.
+    :param cold_per_s: requests per second that a cold server of a service
+        bears.
+    """
+
+    def __init__(
+        self,
+        *,
+        region: str,
+        failure_domain: str,
+        table: ServerTable,
+        times: ServiceTimes,
+        colds: ColdAllowance,
+        random: Random,
+    ) -> None:
+        self._region = region
+        self._failure_domain = failure_domain
+        self._table = table
+        self._times = times
+        self._colds = colds
+        self._random = random
+        self._loads: dict[str, TargetLoad] = {}
+        self._orders: dict[tuple[str, str], list[BackendServer]] = {}
+        self._generation = -1
+
+    def load_of(self, server: BackendServer) -> TargetLoad:
+        """Return what is known about a server."""
+        load = self._loads.get(server.server_id)
+        if load is None:
+            load = self._loads[server.server_id] = TargetLoad(
+                slots=server.slots
+            )
+        return load
+
+    def choose(
+        self, now_s: float, request: PlacementRequest, cold_per_s: float
+    ) -> Placed | Rejected:
+        """Return a server, or why there is none.
+
+        :param cold_per_s: requests per second that a cold server bears.
+        """
+        best: Placed | None = None
+        skipped_cold = False
+        first = True
+        for server in self._candidates(now_s, request):
+            left_s = self._table.cold_left_s(now_s, server.server_id)
+            if left_s > 0 and not self._colds.has(
+                now_s, server.server_id, cold_per_s
+            ):
+                skipped_cold = True
+                continue
+            placed = self._predict(
+                now_s, request, server, first=first, cold=left_s > 0
+            )
+            first = False
+            if best is None or placed.predicted_s < best.predicted_s:
+                best = placed
+        if best is None:
+            reason = (
+                RejectReason.COLD if skipped_cold else RejectReason.NO_SERVER
+            )
+            return Rejected(reason=reason, retry_after_s=0.5)
+        if best.waits and best.predicted_s > request.left_s:
+            return Rejected(
+                reason=RejectReason.NO_TIME,
+                retry_after_s=best.predicted_s - best.expected_s,
+                predicted_s=best.predicted_s,
+            )
+        if self._table.cold_left_s(now_s, best.server.server_id) > 0:
+            self._colds.take(now_s, best.server.server_id, cold_per_s)
+        return best
+
+    def started(self, server: BackendServer) -> None:
+        """Count a request that is sent to a server."""
+        self.load_of(server).in_flight += 1
+
+    def ended(self, server: BackendServer) -> None:
+        """Count a request that the server no longer works on."""
+        self.load_of(server).in_flight -= 1
+
+    def answered(
+        self,
+        now_s: float,
+        request: PlacementRequest,
+        placed: Placed,
+        took_s: float,
+    ) -> None:
+        """Learn from an answer."""
+        load = self.load_of(placed.server)
+        distance_s = self._distance_s(placed.server)
+        worked_s = max(0.001, took_s - distance_s)
+        load.succeeded(now_s, took_s / max(0.001, placed.predicted_s))
+        if request.thing:
+            load.learned(now_s, request.thing, KEPT_OBJECTS)
+        if not placed.waits:
+            self._times.observe(
+                request.route.name,
+                request.service,
+                request.route.objective_s,
+                worked_s,
+                warm=placed.warm,
+            )
+
+    def in_flight(self) -> dict[str, int]:
+        """Return own requests by server, where there are any."""
+        return {
+            server_id: load.in_flight
+            for server_id, load in self._loads.items()
+            if load.in_flight > 0
+        }
+
+    def set_peers_in_flight(self, by_server: dict[str, float]) -> None:
+        """Replace what other instances say they have in flight."""
+        for server_id, load in self._loads.items():
+            load.peers_in_flight = by_server.get(server_id, 0.0)
+
+    def forget_gone(self, known: Iterable[str]) -> None:
+        """Drop what is known about servers that no longer exist."""
+        names = set(known)
+        for server_id, load in list(self._loads.items()):
+            if server_id not in names and not load.in_flight:
+                del self._loads[server_id]
+
+    def _predict(
+        self,
+        now_s: float,
+        request: PlacementRequest,
+        server: BackendServer,
+        *,
+        first: bool,
+        cold: bool,
+    ) -> Placed:
+        load = self.load_of(server)
+        route = request.route
+        warm = bool(request.thing) and (first or load.knows(request.thing))
+        expected_s = self._times.expected_s(
+            route.name, request.service, route.objective_s, warm=warm
+        )
+        usual_s = self._times.expected_s(
+            route.name,
+            request.service,
+            route.objective_s,
+            warm=bool(request.thing),
+        )
+        slowness = load.slowness(now_s)
+        if cold:
+            slowness = max(slowness, COLD_SLOWNESS)
+        wait_s = load.wait_s(now_s, usual_s)
+        failing = load.failure_share(now_s) * FAILURE_COST * expected_s
+        return Placed(
+            server=server,
+            expected_s=expected_s,
+            predicted_s=self._distance_s(server)
+            + slowness * (expected_s + wait_s)
+            + failing,
+            warm=warm,
+            waits=wait_s > 0,
+            load=load.load(now_s),
+        )
+
+    def _distance_s(self, server: BackendServer) -> float:
+        if server.failure_domain == self._failure_domain:
+            return 0.0
+        if server.region == self._region:
+            return DOMAIN_RTT_S
+        return REGION_RTT_S
+
+    def _candidates(
+        self, now_s: float, request: PlacementRequest
+    ) -> list[BackendServer]:
+        ordered = self._order(request)
+        homes = request.home_regions
+        if homes:
+            ordered = [s for s in ordered if s.region in homes]
+        usable = [s for s in ordered if s.server_id not in request.tried]
+        up = [s for s in usable if not self.load_of(s).is_down(now_s)]
+        # A connection that fails costs little, and may succeed again.
+        usable = up or usable
+        if request.thing:
+            picked = usable[:ORDERED_CANDIDATES]
+            rest = usable[ORDERED_CANDIDATES:]
+        else:
+            picked, rest = [], usable
+        if rest:
+            count = RANDOM_CANDIDATES if picked else ORDERED_CANDIDATES
+            picked += self._random.sample(rest, min(count, len(rest)))
+        return picked
+
+    def _order(self, request: PlacementRequest) -> list[BackendServer]:
+        if self._generation != self._table.generation:
+            self._generation = self._table.generation
+            self._orders.clear()
+        if not request.thing:
+            return list(self._table.usable(request.service))
+        key = (request.service, request.thing)
+        order = self._orders.get(key)
+        if order is None:
+            if len(self._orders) >= MAX_ORDERS:
+                self._orders.clear()
+            order = self._orders[key] = rendezvous_order(
+                request.thing, self._table.usable(request.service)
+            )
+        return order
--- /dev/null
+++ b/packages/verbenaworks/src/verbenaworks/steering/server_table.py
@@ -0,0 +1,158 @@
+"""Backend servers that may get requests."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from verbenaworks.steering.backend_server import BackendServer
+
+# Reports that expired while the store was away are renewed within two
+# seconds of its return; what is missing after that is gone.
+LAPSE_GRACE_S = 2.2
+# A late report of an earlier incarnation must not revive a removed server.
+REMEMBER_REMOVED_S = 60.0
+
+
+@dataclass(kw_only=True, slots=True)
+class _Held:
+    server: BackendServer
+    cold_until_s: float
+    drop_at_s: float | None = None
+
+
+class ServerTable:
+    """Servers by id, as reported; knows evacuated failure domains."""
+
+    def __init__(self) -> None:
+        self.generation = 0
+        self._held: dict[str, _Held] = {}
+        self._removed: dict[str, tuple[BackendServer, float]] = {}
+        self._evacuated: set[str] = set()
+        self._usable: dict[str, tuple[BackendServer, ...]] | None = None
+        self._back_at_s = float("-inf")
+
+    def store_returned(self, now_s: float) -> None:
+        """Enter that the store answers again after an outage."""
+        self._back_at_s = now_s
+
+    def report(self, now_s: float, server: BackendServer) -> bool:
+        """Enter a report; false if a newer one is known."""
+        held = self._held.get(server.server_id)
+        if held is not None and _is_older(server, held.server):
+            return False
+        removed = self._removed.get(server.server_id)
+        if removed is not None and _is_older(server, removed[0]):
+            return False
+        self._removed.pop(server.server_id, None)
+        self._held[server.server_id] = _Held(
+            server=server, cold_until_s=now_s + server.cold_left_s
+        )
+        self._changed()
+        return True
+
+    def remove(self, now_s: float, server_id: str) -> None:
+        """Enter that the report of a server is gone.
+
+        Soon after an outage of the store the server stays in use, because
+        its report may only have expired.
+        """
+        held = self._held.get(server_id)
+        if held is None:
+            return
+        grace_end_s = self._back_at_s + LAPSE_GRACE_S
+        if now_s < grace_end_s and not held.server.draining:
+            if held.drop_at_s is None:
+                held.drop_at_s = grace_end_s
+            return
+        self._drop(now_s, server_id)
+
+    def keep_only(self, now_s: float, server_ids: Iterable[str]) -> None:
+        """Remove all servers that a complete listing does not name."""
+        named = set(server_ids)
+        for server_id in [i for i in self._held if i not in named]:
+            self.remove(now_s, server_id)
+
+    def expire(self, now_s: float) -> None:
+        """Remove servers whose grace has ended; call it regularly."""
+        for server_id, held in list(self._held.items()):
+            if held.drop_at_s is not None and now_s >= held.drop_at_s:
+                self._drop(now_s, server_id)
+        for server_id, (_, at_s) in list(self._removed.items()):
+            if now_s - at_s > REMEMBER_REMOVED_S:
+                del self._removed[server_id]
+
+    def evacuate(self, failure_domain: str, evacuated: bool) -> None:
+        """Stop or resume the use of a failure domain."""
+        if evacuated:
+            self._evacuated.add(failure_domain)
+        else:
+            self._evacuated.discard(failure_domain)
+        self._changed()
+
+    @property
+    def evacuated(self) -> frozenset[str]:
+        """Failure domains that get no requests."""
+        return frozenset(self._evacuated)
+
+    def usable(self, service: str) -> tuple[BackendServer, ...]:
+        """Return the servers of a service that take new requests."""
+        if self._usable is None:
+            by_service: dict[str, list[BackendServer]] = {}
+            for _, held in sorted(self._held.items()):
+                server = held.server
+                if server.draining:
+                    continue
+                if server.failure_domain in self._evacuated:
+                    continue
+                by_service.setdefault(server.service, []).append(server)
+            self._usable = {k: tuple(v) for k, v in by_service.items()}
+        return self._usable.get(service, ())
+
+    def is_usable(self, server: BackendServer) -> bool:
+        """Whether the incarnation still takes new requests."""
+        held = self._held.get(server.server_id)
+        return (
+            held is not None
+            and not held.server.draining
+            and held.server.born_ms == server.born_ms
+            and held.server.address == server.address
+            and held.server.failure_domain not in self._evacuated
+        )
+
+    def cold_left_s(self, now_s: float, server_id: str) -> float:
+        """Return how long a server stays cold."""
+        held = self._held.get(server_id)
+        return 0.0 if held is None else max(0.0, held.cold_until_s - now_s)
+
+    def set_cold(self, now_s: float, server_id: str, left_s: float) -> None:
+        """Enter how long a server says it stays cold."""
+        held = self._held.get(server_id)
+        if held is not None:
+            held.cold_until_s = now_s + left_s
+
+    @property
+    def ids(self) -> tuple[str, ...]:
+        """Ids of all servers, usable or not."""
+        return tuple(self._held)
+
+    def __len__(self) -> int:
+        return len(self._held)
+
+    def _drop(self, now_s: float, server_id: str) -> None:
+        held = self._held.pop(server_id)
+        self._removed[server_id] = (held.server, now_s)
+        self._changed()
+
+    def _changed(self) -> None:
+        self.generation += 1
+        self._usable = None
+
+
+def _is_older(report: BackendServer, known: BackendServer) -> bool:
+    """Whether a report was made before the known one.
+
+    Sequences start anew with each incarnation, so they can be compared only
+    where both reports tell their time of birth.
+    """
+    if not report.born_ms or not known.born_ms:
+        return False
+    return report.generation < known.generation
