Count workspaces' rates in a window, divided by demand as credits

Token buckets with a part of the rate for each instance allow the rate and one burst, while the users count rate times window plus burst in each window; and parts of a few tokens refuse bursts that meet one instance.

Ruled out: unknown keys (10 requests, all on removed ones).

Change: instances report what they accepted in the window, their demand and their credit; what is left of the limit is divided by demand.

--- a/packages/verbenad/src/verbenad/steering/peer_exchange.py
+++ b/packages/verbenad/src/verbenad/steering/peer_exchange.py
@@ -14,7 +14,7 @@
 from verbenaworks.steering.peer_report import PeerReport
 from verbenaworks.steering.placement import Placement
 from verbenaworks.steering.server_table import ServerTable
-from verbenaworks.steering.workspace_shares import WorkspaceShares
+from verbenaworks.steering.workspace_rates import WorkspaceRates
 from verbenaworks.wire import decode, encode
 
 # Shortest time between two reports to a peer: about one service time.
@@ -44,7 +44,7 @@
         directory: EntryDirectory,
         table: ServerTable,
         placement: Placement,
-        shares: WorkspaceShares,
+        rates: WorkspaceRates,
         crashes: CrashNotes,
         is_usable: Callable[[], bool],
         is_leaving: Callable[[], bool],
@@ -54,7 +54,7 @@
         self._directory = directory
         self._table = table
         self._placement = placement
-        self._shares = shares
+        self._rates = rates
         self._crashes = crashes
         self._is_usable = is_usable
         self._is_leaving = is_leaving
@@ -103,7 +103,7 @@
                 short_hash(server_id): count
                 for server_id, count in self._placement.in_flight().items()
             },
-            demand=self._shares.own_demand(now_s),
+            usage=self._rates.own_usage(now_s),
             crashes=self._crashes.recent(),
         )
         return encode(report)
@@ -150,7 +150,7 @@
         if not known:
             return
         self._heard[report.name] = (now_s, report)
-        self._shares.set_demand(report.name, report.demand)
+        self._rates.heard(now_s, report.name, report.incarnation, report.usage)
 
     def _merge(self) -> None:
         """Compute what the reports mean for load and rates."""
@@ -170,7 +170,7 @@
                 for server_id in self._table.ids
             }
         )
-        self._shares.divide(now_s)
+        self._rates.divide(now_s)
 
 
 def short_hash(server_id: str) -> int:
--- a/packages/verbenad/src/verbenad/steering/request_record.py
+++ b/packages/verbenad/src/verbenad/steering/request_record.py
@@ -27,6 +27,7 @@
     into the log.
 
     :ivar config_age_ms: age of the last proof that the version is in force.
+    :ivar detail: the figures behind a refusal.
     :ivar code: code of the refusal; empty if a server's answer was returned.
     """
 
@@ -43,4 +44,5 @@
     status: int
     code: str
     run: str
+    detail: str
     took_ms: int
--- a/packages/verbenad/src/verbenad/steering/steering_daemon.py
+++ b/packages/verbenad/src/verbenad/steering/steering_daemon.py
@@ -42,7 +42,7 @@
 from verbenaworks.steering.server_table import ServerTable
 from verbenaworks.steering.service_times import ServiceTimes
 from verbenaworks.steering.steering_config import SteeringConfig
-from verbenaworks.steering.workspace_shares import WorkspaceShares
+from verbenaworks.steering.workspace_rates import WorkspaceRates
 
 EXPIRE_PERIOD_S = 0.2
 POOL_PERIOD_S = 1.0
@@ -184,7 +184,11 @@
         self._table = ServerTable()
         self._directory = EntryDirectory(self._own)
         self._colds = ColdAllowance(settings.name)
-        self._shares = WorkspaceShares(settings.name)
+        self._rates = WorkspaceRates(
+            instance=settings.name,
+            window_s=bounds.rate_window_s,
+            now_s=self._now_s(),
+        )
         self._retries = RetryAllowance(
             ratio=bounds.retry_ratio,
             slack=bounds.retry_slack,
@@ -225,7 +229,7 @@
             directory=self._directory,
             table=self._table,
             placement=self._placement,
-            shares=self._shares,
+            rates=self._rates,
             crashes=self._crashes,
             is_usable=self._is_usable,
             is_leaving=lambda: self._leaving,
@@ -258,7 +262,7 @@
             names=self._names.fields,
             object_cookie=self._names.object_cookie,
             state=self._state,
-            shares=self._shares,
+            rates=self._rates,
             runner=runner,
             crashes=self._crashes,
             refuses_new=lambda: self._refuses_new,
@@ -334,14 +338,14 @@
         )
 
     def _on_config(self, config: SteeringConfig) -> None:
-        self._shares.set_workspaces(self._now_s(), config.workspaces)
+        self._rates.set_workspaces(self._now_s(), config.workspaces)
         self._front.limits = self._caller_limits(config)
 
     def _on_members(self) -> None:
         names = self._directory.names
         self._colds.set_instances(names)
         self._retries.set_instances(len(names))
-        self._shares.set_members(self._now_s(), names)
+        self._rates.set_members(self._now_s(), names)
         self._log.info("instances changed", extra={"instances": list(names)})
 
     def _tidy(self) -> None:
--- a/packages/verbenad/src/verbenad/steering/steering_gateway.py
+++ b/packages/verbenad/src/verbenad/steering/steering_gateway.py
@@ -17,13 +17,14 @@
 from verbenad.steering.crash_notes import CrashNotes
 from verbenad.steering.held_answer import HeldAnswer
 from verbenad.steering.refusal_format import RefusalFormat
-from verbenad.steering.request_record import AttemptRecord, RequestRecord
+from verbenad.steering.request_record import RequestRecord
 from verbenad.steering.request_runner import RequestRunner
+from verbenad.steering.request_trace import RequestTrace
 from verbenad.steering.steered_call import SteeredCall
 from verbenad.steering.steering_state import SteeringState
 from verbenaworks.steering.route import Route
 from verbenaworks.steering.steering_config import SteeringConfig
-from verbenaworks.steering.workspace_shares import WorkspaceShares
+from verbenaworks.steering.workspace_rates import WorkspaceRates
 from verbenaworks.steering.workspace_spec import WorkspaceSpec
 
 StartResponse = Callable[..., Any]
@@ -55,7 +56,7 @@
         names: FieldNames,
         object_cookie: str,
         state: SteeringState,
-        shares: WorkspaceShares,
+        rates: WorkspaceRates,
         runner: RequestRunner,
         crashes: CrashNotes,
         refuses_new: Callable[[], bool],
@@ -70,7 +71,7 @@
         self._cookie_prefix = f"{object_cookie}="
         self._format = RefusalFormat(names=names)
         self._state = state
-        self._shares = shares
+        self._rates = rates
         self._runner = runner
         self._crashes = crashes
         self._refuses_new = refuses_new
@@ -86,15 +87,12 @@
         head: RequestHead = environ["verbena.head"]
         ids = head.values(self._id_field)
         request_id = ids[0] if len(ids) == 1 else secrets.token_hex(8)
-        attempts: list[AttemptRecord] = []
-        call: SteeredCall | None = None
+        trace = RequestTrace(request_id=request_id, started_s=started_s)
         try:
-            call = self._admit(environ, head, request_id, started_s)
-            answer = self._run(call, attempts)
+            call = self._admit(environ, head, trace)
+            answer = self._run(call, trace)
         except Refused as end:
-            return self._refuse(
-                end.refusal, start_response, call, attempts, started_s
-            )
+            return self._refuse(end.refusal, start_response, trace)
         except BodyError as error:
             refusal = refuse(
                 error.code,
@@ -102,10 +100,8 @@
                 request_id=request_id,
                 message=error.message,
             )
-            return self._refuse(
-                refusal, start_response, call, attempts, started_s
-            )
-        self._log(call, attempts, started_s, request_id, answer.status)
+            return self._refuse(refusal, start_response, trace)
+        self._log(trace, answer.status)
         start_response(answer.status_line, answer.headers)
         return answer.pieces
 
@@ -113,13 +109,13 @@
         self,
         environ: dict[str, Any],
         head: RequestHead,
-        request_id: str,
-        started_s: float,
+        trace: RequestTrace,
     ) -> SteeredCall:
         """Return the request with its route, workspace and limits.
 
         :raises Refused: if it may not run.
         """
+        request_id = trace.request_id
         config = self._state.config
         if config is None:
             raise refused(
@@ -127,7 +123,7 @@
             )
         if self._refuses_new():
             raise refused("leaving", request_id, retry_after_s=0.1)
-        confirmed = self._state.confirmation.is_valid(started_s)
+        confirmed = self._state.confirmation.is_valid(trace.started_s)
         path = head.target.partition("?")[0]
         route = config.match(head.host, path)
         if route is None:
@@ -136,11 +132,26 @@
                     "not-fresh", request_id, retry_after_s=UNCONFIRMED_RETRY_S
                 )
             raise refused("unknown-service", request_id)
+        trace.route = route.name
         workspace = self._authenticate(
             config, route, head, request_id, confirmed
         )
-        return self._call(
-            environ, head, request_id, started_s, config, route, workspace
+        if workspace is not None:
+            self._take_rate(workspace.name, trace)
+        return self._call(environ, head, trace, config, route, workspace)
+
+    def _take_rate(self, workspace: str, trace: RequestTrace) -> None:
+        trace.workspace = workspace
+        if self._rates.take(trace.started_s, workspace):
+            trace.rate_taken = True
+            return
+        trace.detail = self._rates.describe(trace.started_s, workspace)
+        raise refused(
+            "rate-exceeded",
+            trace.request_id,
+            retry_after_s=self._rates.retry_after_s(
+                trace.started_s, workspace
+            ),
         )
 
     def _authenticate(
@@ -169,70 +180,53 @@
         self,
         environ: dict[str, Any],
         head: RequestHead,
-        request_id: str,
-        started_s: float,
+        trace: RequestTrace,
         config: SteeringConfig,
         route: Route,
         workspace: WorkspaceSpec | None,
     ) -> SteeredCall:
         body: RequestBody = environ["wsgi.input"]
         caller: CallerConnection = environ["verbena.caller"]
-        name = workspace.name if workspace else ""
-        if name and not self._shares.take(started_s, name):
-            raise refused(
-                "rate-exceeded",
-                request_id,
-                retry_after_s=self._shares.retry_after_s(started_s, name),
-            )
         homes = route.home_regions
         if workspace is not None and workspace.home_regions:
             homes = _both(homes, workspace.home_regions)
         if body.exists:
             body.prefetch(PREFETCH_BYTES)
+        trace.service = self._service(route)
+        trace.until_s = trace.started_s + self._wait_s(route, head)
         return SteeredCall(
-            request_id=request_id,
+            request_id=trace.request_id,
             route=route,
-            service=self._service(route),
-            workspace=name,
+            service=trace.service,
+            workspace=trace.workspace,
             thing=self._thing(route, head),
             home_regions=homes,
             head=head,
             body=body,
             caller=caller,
-            started_s=started_s,
-            until_s=started_s + self._wait_s(route, head),
-            digest=_digest(head, name, body),
+            started_s=trace.started_s,
+            until_s=trace.until_s,
+            digest=_digest(head, trace.workspace, body),
             config_version=config.version,
         )
 
-    def _run(
-        self, call: SteeredCall, attempts: list[AttemptRecord]
-    ) -> HeldAnswer:
+    def _run(self, call: SteeredCall, trace: RequestTrace) -> HeldAnswer:
         if self._crashes.is_refused(call.digest):
             raise refused(
                 "crash-pause", call.request_id, retry_after_s=CRASH_PAUSE_S
             )
-        return self._runner.run(call, attempts)
+        return self._runner.run(call, trace.attempts)
 
     def _refuse(
         self,
         refusal: Refusal,
         start_response: StartResponse,
-        call: SteeredCall | None,
-        attempts: list[AttemptRecord],
-        started_s: float,
+        trace: RequestTrace,
     ) -> Iterable[bytes]:
         refusal = self._format.truthful(refusal)
-        if call is not None and call.workspace and refusal.run is NOT_RUN:
-            self._shares.give_back(self._now_s(), call.workspace)
-        self._log(
-            call,
-            attempts,
-            started_s,
-            refusal.request_id,
-            refusal.status,
-            refusal,
-        )
+        if trace.rate_taken and refusal.run is NOT_RUN:
+            self._rates.give_back(self._now_s(), trace.workspace)
+        self._log(trace, refusal.status, refusal)
         body = refusal.body()
         start_response(
             refusal.status_line, self._format.headers(refusal, body)
@@ -267,32 +261,30 @@
 
     def _log(
         self,
-        call: SteeredCall | None,
-        attempts: list[AttemptRecord],
-        started_s: float,
-        request_id: str,
+        trace: RequestTrace,
         status: int,
         refusal: Refusal | None = None,
     ) -> None:
         now_s = self._now_s()
         config = self._state.config
-        age_s = min(self._state.confirmation.age_s(started_s), 1e6)
+        age_s = min(self._state.confirmation.age_s(trace.started_s), 1e6)
         self._record(
             RequestRecord(
                 time=datetime.now(UTC).isoformat(timespec="milliseconds"),
                 channel="verbenad.request",
-                request_id=request_id,
-                route=call.route.name if call else "",
-                workspace=call.workspace if call else "",
-                service=call.service if call else "",
+                request_id=trace.request_id,
+                route=trace.route,
+                workspace=trace.workspace,
+                service=trace.service,
                 config_version=config.version if config else 0,
                 config_age_ms=int(age_s * 1000),
-                left_ms=int((call.until_s - now_s) * 1000) if call else 0,
-                attempts=tuple(attempts),
+                left_ms=int(max(0.0, trace.until_s - now_s) * 1000),
+                attempts=tuple(trace.attempts),
                 status=status,
                 code=refusal.code if refusal else "",
                 run=refusal.run.text if refusal else "ran",
-                took_ms=int((now_s - started_s) * 1000),
+                detail=trace.detail,
+                took_ms=int((now_s - trace.started_s) * 1000),
             )
         )
 
--- a/packages/verbenad/src/verbenad/steering/steering_settings.py
+++ b/packages/verbenad/src/verbenad/steering/steering_settings.py
@@ -16,6 +16,7 @@
     :param retry_ratio: repeats per request, over the fleet.
     :param retry_slack: repeats per window beyond the ratio.
     :param retry_window_s: window of the two.
+    :param rate_window_s: window in which a workspace's rate is counted.
     :param shutdown_s: time from the request to stop to the end by force.
     :param lookup_ttl_s: longest time that callers keep a lookup answer.
     """
@@ -24,6 +25,7 @@
     retry_ratio: float
     retry_slack: float
     retry_window_s: float
+    rate_window_s: float
     shutdown_s: float
     lookup_ttl_s: float
 
--- a/packages/verbenaworks/src/verbenaworks/steering/peer_report.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/peer_report.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from verbenaworks.steering.workspace_usage import WorkspaceUsage
 from verbenaworks.wire import wire_message
 
 
@@ -11,7 +12,7 @@
 
     :ivar usable: whether it can serve requests that carry keys.
     :ivar in_flight: its unanswered requests, by a short hash of the server.
-    :ivar demand: requests per second, by workspace.
+    :ivar usage: use of the workspaces' rates.
     :ivar crashes: recent crashes as pairs of request digest and crash id.
     """
 
@@ -21,5 +22,5 @@
     usable: bool
     leaving: bool
     in_flight: dict[int, int]
-    demand: dict[str, float]
+    usage: dict[str, WorkspaceUsage]
     crashes: tuple[tuple[str, str], ...]
--- /dev/null
+++ b/packages/verbenaworks/src/verbenaworks/steering/usage_window.py
@@ -0,0 +1,38 @@
+"""Counts of events in a sliding window."""
+
+from collections import deque
+
+# Events are counted in slices of this length; a slice leaves the window as a
+# whole when its last event may still be inside.
+SLICE_S = 0.25
+
+
+class UsageWindow:
+    """How many events lie in the last seconds; never counts too few.
+
+    :param window_s: length of the window.
+    """
+
+    __slots__ = ("_count", "_slices", "_window_s")
+
+    def __init__(self, window_s: float) -> None:
+        self._window_s = window_s
+        self._slices: deque[list[float]] = deque()
+        self._count = 0.0
+
+    def add(self, now_s: float, events: float = 1.0) -> None:
+        """Count events; a negative number takes some back."""
+        slices = self._slices
+        if slices and now_s - slices[-1][0] < SLICE_S:
+            slices[-1][1] += events
+        else:
+            slices.append([now_s, events])
+        self._count += events
+
+    def count(self, now_s: float) -> float:
+        """Return the events of the window that ends now."""
+        slices = self._slices
+        oldest_s = now_s - self._window_s - SLICE_S
+        while slices and slices[0][0] <= oldest_s:
+            self._count -= slices.popleft()[1]
+        return max(0.0, self._count) if slices else 0.0
