Average the load that others put on a server

Requests of one server over all instances, side by side, show 20 arrivals within 0.3 s and then none for 1.4 s: reports of load are as old as a service time, so all instances sent to the servers that had looked free, and then left them alone. Queues of 21 requests ran into the timeout, and a request that its deadline stops teaches the server nothing.

Change: peers' requests and stated loads are averaged over 1.5 s; own requests count exactly. Waits are predicted from the mean work of all requests; one for an unknown object must have time to finish. The log shows the parts of the load.

--- a/packages/verbenad/src/verbenad/steering/peer_exchange.py
+++ b/packages/verbenad/src/verbenad/steering/peer_exchange.py
@@ -103,6 +103,12 @@
                 short_hash(server_id): count
                 for server_id, count in self._placement.in_flight().items()
             },
+            stated={
+                short_hash(server_id): load
+                for server_id, load in self._placement.stated_loads(
+                    now_s - self.period_s
+                ).items()
+            },
             usage=self._rates.own_usage(now_s),
             crashes=self._crashes.recent(),
         )
@@ -165,10 +171,11 @@
                 for key, count in report.in_flight.items():
                     by_hash[key] = by_hash.get(key, 0.0) + count
         self._placement.set_peers_in_flight(
+            now_s,
             {
                 server_id: by_hash.get(short_hash(server_id), 0.0)
                 for server_id in self._table.ids
-            }
+            },
         )
         self._rates.divide(now_s)
 
--- a/packages/verbenad/src/verbenad/steering/request_record.py
+++ b/packages/verbenad/src/verbenad/steering/request_record.py
@@ -7,17 +7,21 @@
 class AttemptRecord:
     """One attempt and what it was decided on.
 
-    :ivar load: requests at the server as known at the time.
+    :ivar load: requests at the server as known at the time: own ones, those
+        of other instances by their reports, and those of others by what the
+        server stated.
+    :ivar reported: load that the server stated with its answer.
     :ivar place: place of the server in the object's order.
     :ivar outcome: ``answered`` or why there was no answer.
     """
 
     server: str
-    load: float
+    load: str
     predicted_ms: int
     place: int | None
     outcome: str
     took_ms: int
+    reported: str
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/packages/verbenad/src/verbenad/steering/request_runner.py
+++ b/packages/verbenad/src/verbenad/steering/request_runner.py
@@ -55,6 +55,7 @@
     may_have_run: bool = False
     failed: AttemptFailed | None = None
     answer: HeldAnswer | None = None
+    reported: str = ""
 
 
 class RequestRunner:
@@ -130,6 +131,7 @@
     ) -> None:
         server = placed.server
         started_s = self._now_s()
+        parts = self._placement.load_of(server).parts(started_s)
         self._placement.started(server)
         ended = False
         outcome = "interrupted"
@@ -156,11 +158,12 @@
             attempts.append(
                 AttemptRecord(
                     server=server.server_id,
-                    load=round(placed.load, 1),
+                    load=parts,
                     predicted_ms=int(placed.predicted_s * 1000),
                     place=placed.place,
                     outcome=outcome,
                     took_ms=int((self._now_s() - started_s) * 1000),
+                    reported=progress.reported,
                 )
             )
 
@@ -178,7 +181,7 @@
         progress.may_have_run = True
         now_s = self._now_s()
         load = self._placement.load_of(placed.server)
-        self._learn_load(now_s, placed, answer)
+        progress.reported = self._learn_load(now_s, placed, answer)
         try:
             with eventlet.Timeout(
                 max(MIN_LEFT_S, call.until_s + ANSWER_SLACK_S - now_s),
@@ -255,15 +258,19 @@
 
     def _learn_load(
         self, now_s: float, placed: Placed, answer: UpstreamAnswer
-    ) -> None:
+    ) -> str:
+        """Take the load that the server states; return what it states."""
         if not self._load_field:
-            return
+            return ""
+        stated = ""
         for value in values_of(answer.headers, self._load_field):
+            stated = value
             parts = value.split(",")
             if len(parts) == 3 and all(p.strip().isdecimal() for p in parts):
-                self._placement.load_of(placed.server).reported(
-                    now_s, int(parts[0]), int(parts[1])
+                self._placement.load_of(placed.server).stated(
+                    now_s, int(parts[0]) + int(parts[1])
                 )
+        return stated
 
     def _forward_request(
         self, call: SteeredCall, server_id: str
--- a/packages/verbenaworks/src/verbenaworks/steering/placement.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/placement.py
@@ -201,7 +201,13 @@
         late = best.wait_s > spare_s
         if not request.tried:
             pressure.observe(now_s, late)
-        hopeless = best.wait_s > 0 and best.predicted_s > request.left_s
+        work_s = best.expected_s
+        if not best.known:
+            # A server learns an object only if it finishes in time.
+            work_s = self._times.unknown_s(
+                request.route.name, request.service, request.route.objective_s
+            )
+        hopeless = best.wait_s > 0 and best.wait_s + work_s > request.left_s
         if not hopeless and not (late and pressure.lasting):
             return None
         over_s = best.wait_s - spare_s
@@ -254,6 +260,12 @@
         load.succeeded(now_s, took_s / max(0.001, placed.predicted_s))
         if request.thing:
             load.learned(now_s, request.thing, KEPT_OBJECTS)
+        self._times.observe_mean(
+            request.route.name,
+            request.service,
+            request.route.objective_s,
+            worked_s - placed.wait_s,
+        )
         if not placed.wait_s:
             self._times.observe(
                 request.route.name,
@@ -272,10 +284,29 @@
             if load.in_flight > 0
         }
 
-    def set_peers_in_flight(self, by_server: dict[str, float]) -> None:
-        """Replace what other instances say they have in flight."""
+    def stated_loads(self, newer_than_s: float) -> dict[str, int]:
+        """Return the loads that servers have stated since a time."""
+        loads = {}
+        for server_id, load in self._loads.items():
+            stated = load.fresh_statement(newer_than_s)
+            if stated is not None:
+                loads[server_id] = stated
+        return loads
+
+    def stated_to_peer(
+        self, now_s: float, server_id: str, stated: float
+    ) -> None:
+        """Enter the load that a server stated to another instance."""
+        load = self._loads.get(server_id)
+        if load is not None:
+            load.stated_to_peer(now_s, stated)
+
+    def set_peers_in_flight(
+        self, now_s: float, by_server: dict[str, float]
+    ) -> None:
+        """Enter what other instances say they have in flight."""
         for server_id, load in self._loads.items():
-            load.peers_in_flight = by_server.get(server_id, 0.0)
+            load.set_peers(now_s, by_server.get(server_id, 0.0))
 
     def forget_gone(self, known: Iterable[str]) -> None:
         """Drop what is known about servers that no longer exist."""
@@ -305,7 +336,7 @@
         slowness = load.slowness(now_s)
         if cold:
             slowness = max(slowness, COLD_SLOWNESS)
-        wait_s = slowness * load.wait_s(now_s, times.warm_s(*names))
+        wait_s = slowness * load.wait_s(now_s, times.mean_s(*names))
         failing = load.failure_share(now_s) * FAILURE_COST * expected_s
         return Placed(
             server=server,
--- a/packages/verbenaworks/src/verbenaworks/steering/service_times.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/service_times.py
@@ -23,6 +23,7 @@
 class _Times:
     warm_s: float
     unknown_s: float
+    mean_s: float
     known_shares: list[float] = field(
         default_factory=lambda: list(FIRST_KNOWN_SHARES)
     )
@@ -39,6 +40,23 @@
         """Return the expected time at a server that knows the object."""
         return self._get(route, service, objective_s).warm_s
 
+    def mean_s(self, route: str, service: str, objective_s: float) -> float:
+        """Return the mean time over all requests, known or not."""
+        return self._get(route, service, objective_s).mean_s
+
+    def unknown_s(self, route: str, service: str, objective_s: float) -> float:
+        """Return the expected time at a server without the object."""
+        times = self._get(route, service, objective_s)
+        return max(times.warm_s, times.unknown_s)
+
+    def observe_mean(
+        self, route: str, service: str, objective_s: float, worked_s: float
+    ) -> None:
+        """Enter the time that a server worked, as far as it is known."""
+        times = self._get(route, service, objective_s)
+        worked_s = min(max(worked_s, times.warm_s / 2), 2 * times.unknown_s)
+        times.mean_s += NEW_SHARE * (worked_s - times.mean_s)
+
     def expected_s(
         self, route: str, service: str, objective_s: float, known_share: float
     ) -> float:
@@ -97,10 +115,13 @@
             times = self._times[(route, service)] = _Times(
                 warm_s=FIRST_WARM_OBJECTIVES * objective_s,
                 unknown_s=FIRST_UNKNOWN_OBJECTIVES * objective_s,
+                # Objects are unknown everywhere at first.
+                mean_s=FIRST_UNKNOWN_OBJECTIVES * objective_s,
             )
             if like is not None:
                 # A route that was just added is judged like the others.
                 times.warm_s, times.unknown_s = like.warm_s, like.unknown_s
+                times.mean_s = like.mean_s
         if route:
             self._latest[service] = times
         return times
--- a/packages/verbenaworks/src/verbenaworks/steering/target_load.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/target_load.py
@@ -3,9 +3,14 @@
 import math
 from dataclasses import dataclass, field
 
-# A load report of the server itself is used for this long; by then about
-# half of the requests that it counted have ended.
-REPORT_VALID_S = 0.3
+# The load that others put on a server is averaged over this time. Reports are
+# older than a service time: without the average, all instances would send to
+# the servers that looked free, and then all leave them alone.
+SMOOTH_S = 1.5
+# Least weight of one of several statements that come close together.
+MIN_STEP_S = 0.1
+# What a server states about its load fades with this time constant.
+STATED_FADES_S = 2.0
 # Load, in slots, of a server that refuses because its queue is full.
 SHED_LOADS = 3.0
 # Share of a new outcome in the moving average of failures.
@@ -35,6 +40,9 @@
     peers_in_flight: float = 0.0
     _others: float = 0.0
     _others_at_s: float = float("-inf")
+    _peers_at_s: float = float("-inf")
+    _stated: float = 0.0
+    _stated_at_s: float = float("-inf")
     _slow: float = 1.0
     _failures: float = 0.0
     _updated_s: float = 0.0
@@ -44,20 +52,53 @@
 
     def load(self, now_s: float) -> float:
         """Return the requests that run or wait at the server."""
-        others = self.peers_in_flight
-        if now_s - self._others_at_s <= REPORT_VALID_S:
-            others = max(others, self._others)
-        return self.in_flight + others
-
-    def reported(self, now_s: float, running: int, waiting: int) -> None:
-        """Enter what the server says of its load."""
-        self._others = max(0, running + waiting - self.in_flight)
+        return self.in_flight + max(
+            self.peers_in_flight, self._others * self._fading(now_s)
+        )
+
+    def parts(self, now_s: float) -> str:
+        """Return what the load consists of, for the log."""
+        others = self._others * self._fading(now_s)
+        return f"{self.in_flight}+{self.peers_in_flight:.0f}|{others:.0f}"
+
+    def set_peers(self, now_s: float, in_flight: float) -> None:
+        """Enter what other instances have in flight."""
+        new_share = 1.0 - math.exp(-(now_s - self._peers_at_s) / SMOOTH_S)
+        self.peers_in_flight += new_share * (in_flight - self.peers_in_flight)
+        self._peers_at_s = now_s
+
+    def stated(self, now_s: float, load: float) -> None:
+        """Enter what the server says of its load.
+
+        It counts requests that were given up and still wait there, which no
+        instance counts as its own.
+        """
+        self.stated_to_peer(now_s, load)
+        self._stated = load
+        self._stated_at_s = now_s
+
+    def stated_to_peer(self, now_s: float, load: float) -> None:
+        """Enter what the server said to another instance."""
+        others = max(0.0, load - self.in_flight)
+        elapsed_s = max(MIN_STEP_S, now_s - self._others_at_s)
+        new_share = 1.0 - math.exp(-elapsed_s / SMOOTH_S)
+        self._others += new_share * (others - self._others)
         self._others_at_s = now_s
 
+    def fresh_statement(self, newer_than_s: float) -> int | None:
+        """Return the load that the server has stated here since a time."""
+        # What a peer has told is not told on, or it would never fade.
+        if self._stated_at_s <= newer_than_s:
+            return None
+        return round(self._stated)
+
     def shed(self, now_s: float) -> None:
         """Enter that the server refused a request because it is full."""
-        self._others = max(self._others, SHED_LOADS * self.slots)
-        self._others_at_s = now_s
+        self.stated_to_peer(now_s, SHED_LOADS * self.slots)
+
+    def _fading(self, now_s: float) -> float:
+        age_s = now_s - self._others_at_s
+        return math.exp(-age_s / STATED_FADES_S)
 
     def overdue(
         self, now_s: float, waited_s: float, predicted_s: float
--- a/tools/steering_model.py
+++ b/tools/steering_model.py
@@ -74,6 +74,7 @@
     useful: int = 0
     late: int = 0
     refused: int = 0
+    failed: int = 0
     useful_at: list[float] = field(default_factory=list)
 
     @property
@@ -97,13 +98,14 @@
     known: OrderedDict[str, None] = field(default_factory=OrderedDict)
 
     def work_s(self, thing: str, random: Random) -> float:
-        known = thing in self.known
+        mean_s = WARM_S if thing in self.known else UNKNOWN_S
+        return mean_s * self.slowness * random.uniform(0.8, 1.2)
+
+    def learn(self, thing: str) -> None:
         self.known[thing] = None
         self.known.move_to_end(thing)
         if len(self.known) > self.kept:
             self.known.popitem(last=False)
-        mean_s = WARM_S if known else UNKNOWN_S
-        return mean_s * self.slowness * random.uniform(0.8, 1.2)
 
 
 @dataclass(kw_only=True, slots=True)
@@ -246,7 +248,9 @@
     def _start(self, request: _Request) -> None:
         request.server.running += 1
         work_s = request.server.work_s(request.thing, self._random)
-        self._at(self._now_s + work_s, lambda: self._end(request))
+        deadline_s = request.arrived_s + ROUTE.timeout_s
+        end_s = min(self._now_s + work_s, deadline_s)
+        self._at(end_s, lambda: self._end(request))
 
     def _end(self, request: _Request) -> None:
         server = request.server
@@ -254,9 +258,11 @@
         took_s = self._now_s - request.arrived_s
         placement = self._placements[request.instance]
         placement.ended(server.server)
-        if took_s <= ROUTE.timeout_s:
-            placement.load_of(server.server).reported(
-                self._now_s, server.running, len(server.waiting)
+        if took_s < ROUTE.timeout_s:
+            # Work that its deadline stopped leaves nothing behind.
+            server.learn(request.thing)
+            placement.load_of(server.server).stated(
+                self._now_s, server.running + len(server.waiting)
             )
             placement.answered(
                 self._now_s, request.wanted, request.placed, took_s
@@ -264,23 +270,30 @@
         if took_s <= ROUTE.objective_s:
             self.result.useful += 1
             self.result.useful_at.append(self._now_s)
-        elif took_s <= ROUTE.timeout_s:
+        elif took_s < ROUTE.timeout_s:
             self.result.late += 1
+        else:
+            self.result.failed += 1
         while server.waiting and server.running < self.size.slots:
             waiting = server.waiting.popleft()
             if self._now_s - waiting.arrived_s < ROUTE.timeout_s:
                 self._start(waiting)
             else:
+                self.result.failed += 1
                 self._placements[waiting.instance].ended(server.server)
 
     def _exchange(self, number: int) -> None:
         self._at(self._now_s + EXCHANGE_S, lambda: self._exchange(number))
         totals: dict[str, float] = {}
+        own = self._placements[number]
         for other, placement in enumerate(self._placements):
             if other != number:
                 for server_id, count in placement.in_flight().items():
                     totals[server_id] = totals.get(server_id, 0.0) + count
-        self._placements[number].set_peers_in_flight(totals)
+                stated = placement.stated_loads(self._now_s - EXCHANGE_S)
+                for server_id, load in stated.items():
+                    own.stated_to_peer(self._now_s, server_id, load)
+        own.set_peers_in_flight(self._now_s, totals)
 
 
 def constant(per_s: float) -> Callable[[float], float]:
