Drop servers that left behind a cut within the bound

An instance that was cut off until 13.0 s noticed the store at 14.1 s and kept missing servers for 2.2 s from then, to 16.3 s; the bound holds from 16.0 s.

Ruled out: a late report that revived the server (none was read); a lost removal (the listing after the dropped history did not name it).

--- a/packages/verbenad/src/verbenad/steering/platform_link.py
+++ b/packages/verbenad/src/verbenad/steering/platform_link.py
@@ -21,9 +21,11 @@
 GATHER_S = 0.1
 # A waiting watch proves that nothing has changed only when it returns.
 WATCH_WAIT_S = 1.5
-# Pauses between calls to a store that does not answer.
+# Pauses between calls to a store that does not answer. The longest one bounds
+# how late its return is noticed, and so how long servers are kept that left
+# while this instance was cut off.
 FIRST_PAUSE_S = 0.1
-LONGEST_PAUSE_S = 0.8
+LONGEST_PAUSE_S = 0.4
 
 _log = logbook.Logger("verbenad.platform")
 
--- a/packages/verbenaworks/src/verbenaworks/steering/server_table.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/server_table.py
@@ -5,9 +5,10 @@
 
 from verbenaworks.steering.backend_server import BackendServer
 
-# Reports that expired while the store was away are renewed within two
-# seconds of its return; what is missing after that is gone.
-LAPSE_GRACE_S = 2.2
+# Reports that expired while the store was away are renewed within about two
+# seconds of its return; what is missing after that is gone. The return is
+# noticed a moment late.
+LAPSE_GRACE_S = 1.9
 # A late report of an earlier incarnation must not revive a removed server.
 REMEMBER_REMOVED_S = 60.0
 
