Refuse less after a restart of all instances

Each new run counted a whole even share for the run before it, also where that had ended long before, and for workspaces that use half of their limit.

Change: a share is counted only where the registration of an earlier run still lasts, and as six tenths of it unless the workspace sends more than its rate or nothing is known of its demand yet (1 s).

--- a/packages/verbenad/src/verbenad/steering/steering_daemon.py
+++ b/packages/verbenad/src/verbenad/steering/steering_daemon.py
@@ -187,7 +187,6 @@
         self._rates = WorkspaceRates(
             instance=settings.name,
             window_s=bounds.rate_window_s,
-            now_s=self._now_s(),
             period_s=PERIOD_S,
         )
         self._retries = RetryAllowance(
@@ -213,6 +212,8 @@
             now_s=self._now_s,
             on_config=self._on_config,
             on_members=self._on_members,
+            on_predecessor=self._rates.restarted,
+            own=self._own,
         )
 
     def _build_serving(self, port: PlatformPort) -> None:
--- a/packages/verbenad/src/verbenad/steering/steering_state.py
+++ b/packages/verbenad/src/verbenad/steering/steering_state.py
@@ -17,6 +17,7 @@
 )
 from verbenaworks.steering.confirmation import Confirmation
 from verbenaworks.steering.entry_directory import EntryDirectory
+from verbenaworks.steering.instance_record import InstanceRecord
 from verbenaworks.steering.server_table import ServerTable
 from verbenaworks.steering.steering_config import SteeringConfig
 
@@ -28,6 +29,10 @@
 
     :param on_config: called with each newer configuration.
     :param on_members: called when the registered instances changed.
+    :param on_predecessor: called with the time when the registration of an
+        earlier run under this instance's name is found; it has ended so
+        recently that its lease still lasts.
+    :param own: this instance.
     """
 
     def __init__(
@@ -39,6 +44,8 @@
         now_s: Callable[[], float],
         on_config: Callable[[SteeringConfig], None],
         on_members: Callable[[], None],
+        on_predecessor: Callable[[float], None],
+        own: InstanceRecord,
     ) -> None:
         self.table = table
         self.directory = directory
@@ -47,6 +54,8 @@
         self._now_s = now_s
         self._on_config = on_config
         self._on_members = on_members
+        self._on_predecessor = on_predecessor
+        self._own = own
 
     def store_returned(self) -> None:
         """Enter that the store answers again after an outage."""
@@ -104,6 +113,11 @@
                     extra={"failure_domain": domain},
                 )
             case InstanceRegistered(record=record):
+                if (
+                    record.name == self._own.name
+                    and record.incarnation != self._own.incarnation
+                ):
+                    self._on_predecessor(now_s)
                 self.directory.register(record)
             case InstanceRemoved(name=name):
                 self.directory.remove(now_s, name)
--- a/packages/verbenaworks/src/verbenaworks/steering/workspace_rates.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/workspace_rates.py
@@ -24,6 +24,10 @@
 # Part of the even share of demand that every instance is assumed to have, so
 # that the first requests of a workspace there are not refused.
 FLOOR_SHARE = 1.0
+# So long after a restart nothing is known of the demand.
+UNKNOWN_DEMAND_S = 1.0
+# Part of its limit that a workspace uses which does not exceed its rate.
+USUAL_SHARE = 0.6
 # An instance of which so many reports in a row are missing cannot be heard.
 SILENT_PERIODS = 2.5
 # Demand below this is not worth reporting.
@@ -59,17 +63,16 @@
 
     :param instance: name of this instance.
     :param window_s: window in which requests are counted.
-    :param now_s: time at which the instance starts.
     :param period_s: time between two reports of one instance.
     """
 
     def __init__(
-        self, *, instance: str, window_s: float, now_s: float, period_s: float
+        self, *, instance: str, window_s: float, period_s: float
     ) -> None:
         self.set_period(period_s)
         self._instance = instance
         self._window_s = window_s
-        self._started_at_s = now_s
+        self._restarted_at_s = float("-inf")
         self._members: frozenset[str] = frozenset({instance})
         self._specs: Mapping[str, WorkspaceSpec] = {}
         self._own: dict[str, _Own] = {}
@@ -80,6 +83,10 @@
         """Set the time between two reports of one instance."""
         self._silent_s = SILENT_PERIODS * period_s
 
+    def restarted(self, now_s: float) -> None:
+        """Enter that another run under this name ended a moment ago."""
+        self._restarted_at_s = now_s
+
     def set_workspaces(
         self, now_s: float, specs: Mapping[str, WorkspaceSpec]
     ) -> None:
@@ -256,7 +263,7 @@
 
     def _debt(self, now_s: float, spec: WorkspaceSpec) -> float:
         """Return what an earlier run may have used of the window."""
-        age_s = now_s - self._started_at_s
+        age_s = now_s - self._restarted_at_s
         if age_s >= self._window_s:
             return 0.0
         even = self._limit(spec) / len(self._members)
@@ -270,9 +277,13 @@
         """
         if age_s >= self._window_s:
             return 0.0
-        return 1.0 if is_hot else 1.0 - age_s / self._window_s
+        if is_hot:
+            return 1.0
+        return USUAL_SHARE * (1.0 - age_s / self._window_s)
 
     def _is_hot(self, now_s: float, spec: WorkspaceSpec) -> bool:
+        if now_s - self._restarted_at_s < UNKNOWN_DEMAND_S:
+            return True
         demand_per_s = self._demand(now_s, self._use(spec.name))
         for usage in self._usages(now_s, spec.name):
             demand_per_s += usage.demand_per_s
--- a/tests/test_workspace_rates.py
+++ b/tests/test_workspace_rates.py
@@ -40,9 +40,10 @@
         rates = WorkspaceRates(
             instance=name,
             window_s=WINDOW_S,
-            now_s=self.now_s,
             period_s=REPORT_S,
         )
+        if name in self.members:
+            rates.restarted(self.now_s)
         rates.set_workspaces(self.now_s, self.specs)
         rates.set_members(self.now_s, self.names)
         self.members[name] = rates
@@ -150,6 +151,25 @@
     assert fleet.refused <= 0.005 * 30 * 0.8 * RATE_PER_S
 
 
+def test_fleet_that_was_restarted_serves_again_soon() -> None:
+    """Guards against refusals for a whole window after all was restarted.
+
+    A workspace that used four fifths of its rate finds at least half of its
+    requests accepted in the two seconds after.
+    """
+    fleet = _Fleet(11, 1)
+    fleet.run(10, {})
+    demand = _even(fleet, 0.8 * RATE_PER_S)
+    fleet.run(8, demand)
+    for name in fleet.names:
+        fleet.start(name)
+    fleet.run(0.5, demand)
+    fleet.refused = 0
+    fleet.run(2, demand)
+    assert fleet.refused <= 0.5 * 2 * 0.8 * RATE_PER_S
+    assert fleet.most <= BOUND
+
+
 def test_lowered_limit_binds_after_one_window() -> None:
     """Guards against credits that outlive the limit they came from."""
     fleet = _Fleet(11, 1)
@@ -167,16 +187,14 @@
 
 def test_workspace_without_a_rate_has_no_limit() -> None:
     """Guards against a zero that is taken for a limit."""
-    rates = WorkspaceRates(instance="i", window_s=5.0, now_s=0.0, period_s=0.4)
+    rates = WorkspaceRates(instance="i", window_s=5.0, period_s=0.4)
     rates.set_workspaces(0.0, {"free": workspace("free")})
     assert all(rates.take(0.0, "free") for _ in range(1000))
 
 
 def test_request_that_did_not_run_is_given_back() -> None:
     """Guards against refusals that use up the rate."""
-    rates = WorkspaceRates(
-        instance="i", window_s=5.0, now_s=-10.0, period_s=0.4
-    )
+    rates = WorkspaceRates(instance="i", window_s=5.0, period_s=0.4)
     rates.set_workspaces(0.0, {"acme": workspace("acme", 1.0, 1.0)})
     for _ in range(100):
         assert rates.take(0.0, "acme")
