--- a/packages/verbenaworks/src/verbenaworks/steering/workspace_rates.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/workspace_rates.py
@@ -25,7 +25,7 @@
 # that the first requests of a workspace there are not refused.
 FLOOR_SHARE = 1.0
 # So long after a restart nothing is known of the demand.
-UNKNOWN_DEMAND_S = 1.0
+UNKNOWN_DEMAND_S = 0.5
 # Part of its limit that a workspace uses which does not exceed its rate.
 USUAL_SHARE = 0.6
 # An instance of which so many reports in a row are missing cannot be heard.
