Send one request to each server that joins

Change: the three instances that may use a cold server send it one request each, unless the service has more than it can serve. Split the types of the choice from the choice.

--- a/packages/verbenad/src/verbenad/steering/request_runner.py
+++ b/packages/verbenad/src/verbenad/steering/request_runner.py
@@ -18,9 +18,9 @@
 from verbenad.steering.request_record import AttemptRecord
 from verbenad.steering.steered_call import SteeredCall
 from verbenad.upstream_answer import UpstreamAnswer
-from verbenaworks.steering.placement import (
+from verbenaworks.steering.placement import Placement
+from verbenaworks.steering.placement_result import (
     Placed,
-    Placement,
     PlacementRequest,
     Rejected,
     RejectReason,
--- a/packages/verbenaworks/src/verbenaworks/steering/cold_allowance.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/cold_allowance.py
@@ -37,7 +37,7 @@
 
     def has(self, now_s: float, server_id: str, per_s: float) -> bool:
         """Whether a request may be sent to a cold server now."""
-        if self._instance not in self._senders_of(server_id):
+        if not self.is_sender(server_id):
             return False
         return self._level(now_s, server_id, per_s) >= 1.0
 
@@ -46,6 +46,10 @@
         level = self._level(now_s, server_id, per_s)
         self._tokens[server_id] = (level - 1.0, now_s)
 
+    def is_sender(self, server_id: str) -> bool:
+        """Whether this instance is one of those that use a new server."""
+        return self._instance in self._senders_of(server_id)
+
     def _senders_of(self, server_id: str) -> tuple[str, ...]:
         senders = self._senders.get(server_id)
         if senders is None:
--- a/packages/verbenaworks/src/verbenaworks/steering/placement.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/placement.py
@@ -8,17 +8,20 @@
 """
 
 from collections.abc import Iterable
-from dataclasses import dataclass
-from enum import Enum, auto
 from random import Random
 
 from verbenaworks.steering.backend_server import BackendServer
 from verbenaworks.steering.cold_allowance import ColdAllowance
+from verbenaworks.steering.placement_result import (
+    Placed,
+    PlacementRequest,
+    Rejected,
+    RejectReason,
+)
 from verbenaworks.steering.pressure import Pressure
 from verbenaworks.steering.rendezvous import rendezvous_order
-from verbenaworks.steering.route import Route
 from verbenaworks.steering.server_table import ServerTable
-from verbenaworks.steering.service_times import ServiceTimes
+from verbenaworks.steering.service_times import PLACES, ServiceTimes
 from verbenaworks.steering.target_load import TargetLoad
 
 # Servers of an object's order that are always compared.
@@ -49,72 +52,11 @@
 RETRY_AFTER_S = 0.15
 
 
-class RejectReason(Enum):
-    """Why no server was chosen."""
-
-    NO_SERVER = auto()
-    NO_TIME = auto()
-    COLD = auto()
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class PlacementRequest:
-    """What the choice depends on.
-
-    :param thing: object of the request; empty if it has none.
-    :param left_s: time until the caller stops waiting.
-    :param home_regions: regions in which it may run; empty for all.
-    :param tried: servers that have had this request.
-    """
-
-    route: Route
-    service: str
-    thing: str
-    left_s: float
-    home_regions: frozenset[str]
-    tried: frozenset[str] = frozenset()
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Placed:
-    """A chosen server.
-
-    :ivar expected_s: time without waiting that was assumed.
-    :ivar wait_s: time for which it is expected to wait for a slot.
-    :ivar predicted_s: predicted time to the answer.
-    :ivar known: whether the server certainly knows the object.
-    :ivar place: place of the server in the object's order; none without an
-        object.
-    """
-
-    server: BackendServer
-    expected_s: float
-    wait_s: float
-    predicted_s: float
-    known: bool
-    place: int | None
-    load: float
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Rejected:
-    """No server was chosen.
-
-    :ivar retry_after_s: when a retry may find room.
-    """
-
-    reason: RejectReason
-    retry_after_s: float
-    predicted_s: float | None = None
-
-
 class Placement:
     """Chooses servers for one instance.
 
     :param region: region of this instance.
     :param failure_domain: its failure domain.
-    :param cold_per_s: requests per second that a cold server of a service
-        bears.
     """
 
     def __init__(
@@ -137,6 +79,10 @@
         self._orders: dict[tuple[str, str], list[BackendServer]] = {}
         self._generation = -1
         self._pressures: dict[str, Pressure] = {}
+        self._serving_since_s: float | None = None
+        self._introduced: set[tuple[str, int]] = set()
+        # Generation of the table at which no server of a service was left.
+        self._all_introduced: dict[str, int] = {}
 
     def load_of(self, server: BackendServer) -> TargetLoad:
         """Return what is known about a server."""
@@ -154,9 +100,68 @@
 
         :param cold_per_s: requests per second that a cold server bears.
         """
+        if self._serving_since_s is None:
+            self._serving_since_s = now_s
+        introduction = self._introduction(now_s, request, cold_per_s)
+        best = introduction or self._best(now_s, request, cold_per_s)
+        if isinstance(best, Rejected):
+            return best
+        rejected = self._reject(now_s, request, best)
+        if rejected is not None:
+            return rejected
+        if self._table.cold_left_s(now_s, best.server.server_id) > 0:
+            self._colds.take(now_s, best.server.server_id, cold_per_s)
+        return best
+
+    def _introduction(
+        self, now_s: float, request: PlacementRequest, cold_per_s: float
+    ) -> Placed | None:
+        """Return a server that has joined and had no request from here.
+
+        No object may have it as its first choice, and nobody would know how
+        it does. The instances that may use a cold server send it one request
+        each.
+        """
+        if self._pressure(request.service).lasting or request.tried:
+            return None
+        generation = self._table.generation
+        if self._all_introduced.get(request.service) == generation:
+            return None
+        homes = request.home_regions
+        is_one_left = False
+        for server in self._table.usable(request.service):
+            server_id = server.server_id
+            key = (server_id, server.born_ms)
+            if key in self._introduced:
+                continue
+            joined_at_s = self._table.joined_at_s(server_id)
+            if joined_at_s <= (self._serving_since_s or now_s):
+                # Servers that were there before are found by their objects.
+                self._introduced.add(key)
+                continue
+            if not self._colds.is_sender(server_id):
+                self._introduced.add(key)
+                continue
+            is_one_left = True
+            if homes and server.region not in homes:
+                continue
+            cold = self._table.cold_left_s(now_s, server_id) > 0
+            if cold and not self._colds.has(now_s, server_id, cold_per_s):
+                continue
+            self._introduced.add(key)
+            place = PLACES if request.thing else None
+            return self._predict(now_s, request, server, place, cold=cold)
+        if not is_one_left:
+            self._all_introduced[request.service] = generation
+        return None
+
+    def _best(
+        self, now_s: float, request: PlacementRequest, cold_per_s: float
+    ) -> Placed | Rejected:
+        """Return the server with the least cost, or that there is none."""
         best: Placed | None = None
         best_cost_s = 0.0
-        skipped_cold = False
+        reason = RejectReason.NO_SERVER
         pressure = self._pressure(request.service)
         spare_s = self._spare_s(request)
         candidates = self._candidates(now_s, request)
@@ -173,25 +178,18 @@
             if cold and not self._colds.has(
                 now_s, server.server_id, cold_per_s
             ):
-                skipped_cold = True
+                reason = RejectReason.COLD
                 continue
             placed = self._predict(now_s, request, server, place, cold=cold)
-            cost_s = placed.predicted_s
             # Work that a server which knows the object would be spared is
             # taken from other requests.
-            cost_s += pressure.late_share * placed.expected_s
+            cost_s = (
+                placed.predicted_s + pressure.late_share * placed.expected_s
+            )
             if best is None or cost_s < best_cost_s:
                 best, best_cost_s = placed, cost_s
         if best is None:
-            reason = (
-                RejectReason.COLD if skipped_cold else RejectReason.NO_SERVER
-            )
             return Rejected(reason=reason, retry_after_s=RETRY_AFTER_S)
-        rejected = self._reject(now_s, request, best, pressure)
-        if rejected is not None:
-            return rejected
-        if self._table.cold_left_s(now_s, best.server.server_id) > 0:
-            self._colds.take(now_s, best.server.server_id, cold_per_s)
         return best
 
     def _reject(
@@ -199,9 +197,9 @@
         now_s: float,
         request: PlacementRequest,
         best: Placed,
-        pressure: Pressure,
     ) -> Rejected | None:
         """Return why not even the best server can serve the request."""
+        pressure = self._pressure(request.service)
         spare_s = self._spare_s(request)
         late = best.wait_s > spare_s
         if not request.tried:
--- /dev/null
+++ b/packages/verbenaworks/src/verbenaworks/steering/placement_result.py
@@ -0,0 +1,66 @@
+"""What a choice of server depends on, and what it returns."""
+
+from dataclasses import dataclass
+from enum import Enum, auto
+
+from verbenaworks.steering.backend_server import BackendServer
+from verbenaworks.steering.route import Route
+
+
+class RejectReason(Enum):
+    """Why no server was chosen."""
+
+    NO_SERVER = auto()
+    NO_TIME = auto()
+    COLD = auto()
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PlacementRequest:
+    """What the choice depends on.
+
+    :param thing: object of the request; empty if it has none.
+    :param left_s: time until the caller stops waiting.
+    :param home_regions: regions in which it may run; empty for all.
+    :param tried: servers that have had this request.
+    """
+
+    route: Route
+    service: str
+    thing: str
+    left_s: float
+    home_regions: frozenset[str]
+    tried: frozenset[str] = frozenset()
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Placed:
+    """A chosen server.
+
+    :ivar expected_s: time without waiting that was assumed.
+    :ivar wait_s: time for which it is expected to wait for a slot.
+    :ivar predicted_s: predicted time to the answer.
+    :ivar known: whether the server certainly knows the object.
+    :ivar place: place of the server in the object's order; none without an
+        object.
+    """
+
+    server: BackendServer
+    expected_s: float
+    wait_s: float
+    predicted_s: float
+    known: bool
+    place: int | None
+    load: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Rejected:
+    """No server was chosen.
+
+    :ivar retry_after_s: when a retry may find room.
+    """
+
+    reason: RejectReason
+    retry_after_s: float
+    predicted_s: float | None = None
--- a/packages/verbenaworks/src/verbenaworks/steering/server_table.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/server_table.py
@@ -17,6 +17,7 @@
 class _Held:
     server: BackendServer
     cold_until_s: float
+    joined_at_s: float
     drop_at_s: float | None = None
 
 
@@ -44,8 +45,11 @@
         if removed is not None and _is_older(server, removed[0]):
             return False
         self._removed.pop(server.server_id, None)
+        is_known = held is not None and held.server.born_ms == server.born_ms
         self._held[server.server_id] = _Held(
-            server=server, cold_until_s=now_s + server.cold_left_s
+            server=server,
+            cold_until_s=now_s + server.cold_left_s,
+            joined_at_s=held.joined_at_s if held and is_known else now_s,
         )
         self._changed()
         return True
@@ -119,6 +123,10 @@
             and held.server.failure_domain not in self._evacuated
         )
 
+    def joined_at_s(self, server_id: str) -> float:
+        """Return when the running incarnation was first reported."""
+        return self._held[server_id].joined_at_s
+
     def cold_left_s(self, now_s: float, server_id: str) -> float:
         """Return how long a server stays cold."""
         held = self._held.get(server_id)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -1,9 +1,9 @@
 """Choice of the backend server for one request."""
 
 from steering_things import placement, route, server
-from verbenaworks.steering.placement import (
+from verbenaworks.steering.placement import Placement
+from verbenaworks.steering.placement_result import (
     Placed,
-    Placement,
     PlacementRequest,
     Rejected,
     RejectReason,
@@ -186,3 +186,20 @@
     chooser.set_peers_in_flight(1.0, {held.server_id: 2.0})
     chooser.set_peers_in_flight(1.4, {held.server_id: 20.0})
     assert 2.0 < load.load(1.4) < 10.0
+
+
+def test_server_that_joins_gets_a_request() -> None:
+    """Guards against new servers that no object has as its first choice.
+
+    Two of ten joined servers got nothing on matunda-lb, quiet-1.
+    """
+    table = _table(12)
+    chooser = placement(table)
+    first = _chosen(chooser, _request())
+    table.report(5.0, server("new", cold_left_s=2.0))
+    placed = _choose(chooser, _request(), 5.1)
+    assert isinstance(placed, Placed)
+    assert placed.server.server_id == "new"
+    again = _choose(chooser, _request(), 5.2)
+    assert isinstance(again, Placed)
+    assert again.server.server_id == first
--- a/tools/steering_model.py
+++ b/tools/steering_model.py
@@ -16,9 +16,9 @@
 
 from verbenaworks.steering.backend_server import BackendServer
 from verbenaworks.steering.cold_allowance import ColdAllowance
-from verbenaworks.steering.placement import (
+from verbenaworks.steering.placement import Placement
+from verbenaworks.steering.placement_result import (
     Placed,
-    Placement,
     PlacementRequest,
     Rejected,
 )
