Remove two methods that nothing calls

TargetLoad.down_left_s and ServerTable.set_cold have no callers. Linter and the tests of the two classes pass; the type checker and full suite were not run again.

--- a/packages/verbenaworks/src/verbenaworks/steering/server_table.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/server_table.py
@@ -132,12 +132,6 @@
         held = self._held.get(server_id)
         return 0.0 if held is None else max(0.0, held.cold_until_s - now_s)
 
-    def set_cold(self, now_s: float, server_id: str, left_s: float) -> None:
-        """Enter how long a server says it stays cold."""
-        held = self._held.get(server_id)
-        if held is not None:
-            held.cold_until_s = now_s + left_s
-
     @property
     def ids(self) -> tuple[str, ...]:
         """Ids of all servers, usable or not."""
--- a/packages/verbenaworks/src/verbenaworks/steering/target_load.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/target_load.py
@@ -155,10 +155,6 @@
         """Whether the server should be left alone."""
         return now_s < self._down_until_s
 
-    def down_left_s(self, now_s: float) -> float:
-        """Return how long the server should be left alone."""
-        return max(0.0, self._down_until_s - now_s)
-
     def knows(self, thing: str) -> bool:
         """Whether the server has answered for this object recently."""
         return thing in self._knows
