Pass the store's news on through relays in fleets above 16

Ruled out: longer watches alone. They save the calls in calm times, but the proof that keys are still valid then comes too late, and each change still costs one call an instance.

Change: a few large instances in different failure domains watch; the others read from them with long polls. An answer states the age of its proof, so an instance leaves a relay whose proof is old, for another one or the store.

Fleets of up to 16 watch for themselves as before.

--- a/packages/verbenad/src/verbenad/steering/platform_link.py
+++ b/packages/verbenad/src/verbenad/steering/platform_link.py
@@ -6,33 +6,41 @@
 import eventlet
 import logbook
 
+from verbenad.steering.news import News
+from verbenad.steering.news_sources import NewsSources
 from verbenad.steering.platform_port import (
     HistoryGoneError,
     LeaseEndedError,
     PlatformPort,
     PlatformUnavailableError,
+    RelayUnavailableError,
 )
+from verbenad.steering.relay_server import RelayServer
 from verbenad.steering.steering_state import SteeringState
 from verbenaworks.steering.changes import ChangeBatch
 from verbenaworks.steering.instance_record import InstanceRecord
+from verbenaworks.steering.item_log import ItemLog
 
 # Changes that come close together are read with one call; this much later
 # than the first of them.
 GATHER_S = 0.1
-# A waiting watch proves that nothing has changed only when it returns.
-WATCH_WAIT_S = 1.5
 # Pauses between calls to a store that does not answer. The longest one bounds
 # how late its return is noticed, and so how long servers are kept that left
 # while this instance was cut off.
 FIRST_PAUSE_S = 0.1
 LONGEST_PAUSE_S = 0.4
+# Part of the lease after which it is renewed: one renewal may be lost.
+RENEW_SHARE = 0.45
 
 _log = logbook.Logger("verbenad.platform")
 
 
 class PlatformLink:
-    """Two threads of calls: one watches, one holds the registration.
+    """Two threads of calls: one reads news, one holds the registration.
 
+    :param log: takes the items that were read.
+    :param sources: where news is read.
+    :param relay: passes the news on.
     :param lease_s: time to live of the registration; longer than the time
         for which an instance without the store accepts keys, so that its
         part of the rates is not given away earlier.
@@ -42,6 +50,9 @@
         self,
         *,
         port: PlatformPort,
+        log: ItemLog,
+        sources: NewsSources,
+        relay: RelayServer,
         state: SteeringState,
         record: InstanceRecord,
         lease_s: float,
@@ -49,6 +60,9 @@
         random: Random,
     ) -> None:
         self._port = port
+        self._items = log
+        self._sources = sources
+        self._relay = relay
         self._state = state
         self._record = record
         self._lease_s = lease_s
@@ -74,13 +88,17 @@
 
     def _follow(self) -> None:
         while True:
-            started_s = self._now_s()
             try:
-                batch = self._next_batch()
+                age_s = self._state.confirmation.age_s(self._now_s())
+                news = self._sources.read(self._revision, age_s)
             except HistoryGoneError as error:
                 _log.warning(str(error))
                 self._revision = None
                 continue
+            except RelayUnavailableError:
+                # The sources have logged it, and choose another one.
+                eventlet.sleep(FIRST_PAUSE_S)
+                continue
             except PlatformUnavailableError as error:
                 self._lost(error)
                 self._pause()
@@ -90,28 +108,37 @@
                 _log.exception("reading changes failed")
                 self._pause()
                 continue
-            self._took(batch, started_s)
-            if batch.changes:
+            self._took(news)
+            if news.batch.items:
                 eventlet.sleep(GATHER_S)
 
-    def _next_batch(self) -> ChangeBatch:
-        if self._revision is None:
-            return self._port.snapshot()
-        return self._port.watch(self._revision, WATCH_WAIT_S)
-
-    def _took(self, batch: ChangeBatch, started_s: float) -> None:
-        now_s = self._now_s()
+    def _took(self, news: News) -> None:
         self._pause_s = FIRST_PAUSE_S
-        if not self._reachable:
+        if news.back_at_s is not None:
+            self._returned(news.back_at_s)
+        elif not self._reachable:
             self._reachable = True
             _log.info("store reachable again")
-            self._state.store_returned()
-        self._state.apply(batch)
-        self._revision = batch.revision
-        proved_s = started_s
-        if not batch.changes and now_s - started_s >= WATCH_WAIT_S:
-            proved_s += WATCH_WAIT_S
-        self._state.confirmation.confirm(proved_s)
+            self._returned(self._now_s())
+        batch = news.batch
+        changes = (self._port.decode(item) for item in batch.items)
+        self._state.apply(
+            ChangeBatch(
+                changes=tuple(c for c in changes if c is not None),
+                complete=batch.complete,
+            )
+        )
+        self._revision = max(self._revision or 0, batch.revision)
+        self._items.apply(self._now_s(), batch)
+        self._state.confirmation.confirm(news.proved_s)
+        if batch.items:
+            self._relay.publish()
+
+    def _returned(self, at_s: float) -> None:
+        """Enter that the store came back after an outage."""
+        self._reachable = True
+        self._state.store_returned(at_s)
+        self._relay.store_returned(at_s)
 
     def _lost(self, error: PlatformUnavailableError) -> None:
         if self._reachable:
@@ -130,10 +157,10 @@
                     pause_s = FIRST_PAUSE_S
                 elif self._lease is None:
                     self._register()
-                    pause_s = self._lease_s / 3
+                    pause_s = RENEW_SHARE * self._lease_s
                 else:
                     self._port.renew(self._lease)
-                    pause_s = self._lease_s / 3
+                    pause_s = RENEW_SHARE * self._lease_s
             except LeaseEndedError as error:
                 _log.warning(str(error))
                 self._lease = None
--- a/packages/verbenad/src/verbenad/steering/platform_port.py
+++ b/packages/verbenad/src/verbenad/steering/platform_port.py
@@ -3,8 +3,9 @@
 from typing import Protocol
 
 from verbenaworks.errors import VerbenaError
-from verbenaworks.steering.changes import ChangeBatch
+from verbenaworks.steering.changes import Change
 from verbenaworks.steering.instance_record import InstanceRecord
+from verbenaworks.steering.store_item import ItemBatch, StoreItem
 
 
 class PlatformUnavailableError(VerbenaError):
@@ -16,6 +17,15 @@
         super().__init__(message, "the call is repeated after a pause")
 
 
+class RelayUnavailableError(VerbenaError):
+    """An instance that passes the store's news on did not answer."""
+
+    code = "relay-unavailable"
+
+    def __init__(self, message: str) -> None:
+        super().__init__(message, "another relay or the store is asked")
+
+
 class HistoryGoneError(VerbenaError):
     """The store no longer has the changes after a revision."""
 
@@ -38,17 +48,20 @@
 
 
 class PlatformPort(Protocol):
-    """Calls to the platform; all raise PlatformUnavailableError."""
+    """Calls to the platform; they raise PlatformUnavailableError."""
 
-    def snapshot(self) -> ChangeBatch:
+    def snapshot(self) -> ItemBatch:
         """Return all items."""
 
-    def watch(self, revision: int, wait_s: float) -> ChangeBatch:
+    def watch(self, revision: int, wait_s: float) -> ItemBatch:
         """Return the changes after a revision, waiting for the first.
 
         :raises HistoryGoneError: if they were discarded.
         """
 
+    def decode(self, item: StoreItem) -> Change | None:
+        """Return what an item means; none if it means nothing here."""
+
     def register(self, record: InstanceRecord, ttl_s: float) -> int:
         """Register an instance and return its lease."""
 
--- a/packages/verbenad/src/verbenad/steering/steering_daemon.py
+++ b/packages/verbenad/src/verbenad/steering/steering_daemon.py
@@ -20,10 +20,12 @@
 from verbenad.request_body import BodyLimits
 from verbenad.request_head import HeadLimits
 from verbenad.steering.crash_notes import CrashNotes
+from verbenad.steering.news_sources import NewsSources
 from verbenad.steering.peer_exchange import PERIOD_S, PeerExchange
 from verbenad.steering.platform_link import PlatformLink
 from verbenad.steering.platform_pages import PageNames, PlatformPages
 from verbenad.steering.platform_port import PlatformPort
+from verbenad.steering.relay_server import RelayServer
 from verbenad.steering.request_log import RequestLog
 from verbenad.steering.request_runner import RequestRunner
 from verbenad.steering.steering_gateway import SteeringGateway
@@ -38,6 +40,7 @@
 from verbenaworks.steering.entry_directory import EntryDirectory
 from verbenaworks.steering.instance_load import InstanceLoad, capacity_of
 from verbenaworks.steering.instance_record import InstanceRecord
+from verbenaworks.steering.item_log import ItemLog
 from verbenaworks.steering.placement import Placement
 from verbenaworks.steering.retry_allowance import RetryAllowance
 from verbenaworks.steering.server_table import ServerTable
@@ -66,6 +69,7 @@
 OTHER_DESCRIPTORS = 900
 MIN_CALLER_CONNECTIONS = 100
 PAGE_CONNECTIONS = 200
+RELAY_CONNECTIONS = 200
 # Connections to one server that each instance may open, beside its part.
 MIN_CONNECTIONS = 4
 
@@ -126,6 +130,7 @@
         every(EXPIRE_PERIOD_S, self._state.expire)
         every(POOL_PERIOD_S, self._tidy)
         every(FLUSH_PERIOD_S, self._lines.flush)
+        self._relay_front.start()
         self._link.start()
         self._peers.start()
         self._front.start()
@@ -223,8 +228,33 @@
 
     def _build_serving(self, port: PlatformPort) -> None:
         settings = self._settings
+        items = ItemLog()
+        self._sources = NewsSources(
+            own=self._own,
+            port=port,
+            now_s=self._now_s,
+            random=self._random,
+        )
+        relay = RelayServer(
+            log=items,
+            confirmation=self._state.confirmation,
+            now_s=self._now_s,
+        )
+        host, port_number = check_address(
+            "peer_address", settings.peer_address
+        )
+        # Datagrams and connections between instances use one port number.
+        self._relay_front = Front(
+            relay,
+            host=host,
+            port=port_number,
+            limits=FrontLimits(connections=RELAY_CONNECTIONS),
+        )
         self._link = PlatformLink(
             port=port,
+            log=items,
+            sources=self._sources,
+            relay=relay,
             state=self._state,
             record=self._own,
             lease_s=self._state.confirmation.limit_s + LEASE_MARGIN_S,
@@ -354,6 +384,7 @@
 
     def _on_registered(self) -> None:
         self._peers.set_registered(self._directory.peers)
+        self._sources.set_instances(self._directory.peers)
         self._log.info(
             "instances changed",
             extra={"instances": list(self._directory.names)},
--- a/packages/verbenad/src/verbenad/steering/steering_state.py
+++ b/packages/verbenad/src/verbenad/steering/steering_state.py
@@ -57,11 +57,10 @@
         self._on_predecessor = on_predecessor
         self._own = own
 
-    def store_returned(self) -> None:
-        """Enter that the store answers again after an outage."""
-        now_s = self._now_s()
-        self.table.store_returned(now_s)
-        self.directory.store_returned(now_s)
+    def store_returned(self, at_s: float) -> None:
+        """Enter when the store answered again after an outage."""
+        self.table.store_returned(at_s)
+        self.directory.store_returned(at_s)
 
     def apply(self, batch: ChangeBatch) -> None:
         """Take changes of the platform."""
--- a/packages/verbenaworks/src/verbenaworks/steering/active_peers.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/active_peers.py
@@ -61,7 +61,7 @@
     @property
     def is_small_fleet(self) -> bool:
         """Whether all instances take part in the exchange."""
-        return len(self._registered) < SMALL_FLEET
+        return len(self._registered) + 1 <= SMALL_FLEET
 
     @property
     def serving(self) -> list[InstanceRecord]:
--- a/packages/verbenaworks/src/verbenaworks/steering/changes.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/changes.py
@@ -79,12 +79,11 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ChangeBatch:
-    """Changes up to a revision of the platform's store.
+    """Changes that were read together from the platform's store.
 
     :param complete: whether these are all items, so that what is not named
         does not exist.
     """
 
     changes: tuple[Change, ...]
-    revision: int
     complete: bool = False
--- /dev/null
+++ b/packages/verbenaworks/src/verbenaworks/steering/item_log.py
@@ -0,0 +1,60 @@
+"""The store's items as one instance knows them, to be passed on to others."""
+
+from verbenaworks.steering.store_item import ItemBatch, StoreItem
+
+# Removals are remembered for this long; who is further behind gets all items.
+REMOVALS_LAST_S = 30.0
+
+
+class ItemLog:
+    """Newest state of each item, with its revision."""
+
+    def __init__(self) -> None:
+        self.revision: int | None = None
+        self._oldest = 0
+        self._items: dict[str, StoreItem] = {}
+        self._removed: list[tuple[float, StoreItem]] = []
+
+    def apply(self, now_s: float, batch: ItemBatch) -> None:
+        """Enter items that were read."""
+        if batch.complete:
+            self._items = {item.key: item for item in batch.items}
+            self._removed.clear()
+            self._oldest = batch.revision
+        for item in batch.items:
+            held = self._items.get(item.key)
+            if held is not None and held.revision > item.revision:
+                continue
+            self._items[item.key] = item
+            if item.value is None:
+                self._removed.append((now_s, item))
+        self.revision = max(self.revision or 0, batch.revision)
+        self._prune(now_s)
+
+    def since(self, revision: int) -> ItemBatch:
+        """Return what has changed after a revision.
+
+        :raises ValueError: if nothing was read yet.
+        """
+        if self.revision is None:
+            raise ValueError("no items are known yet")
+        complete = revision < self._oldest
+        items = [
+            item
+            for item in self._items.values()
+            if item.revision > revision or complete
+        ]
+        if complete:
+            items = [item for item in items if item.value is not None]
+        items.sort(key=lambda item: item.revision)
+        return ItemBatch(
+            items=tuple(items), revision=self.revision, complete=complete
+        )
+
+    def _prune(self, now_s: float) -> None:
+        oldest_s = now_s - REMOVALS_LAST_S
+        while self._removed and self._removed[0][0] < oldest_s:
+            _, item = self._removed.pop(0)
+            self._oldest = max(self._oldest, item.revision)
+            if self._items.get(item.key) is item:
+                del self._items[item.key]
--- /dev/null
+++ b/packages/verbenaworks/src/verbenaworks/steering/relay_choice.py
@@ -0,0 +1,66 @@
+"""Which instances watch the store and pass its news on.
+
+Each watch costs calls, so in a large fleet a few instances watch and the
+others ask them. All instances choose alike from the registrations; where they
+disagree for a moment, they ask one that knows less, and turn to the store when
+its news is too old.
+"""
+
+from collections.abc import Iterable
+
+from verbenaworks.steering.active_peers import SMALL_FLEET
+from verbenaworks.steering.instance_record import InstanceRecord
+from verbenaworks.steering.rendezvous import (
+    first_by_rendezvous,
+    rendezvous_weight,
+)
+
+# Instances for one relay, and the least number of relays.
+INSTANCES_PER_RELAY = 16
+MIN_RELAYS = 3
+
+
+def relays(records: Iterable[InstanceRecord]) -> list[InstanceRecord]:
+    """Return the relays of a fleet.
+
+    There are none in a small fleet, where each instance watches for itself.
+
+    Large instances come first, and each failure domain gets one before any
+    gets a second.
+
+    :param records: all registered instances.
+    """
+    ranked = sorted(
+        records, key=lambda r: (-r.capacity, rendezvous_weight("", r.name))
+    )
+    if len(ranked) <= SMALL_FLEET:
+        return []
+    count = max(MIN_RELAYS, len(ranked) // INSTANCES_PER_RELAY)
+    turns: dict[str, int] = {}
+    keyed = []
+    for rank, record in enumerate(ranked):
+        turn = turns.get(record.failure_domain, 0)
+        turns[record.failure_domain] = turn + 1
+        keyed.append((turn, rank, record))
+    keyed.sort(key=lambda item: item[:2])
+    return [record for _, _, record in keyed[:count]]
+
+
+def relay_order(
+    own: InstanceRecord, chosen: Iterable[InstanceRecord]
+) -> list[InstanceRecord]:
+    """Return the relays in the order in which an instance asks them.
+
+    Those of its region come first; each instance has an order of its own, so
+    that they share the load.
+    """
+    by_name = {record.name: record for record in chosen}
+    names = first_by_rendezvous(own.name, sorted(by_name), len(by_name))
+    return sorted(
+        (by_name[name] for name in names),
+        key=lambda record: record.region != own.region,
+    )
+
+
+def _rank(record: InstanceRecord) -> tuple[float, bytes]:
+    return (-record.capacity, rendezvous_weight("", record.name))
--- a/packages/verbenaworks/src/verbenaworks/steering/serving_set.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/serving_set.py
@@ -7,9 +7,9 @@
 """
 
 from collections.abc import Iterable
-from hashlib import blake2b
 
 from verbenaworks.steering.instance_record import InstanceRecord
+from verbenaworks.steering.rendezvous import rendezvous_weight
 
 # Named instances for each failure domain of the region and for the region, so
 # that the loss of two instances or of a domain leaves a choice.
@@ -62,4 +62,4 @@
 
 
 def _weight(record: InstanceRecord) -> bytes:
-    return blake2b(record.name.encode(), digest_size=8).digest()
+    return rendezvous_weight("", record.name)
--- /dev/null
+++ b/packages/verbenaworks/src/verbenaworks/steering/store_item.py
@@ -0,0 +1,30 @@
+"""Items of the platform's store, undecoded."""
+
+from dataclasses import dataclass
+
+import msgspec
+
+
+class StoreItem(msgspec.Struct, array_like=True, frozen=True, kw_only=True):
+    """An item as it was last written.
+
+    :ivar value: its bytes; none if the item was removed.
+    :ivar revision: of its last change.
+    """
+
+    key: str
+    value: bytes | None
+    revision: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ItemBatch:
+    """Items that were changed up to a revision of the store.
+
+    :param complete: whether these are all items, so that what is not named
+        does not exist.
+    """
+
+    items: tuple[StoreItem, ...]
+    revision: int
+    complete: bool = False
