Keep large bodies in their failure domain

Cause: uploads are 60 kB and nine in ten bytes between failure domains and regions; objects were placed over all regions, so five of six crossed.

Ruled out: an order over all servers with a price for the crossing, so that only bodies above 75 kB stay.

Change: bodies from 16 KiB on have an order of servers that begins with those of the own failure domain, and the crossing counts as time.

--- a/packages/verbenad/src/verbenad/steering/request_runner.py
+++ b/packages/verbenad/src/verbenad/steering/request_runner.py
@@ -119,6 +119,7 @@
             left_s=max(0.0, call.until_s - self._now_s()),
             home_regions=call.home_regions,
             tried=progress.tried,
+            body_bytes=len(call.body.prefix),
         )
 
     def _attempt(
--- a/packages/verbenaworks/src/verbenaworks/steering/placement.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/placement.py
@@ -5,6 +5,10 @@
 server that knows the request's object works much less, so requests for one
 object meet at the first server in its rendezvous order and leave it only
 where waiting there costs more than an unknown object elsewhere.
+
+Links between failure domains are shared and paid for. Large bodies therefore
+stay in the failure domain where there is room: each domain has an order of its
+own servers for them, and their objects become known in each.
 """
 
 from collections.abc import Iterable
@@ -28,6 +32,9 @@
 PREFERRED_CANDIDATES = 3
 # Servers of the order that are compared while those are busy.
 ORDERED_CANDIDATES = 6
+# Servers of the own failure domain that are compared for large bodies without
+# an object.
+NEAR_CANDIDATES = 2
 # Servers drawn at random beside them, so that free ones are found in a large
 # service whose first choices are all busy.
 RANDOM_CANDIDATES = 2
@@ -35,6 +42,11 @@
 # their order of magnitude matters beside service times.
 DOMAIN_RTT_S = 0.003
 REGION_RTT_S = 0.030
+# Rate at which bodies are reckoned to cross links between failure domains.
+# The links are faster, but what crosses them takes room from others.
+CROSSING_BYTES_PER_S = 150_000
+# Bodies from this size on have an order of servers in each failure domain.
+LARGE_BODY_BYTES = 16_384
 # A server that has just started works about this many times as long.
 COLD_SLOWNESS = 2.0
 # Objects that a server is assumed to remember.
@@ -76,7 +88,7 @@
         self._colds = colds
         self._random = random
         self._loads: dict[str, TargetLoad] = {}
-        self._orders: dict[tuple[str, str], list[BackendServer]] = {}
+        self._orders: dict[tuple[str, str, bool], list[BackendServer]] = {}
         self._generation = -1
         self._pressures: dict[str, Pressure] = {}
         self._serving_since_s: float | None = None
@@ -184,7 +196,9 @@
             # Work that a server which knows the object would be spared is
             # taken from other requests.
             cost_s = (
-                placed.predicted_s + pressure.late_share * placed.expected_s
+                placed.predicted_s
+                + pressure.late_share * placed.expected_s
+                + self._crossing_s(request, server)
             )
             if best is None or cost_s < best_cost_s:
                 best, best_cost_s = placed, cost_s
@@ -372,6 +386,14 @@
             load=load.load(now_s),
         )
 
+    def _crossing_s(
+        self, request: PlacementRequest, server: BackendServer
+    ) -> float:
+        """Return what the body's way to another failure domain costs."""
+        if server.failure_domain == self._failure_domain:
+            return 0.0
+        return request.body_bytes / CROSSING_BYTES_PER_S
+
     def _distance_s(self, server: BackendServer) -> float:
         if server.failure_domain == self._failure_domain:
             return 0.0
@@ -393,7 +415,9 @@
         usable = up or usable
         if not request.thing:
             count = min(ORDERED_CANDIDATES, len(usable))
-            return [(None, s) for s in self._random.sample(usable, count)]
+            near = self._near(request, usable)
+            near += self._random.sample(usable, count)
+            return [(None, s) for s in near]
         picked: list[tuple[int | None, BackendServer]] = []
         picked += enumerate(usable[:ORDERED_CANDIDATES])
         rest = usable[ORDERED_CANDIDATES:]
@@ -402,18 +426,31 @@
             picked.append((ORDERED_CANDIDATES, server))
         return picked
 
+    def _near(
+        self, request: PlacementRequest, usable: list[BackendServer]
+    ) -> list[BackendServer]:
+        """Return some servers of the own failure domain for a large body."""
+        if request.body_bytes < LARGE_BODY_BYTES:
+            return []
+        near = [s for s in usable if s.failure_domain == self._failure_domain]
+        return self._random.sample(near, min(len(near), NEAR_CANDIDATES))
+
     def _order(self, request: PlacementRequest) -> list[BackendServer]:
         if self._generation != self._table.generation:
             self._generation = self._table.generation
             self._orders.clear()
         if not request.thing:
             return list(self._table.usable(request.service))
-        key = (request.service, request.thing)
+        near_first = request.body_bytes >= LARGE_BODY_BYTES
+        key = (request.service, request.thing, near_first)
         order = self._orders.get(key)
         if order is None:
             if len(self._orders) >= MAX_ORDERS:
                 self._orders.clear()
-            order = self._orders[key] = rendezvous_order(
+            order = rendezvous_order(
                 request.thing, self._table.usable(request.service)
             )
+            if near_first:
+                order.sort(key=self._distance_s)
+            self._orders[key] = order
         return order
--- a/packages/verbenaworks/src/verbenaworks/steering/placement_result.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/placement_result.py
@@ -23,6 +23,7 @@
     :param left_s: time until the caller stops waiting.
     :param home_regions: regions in which it may run; empty for all.
     :param tried: servers that have had this request.
+    :param body_bytes: size of its body, as far as it is known.
     """
 
     route: Route
@@ -31,6 +32,7 @@
     left_s: float
     home_regions: frozenset[str]
     tried: frozenset[str] = frozenset()
+    body_bytes: int = 0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -26,6 +26,7 @@
     left_s: float = 1.5,
     homes: frozenset[str] = ANY,
     tried: frozenset[str] = ANY,
+    body_bytes: int = 0,
 ) -> PlacementRequest:
     return PlacementRequest(
         route=route(),
@@ -34,6 +35,7 @@
         left_s=left_s,
         home_regions=homes,
         tried=tried,
+        body_bytes=body_bytes,
     )
 
 
@@ -203,3 +205,46 @@
     again = _choose(chooser, _request(), 5.2)
     assert isinstance(again, Placed)
     assert again.server.server_id == first
+
+
+def _domains(count: int = 4) -> ServerTable:
+    """Return servers in the own, a near and a far failure domain."""
+    table = ServerTable()
+    places = (("north-a", "north"), ("north-b", "north"), ("south-a", "south"))
+    for domain, region in places:
+        for number in range(count):
+            table.report(
+                0.0,
+                server(
+                    f"{domain}{number}", failure_domain=domain, region=region
+                ),
+            )
+    return table
+
+
+def test_large_bodies_stay_in_the_failure_domain() -> None:
+    """Guards against uploads that fill the links between domains."""
+    chooser = placement(_domains())
+    chosen = {
+        _chosen(chooser, _request(str(n), body_bytes=60_000))
+        for n in range(60)
+    }
+    assert len(chosen) == 4
+    assert all(name.startswith("north-a") for name in chosen)
+    small = {_chosen(chooser, _request(str(n))) for n in range(60)}
+    assert len(small) > 8
+    without = _request("", body_bytes=60_000)
+    assert _chosen(chooser, without).startswith("north-a")
+
+
+def test_large_bodies_leave_a_full_failure_domain() -> None:
+    """Guards against uploads that wait beside free servers."""
+    table = _domains(1)
+    chooser = placement(table)
+    busy = next(
+        s for s in table.usable("stock") if s.failure_domain == "north-a"
+    )
+    for _ in range(5 * busy.slots):
+        chooser.started(busy)
+    name = _chosen(chooser, _request(body_bytes=60_000))
+    assert not name.startswith("north-a")
