Mark workspaces near their limit in the store, with what they have used

Change: the keeper writes what a workspace near its limit has used in slices of 0.5 s, once a second while it is near. Restarted instances count that; for workspaces without a mark, four fifths of the limit fade evenly. A run tells newly registered ones at once what is in use.

A workspace that uses its whole limit in less than a second before all instances are killed may exceed it; the mark comes too late then.

--- a/packages/verbenad/src/verbenad/steering/peer_exchange.py
+++ b/packages/verbenad/src/verbenad/steering/peer_exchange.py
@@ -76,6 +76,7 @@
         self._now_s = now_s
         self._number = 0
         self._heard: dict[str, tuple[float, PeerReport]] = {}
+        self._registered: set[tuple[str, int]] = set()
         self._numbers: dict[str, tuple[int, int]] = {}
         self._was_active = False
         self._next_beat_s = float("-inf")
@@ -100,7 +101,15 @@
 
     def set_registered(self, records: Iterable[InstanceRecord]) -> None:
         """Replace the registered instances other than this one."""
+        records = list(records)
+        known = self._registered
+        self._registered = {(r.name, r.incarnation) for r in records}
         self.peers.set_registered(records)
+        if self.is_active:
+            # A new run needs to know soon what is in use here.
+            self._tell(
+                r for r in records if (r.name, r.incarnation) not in known
+            )
 
     def served(self, size_bytes: int) -> None:
         """Count a request; the first one makes this instance active."""
--- a/packages/verbenad/src/verbenad/steering/platform_port.py
+++ b/packages/verbenad/src/verbenad/steering/platform_port.py
@@ -5,6 +5,7 @@
 from verbenaworks.errors import VerbenaError
 from verbenaworks.steering.changes import Change
 from verbenaworks.steering.instance_record import InstanceRecord
+from verbenaworks.steering.rate_mark import RateMark
 from verbenaworks.steering.store_item import ItemBatch, StoreItem
 
 
@@ -71,5 +72,14 @@
         :raises LeaseEndedError: if it has ended.
         """
 
+    def mark(self, workspace: str, mark: RateMark, lease: int) -> None:
+        """Write the mark of a workspace, which lasts until the lease ends.
+
+        :raises LeaseEndedError: if it has ended.
+        """
+
+    def unmark(self, workspace: str) -> None:
+        """Take the mark of a workspace back."""
+
     def withdraw(self, lease: int) -> None:
         """End a lease and the registration with it."""
--- a/packages/verbenad/src/verbenad/steering/steering_daemon.py
+++ b/packages/verbenad/src/verbenad/steering/steering_daemon.py
@@ -51,6 +51,7 @@
 EXPIRE_PERIOD_S = 0.2
 POOL_PERIOD_S = 1.0
 FLUSH_PERIOD_S = 0.5
+MARK_PERIOD_S = 1.0
 # Connections to backend servers: several round trips between regions.
 CONNECT_S = 0.3
 # A server that acknowledges nothing for this long has lost the connection.
@@ -130,6 +131,7 @@
         every(EXPIRE_PERIOD_S, self._state.expire)
         every(POOL_PERIOD_S, self._tidy)
         every(FLUSH_PERIOD_S, self._lines.flush)
+        every(MARK_PERIOD_S, self._mark_workspaces)
         self._relay_front.start()
         self._link.start()
         self._peers.start()
@@ -223,6 +225,7 @@
             on_config=self._on_config,
             on_members=self._on_registered,
             on_predecessor=self._rates.restarted,
+            on_mark=self._rates.set_mark,
             own=self._own,
         )
 
@@ -403,6 +406,10 @@
         self._pool.close_expired()
         self._placement.forget_gone(self._table.ids)
 
+    def _mark_workspaces(self) -> None:
+        for name, mark in self._rates.marks_due(self._now_s()).items():
+            eventlet.spawn_n(self._link.mark, name, mark)
+
     def _is_usable(self) -> bool:
         state = self._state
         return (
--- a/packages/verbenad/src/verbenad/steering/steering_state.py
+++ b/packages/verbenad/src/verbenad/steering/steering_state.py
@@ -14,10 +14,12 @@
     ServerRemoved,
     ServerReported,
     Unreadable,
+    WorkspaceMarked,
 )
 from verbenaworks.steering.confirmation import Confirmation
 from verbenaworks.steering.entry_directory import EntryDirectory
 from verbenaworks.steering.instance_record import InstanceRecord
+from verbenaworks.steering.rate_mark import RateMark
 from verbenaworks.steering.server_table import ServerTable
 from verbenaworks.steering.steering_config import SteeringConfig
 
@@ -32,6 +34,7 @@
     :param on_predecessor: called with the time when the registration of an
         earlier run under this instance's name is found; it has ended so
         recently that its lease still lasts.
+    :param on_mark: called with the time, a workspace, and its mark.
     :param own: this instance.
     """
 
@@ -45,6 +48,7 @@
         on_config: Callable[[SteeringConfig], None],
         on_members: Callable[[], None],
         on_predecessor: Callable[[float], None],
+        on_mark: Callable[[float, str, RateMark | None], None],
         own: InstanceRecord,
     ) -> None:
         self.table = table
@@ -55,6 +59,7 @@
         self._on_config = on_config
         self._on_members = on_members
         self._on_predecessor = on_predecessor
+        self._on_mark = on_mark
         self._own = own
 
     def store_returned(self, at_s: float) -> None:
@@ -120,6 +125,8 @@
                 self.directory.register(record)
             case InstanceRemoved(name=name):
                 self.directory.remove(now_s, name)
+            case WorkspaceMarked(workspace=workspace, mark=mark):
+                self._on_mark(now_s, workspace, mark)
             case Unreadable(item=item, reason=reason, server_id=server_id):
                 _log.warning(
                     "item ignored", extra={"item": item, "reason": reason}
--- a/packages/verbenaworks/src/verbenaworks/steering/changes.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/changes.py
@@ -4,6 +4,7 @@
 
 from verbenaworks.steering.backend_server import BackendServer
 from verbenaworks.steering.instance_record import InstanceRecord
+from verbenaworks.steering.rate_mark import RateMark
 from verbenaworks.steering.steering_config import SteeringConfig
 
 
@@ -50,6 +51,17 @@
     name: str
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class WorkspaceMarked:
+    """An instance marked a workspace as near its limit.
+
+    :param mark: what it has used; none if the mark was taken back.
+    """
+
+    workspace: str
+    mark: RateMark | None
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Unreadable:
     """An item could not be decoded.
@@ -73,6 +85,7 @@
     | ServerRemoved
     | InstanceRegistered
     | InstanceRemoved
+    | WorkspaceMarked
     | Unreadable
 )
 
--- a/packages/verbenaworks/src/verbenaworks/steering/rate_ledger.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/rate_ledger.py
@@ -112,7 +112,13 @@
         return account.told_count if account else 0.0
 
     def used(self, now_s: float) -> float:
-        """Return all requests in the window."""
+        """Return all requests in the window, with those that may be there."""
+        return self.counted(now_s) + sum(
+            account.debt for account in self._accounts.values()
+        )
+
+    def counted(self, now_s: float) -> float:
+        """Return the requests that are known to lie in the window."""
         used = 0.0
         for name, windows in list(self._ended.items()):
             kept = [w for w in windows if w.count(now_s) > 0]
@@ -122,10 +128,15 @@
             else:
                 del self._ended[name]
         return used + sum(
-            account.window.count(now_s) + account.debt
-            for account in self._accounts.values()
+            account.window.count(now_s) for account in self._accounts.values()
         )
 
+    def ages(self, now_s: float) -> list[tuple[float, float]]:
+        """Return the known requests in the window by their age."""
+        windows = [w for ended in self._ended.values() for w in ended]
+        windows += [account.window for account in self._accounts.values()]
+        return [pair for window in windows for pair in window.ages(now_s)]
+
     def demand_per_s(self, instances: frozenset[str]) -> float:
         """Return the requests per second that arrive at these instances."""
         return sum(
--- /dev/null
+++ b/packages/verbenaworks/src/verbenaworks/steering/rate_mark.py
@@ -0,0 +1,47 @@
+"""How a workspace near its limit has used the window."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+# Requests are counted in slices of this length.
+MARK_SLICE_S = 0.5
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RateMark:
+    """Kept in the platform's store while a workspace is near its limit.
+
+    :param slices: requests of all instances in the window, by slices of time
+        from the newest on.
+    """
+
+    slices: tuple[int, ...]
+
+    def left_after(self, age_s: float, window_s: float) -> float:
+        """Return the requests that are still in the window later.
+
+        :param age_s: time that has passed since the mark was written.
+        """
+        return sum(
+            count
+            for number, count in enumerate(self.slices)
+            if number * MARK_SLICE_S + age_s < window_s
+        )
+
+    @property
+    def total(self) -> int:
+        """All requests of the mark."""
+        return sum(self.slices)
+
+
+def mark_of(ages: Iterable[tuple[float, float]]) -> RateMark:
+    """Return the mark of requests.
+
+    :param ages: pairs of an age in seconds and the requests of that age.
+    """
+    counts: list[float] = []
+    for age_s, count in ages:
+        index = int(max(0.0, age_s) / MARK_SLICE_S)
+        counts += [0.0] * (index + 1 - len(counts))
+        counts[index] += count
+    return RateMark(slices=tuple(round(count) for count in counts))
--- a/packages/verbenaworks/src/verbenaworks/steering/usage_window.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/usage_window.py
@@ -36,3 +36,11 @@
         while slices and slices[0][0] <= oldest_s:
             self._count -= slices.popleft()[1]
         return max(0.0, self._count) if slices else 0.0
+
+    def ages(self, now_s: float) -> list[tuple[float, float]]:
+        """Return the events of the window by their least age."""
+        self.count(now_s)
+        return [
+            (max(0.0, now_s - at_s - SLICE_S), events)
+            for at_s, events in self._slices
+        ]
--- a/packages/verbenaworks/src/verbenaworks/steering/workspace_rates.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/workspace_rates.py
@@ -10,8 +10,11 @@
 The keeper is the first of the heard instances in the workspace's rendezvous
 order. An instance whose reports are late counts as if it went on as before,
 and one that is not heard as if it used an even share, so that instances that
-cannot hear one another stay within the limit together. A restarted instance
-counts as if it had used an even share before.
+cannot hear one another stay within the limit together.
+
+A restarted instance does not know what the run before it had used. Workspaces
+that come near their limit are marked in the platform's store, with what they
+have used; the others count as if most of the limit was used evenly.
 """
 
 import math
@@ -20,6 +23,7 @@
 
 from verbenaworks.steering.admission import Admission
 from verbenaworks.steering.rate_ledger import RateLedger
+from verbenaworks.steering.rate_mark import RateMark, mark_of
 from verbenaworks.steering.rate_messages import RateAnswer, RateNotice
 from verbenaworks.steering.rendezvous import first_by_rendezvous
 from verbenaworks.steering.usage_window import UsageWindow
@@ -28,10 +32,17 @@
 
 # Demand is averaged over this time.
 DEMAND_WINDOW_S = 3.0
-# So long after a restart nothing is known of the demand.
-UNKNOWN_DEMAND_S = 0.5
-# Part of its limit that a workspace uses which does not exceed its rate.
-USUAL_SHARE = 0.6
+# Most of its limit that a workspace uses which is not marked.
+UNMARKED_SHARE = 0.8
+# Parts of the limit from which on a workspace is marked, and below which the
+# mark is taken back.
+MARKED_SHARE = 0.85
+CALM_SHARE = 0.7
+# Marks that are read this soon after the registration of the run before come
+# from the same snapshot; later ones tell of the new runs.
+SAME_SNAPSHOT_S = 0.1
+# Smaller limits cannot be exceeded by more than the users tolerate.
+MIN_MARKED_LIMIT = 25.0
 # After so many periods without a report, it is late, and the instance cannot
 # be heard.
 LATE_PERIODS = 1.25
@@ -122,6 +133,10 @@
         self._keepers: dict[str, str] = {}
         self._heard: frozenset[str] = frozenset({instance})
         self._numbers = 0
+        self._marks: dict[str, RateMark] = {}
+        # Marks of the runs before, which end with their leases.
+        self._marks_before: dict[str, RateMark] = {}
+        self._calm_since_s: dict[str, float] = {}
 
     def set_period(self, period_s: float) -> None:
         """Set the time between two reports of one instance."""
@@ -132,6 +147,41 @@
     def restarted(self, now_s: float) -> None:
         """Enter that another run under this name ended a moment ago."""
         self._restarted_at_s = now_s
+        self._marks_before.update(self._marks)
+
+    def set_mark(
+        self, now_s: float, workspace: str, mark: RateMark | None
+    ) -> None:
+        """Enter the mark of a workspace in the store; none if removed."""
+        if mark is None:
+            self._marks.pop(workspace, None)
+            return
+        self._marks[workspace] = mark
+        if now_s - self._restarted_at_s < SAME_SNAPSHOT_S:
+            self._marks_before[workspace] = mark
+
+    def marks_due(self, now_s: float) -> dict[str, RateMark | None]:
+        """Return the marks to write, and none for those to take back."""
+        due: dict[str, RateMark | None] = {}
+        for name, spec in self._specs.items():
+            limit = self._limit(spec)
+            if limit < MIN_MARKED_LIMIT:
+                continue
+            if self.keeper_of(name) != self._instance:
+                continue
+            use = self._use(name)
+            used = use.own.accepted.count(now_s) + use.ledger.counted(now_s)
+            if used > CALM_SHARE * limit:
+                self._calm_since_s.pop(name, None)
+            if used > MARKED_SHARE * limit:
+                due[name] = mark_of(
+                    use.own.accepted.ages(now_s) + use.ledger.ages(now_s)
+                )
+            elif used <= CALM_SHARE * limit and name in self._marks:
+                since_s = self._calm_since_s.setdefault(name, now_s)
+                if now_s - since_s > self._window_s:
+                    due[name] = None
+        return due
 
     def set_workspaces(
         self, now_s: float, specs: Mapping[str, WorkspaceSpec]
@@ -184,7 +234,7 @@
             own.told = own.total
             demand_per_s = self._demand(now_s, own)
             count = own.accepted.count(now_s)
-            debt = self._debt(now_s, self._specs[name], use)
+            debt = self._debt(now_s, self._specs[name])
             if demand_per_s >= MIN_DEMAND_PER_S or count or debt:
                 report[name] = WorkspaceUsage(
                     total=own.total,
@@ -357,7 +407,7 @@
                 expected = max(even, expected)
             known = use.ledger.count_of(now_s, member)
             used += max(0.0, expected - known)
-        return used + self._debt(now_s, spec, use)
+        return used + self._debt(now_s, spec)
 
     def _late(self, now_s: float) -> list[str]:
         """Return the members whose reports are late or that are silent."""
@@ -392,20 +442,20 @@
             )
         return use
 
-    def _debt(self, now_s: float, spec: WorkspaceSpec, use: _Use) -> float:
-        """Return what an earlier run here may have used of the window.
-
-        A workspace within its rate uses it evenly. One that sends more may
-        have used all of it in the last moment.
-        """
+    def _debt(self, now_s: float, spec: WorkspaceSpec) -> float:
+        """Return what an earlier run here may have used of the window."""
         age_s = now_s - self._restarted_at_s
         if age_s >= self._window_s:
             return 0.0
-        even = self._limit(spec) / len(self._members)
-        is_unknown = age_s < UNKNOWN_DEMAND_S
-        if is_unknown or use.known.demand_per_s > spec.rate_per_s:
-            return even
-        return even * USUAL_SHARE * (1.0 - age_s / self._window_s)
+        limit = self._limit(spec)
+        mark = self._marks_before.get(spec.name)
+        if mark is None:
+            used = limit * UNMARKED_SHARE * (1.0 - age_s / self._window_s)
+        else:
+            # What the mark does not tell may have been used since.
+            used = mark.left_after(age_s, self._window_s)
+            used += max(0.0, limit - mark.total)
+        return used / len(self._members)
 
     def _fleet_demand(self, now_s: float, use: _Use) -> float:
         heard = use.ledger.demand_per_s(self._heard)
--- a/tests/test_workspace_rates.py
+++ b/tests/test_workspace_rates.py
@@ -7,6 +7,7 @@
 
 from steering_things import workspace
 from verbenaworks.steering.admission import Admission
+from verbenaworks.steering.rate_mark import RateMark
 from verbenaworks.steering.workspace_rates import WorkspaceRates
 
 WINDOW_S = 5.0
@@ -42,6 +43,8 @@
         self.wrongful = 0
         self.most = 0
         self.cut: set[str] = set()
+        # Marks in the store, which all can read.
+        self.marked: dict[str, RateMark] = {}
         self.due_s = {n: at_s + self.random.random() for n in self.names}
         for name in self.names:
             self.start(name)
@@ -54,6 +57,8 @@
             window_s=WINDOW_S,
             period_s=REPORT_S,
         )
+        for marked, mark in self.marked.items():
+            rates.set_mark(self.now_s, marked, mark)
         if name in self.members:
             rates.restarted(self.now_s)
         rates.set_workspaces(self.now_s, self.specs)
@@ -78,11 +83,20 @@
 
     def _report(self, name: str, rates: WorkspaceRates) -> None:
         rates.refresh(self.now_s)
+        self._write_marks(rates)
         usage = rates.own_usage(self.now_s)
         for other, peer in self.members.items():
             if other != name and self._arrives(name, other):
                 peer.heard(self.now_s, name, self.incarnations[name], usage)
 
+    def _write_marks(self, rates: WorkspaceRates) -> None:
+        for marked, mark in rates.marks_due(self.now_s).items():
+            self.marked.pop(marked, None)
+            if mark is not None:
+                self.marked[marked] = mark
+            for member in self.members.values():
+                member.set_mark(self.now_s, marked, mark)
+
     def _arrives(self, name: str, other: str) -> bool:
         apart = (name in self.cut) != (other in self.cut)
         return not apart and self.random.random() > 0.03
@@ -246,6 +260,50 @@
     assert fleet.most <= BOUND
 
 
+def test_restarted_fleet_serves_what_is_not_marked() -> None:
+    """Guards against refusals while nothing is known of the others.
+
+    A workspace that used half of its limit is served as soon as the
+    instances hear one another; the first reports take one period.
+    """
+    fleet = _Fleet(10, 2)
+    fleet.run(10, {})
+    demand = _even(fleet, RATE_PER_S / 1.6)
+    fleet.run(8, demand)
+    assert not fleet.marked
+    for name in fleet.names:
+        fleet.start(name)
+    fleet.run(2 * REPORT_S, demand)
+    fleet.refused = 0
+    fleet.run(5, demand)
+    assert fleet.refused <= 0.01 * 5 * RATE_PER_S / 1.6
+
+
+def test_marked_workspace_waits_after_a_restart() -> None:
+    """Guards against a limit that is spent before and after a restart."""
+    fleet = _Fleet(10, 3)
+    fleet.run(10, {})
+    demand = _even(fleet, 5 * RATE_PER_S)
+    fleet.run(3, demand)
+    assert set(fleet.marked) == {"acme"}
+    for name in fleet.names:
+        fleet.start(name)
+    fleet.run(3, demand)
+    # What it had used leaves the window step by step.
+    assert len(fleet.accepted) >= 0.2 * LIMIT
+    fleet.run(7, demand)
+    assert fleet.most <= BOUND
+
+
+def test_mark_is_taken_back() -> None:
+    """Guards against a workspace that waits for an excess of long ago."""
+    fleet = _Fleet(3, 4)
+    fleet.run(10, {})
+    fleet.run(5, _even(fleet, 5 * RATE_PER_S))
+    fleet.run(3 * WINDOW_S, _even(fleet, 0.3 * RATE_PER_S))
+    assert not fleet.marked
+
+
 def test_lowered_limit_binds_after_one_window() -> None:
     """Guards against credits that outlive the limit they came from."""
     fleet = _Fleet(11, 1)
