--- a/packages/verbenad/src/verbenad/forward_request.py
+++ b/packages/verbenad/src/verbenad/forward_request.py
@@ -2,9 +2,9 @@
 
 from dataclasses import dataclass
 
+from verbenad.body_charge import BodyCharge
 from verbenad.cancellation import Cancellation
 from verbenad.http_syntax import Headers
-from verbenad.link_transfer import LinkTransfer
 from verbenad.request_body import RequestBody
 
 
@@ -34,7 +34,7 @@
     body: RequestBody | bytes | None = None
     idempotent: bool
     cancellation: Cancellation | None = None
-    link: LinkTransfer | None = None
+    link: BodyCharge | None = None
     server_id: str = ""
     workspace: str = ""
     work_until_s: float | None = None
--- a/packages/verbenad/src/verbenad/front.py
+++ b/packages/verbenad/src/verbenad/front.py
@@ -11,6 +11,7 @@
 import eventlet
 import logbook
 from eventlet import wsgi
+from eventlet.event import Event
 from eventlet.greenio import GreenSocket
 from eventlet.patcher import original
 
@@ -82,11 +83,16 @@
         self.address: tuple[str, int] = self._listener.getsockname()[:2]
         self._server: Any = None
         self._watcher: Any = None
+        # The watcher waits for it while no request runs.
+        self._begun: Event | None = None
 
     def start(self) -> None:
         """Start accepting connections."""
         self._server = eventlet.spawn(self._serve)
-        self._watcher = eventlet.spawn(self._watch_callers)
+        if self.limits.caller_check_s is not None:
+            self._watcher = eventlet.spawn(
+                self._watch_callers, self.limits.caller_check_s
+            )
 
     def drain(self) -> None:
         """Tell callers to close: each response closes its connection."""
@@ -108,7 +114,8 @@
             self.abort()
             with eventlet.Timeout(_ABORT_S, False):
                 self._server.wait()
-        self._watcher.kill()
+        if self._watcher is not None:
+            self._watcher.kill()
         return finished
 
     def abort(self) -> None:
@@ -127,6 +134,17 @@
             self.connections.discard(connection)
             self._open_connections -= 1
 
+    def began(self, connection: HttpProtocol) -> None:
+        """Enter that a request of a connection runs."""
+        self.running.add(connection)
+        begun, self._begun = self._begun, None
+        if begun is not None:
+            begun.send(None)
+
+    def ended(self, connection: HttpProtocol) -> None:
+        """Enter that no request of a connection runs."""
+        self.running.discard(connection)
+
     def count(self, event: str) -> None:
         """Count an event."""
         self.counters[event] += 1
@@ -205,17 +223,18 @@
             self._refusing -= 1
             client.close()
 
-    def _watch_callers(self) -> None:
+    def _watch_callers(self, period_s: float) -> None:
         while True:
-            eventlet.sleep(self.limits.caller_check_s)
+            if not self.running:
+                self._begun = Event()
+                self._begun.wait()
+            eventlet.sleep(period_s)
             try:
                 self._cancel_gone()
             except Exception:
                 _log.exception("the check for closed callers failed")
 
     def _cancel_gone(self) -> None:
-        if not self.running:
-            return
         by_descriptor = {
             connection.connection.fileno(): connection
             for connection in self.running
--- a/packages/verbenad/src/verbenad/front_limits.py
+++ b/packages/verbenad/src/verbenad/front_limits.py
@@ -21,7 +21,8 @@
         keep the connection.
     :param linger_s: how long input is dropped after a refusal, so that the
         caller can read the refusal before the connection is reset.
-    :param caller_check_s: period in which closed callers are looked for.
+    :param caller_check_s: period in which closed callers are looked for;
+        none where requests are short.
     """
 
     connections: int = 4000
@@ -32,6 +33,6 @@
     discard_bytes: int = 65536
     linger_s: float = 2.0
     linger_bytes: int = 1 << 20
-    caller_check_s: float = 0.25
+    caller_check_s: float | None = 0.25
     head: HeadLimits = field(default_factory=HeadLimits)
     body: BodyLimits = field(default_factory=BodyLimits)
--- a/packages/verbenad/src/verbenad/http_protocol.py
+++ b/packages/verbenad/src/verbenad/http_protocol.py
@@ -240,11 +240,11 @@
         )
         writer = self._writer(head.method, head.version, decide_close)
         self.caller = CallerConnection(self.stream)
-        front.running.add(self)
+        front.began(self)
         try:
             self._run(writer, self._environ(head, body))
         finally:
-            front.running.discard(self)
+            front.ended(self)
         if not writer.finished:
             return False
         if writer.close or not self._discard(body):
--- a/packages/verbenad/src/verbenad/steering/peer_exchange.py
+++ b/packages/verbenad/src/verbenad/steering/peer_exchange.py
@@ -131,7 +131,8 @@
 
     def _send(self) -> None:
         while True:
-            eventlet.sleep(self.period_s)
+            period_s = self.period_s if self.is_active else BEAT_PERIOD_S
+            eventlet.sleep(period_s)
             try:
                 self._merge()
                 if self.is_active:
--- a/packages/verbenad/src/verbenad/steering/steering_daemon.py
+++ b/packages/verbenad/src/verbenad/steering/steering_daemon.py
@@ -48,7 +48,6 @@
 from verbenaworks.steering.steering_config import SteeringConfig
 from verbenaworks.steering.workspace_rates import WorkspaceRates
 
-EXPIRE_PERIOD_S = 0.2
 POOL_PERIOD_S = 1.0
 FLUSH_PERIOD_S = 0.5
 MARK_PERIOD_S = 1.0
@@ -128,7 +127,6 @@
     def start(self) -> None:
         """Start all parts; returns at once."""
         every = self._timers.every
-        every(EXPIRE_PERIOD_S, self._state.expire)
         every(POOL_PERIOD_S, self._tidy)
         every(FLUSH_PERIOD_S, self._lines.flush)
         every(MARK_PERIOD_S, self._mark_workspaces)
@@ -227,6 +225,7 @@
             on_predecessor=self._rates.restarted,
             on_mark=self._rates.set_mark,
             own=self._own,
+            after=self._timers.after,
         )
 
     def _build_serving(self, port: PlatformPort) -> None:
@@ -251,7 +250,9 @@
             relay,
             host=host,
             port=port_number,
-            limits=FrontLimits(connections=RELAY_CONNECTIONS),
+            limits=FrontLimits(
+                connections=RELAY_CONNECTIONS, caller_check_s=None
+            ),
         )
         self._link = PlatformLink(
             port=port,
@@ -347,7 +348,9 @@
                     pages,
                     host=host,
                     port=port,
-                    limits=FrontLimits(connections=PAGE_CONNECTIONS),
+                    limits=FrontLimits(
+                        connections=PAGE_CONNECTIONS, caller_check_s=None
+                    ),
                 )
             )
 
--- a/packages/verbenad/src/verbenad/steering/steering_gateway.py
+++ b/packages/verbenad/src/verbenad/steering/steering_gateway.py
@@ -155,9 +155,8 @@
         raise refused(
             "rate-exceeded",
             trace.request_id,
-            retry_after_s=self._rates.retry_after_s(
-                trace.started_s, workspace
-            ),
+            retry_after_s=self._rates.retry_after_s(workspace)
+            * self._random.uniform(0.5, 1.0),
         )
 
     def _authenticate(
--- a/packages/verbenad/src/verbenad/steering/steering_state.py
+++ b/packages/verbenad/src/verbenad/steering/steering_state.py
@@ -36,6 +36,7 @@
         recently that its lease still lasts.
     :param on_mark: called with the time, a workspace, and its mark.
     :param own: this instance.
+    :param after: calls a function once, after a time in seconds.
     """
 
     def __init__(
@@ -50,6 +51,7 @@
         on_predecessor: Callable[[float], None],
         on_mark: Callable[[float, str, RateMark | None], None],
         own: InstanceRecord,
+        after: Callable[[float, Callable[[], None]], object],
     ) -> None:
         self.table = table
         self.directory = directory
@@ -61,6 +63,8 @@
         self._on_predecessor = on_predecessor
         self._on_mark = on_mark
         self._own = own
+        self._after = after
+        self._expiry_s: float | None = None
 
     def store_returned(self, at_s: float) -> None:
         """Enter when the store answered again after an outage."""
@@ -76,15 +80,26 @@
             self._keep_only(batch.changes)
         if self.directory.names != names:
             self._on_members()
+        self._schedule_expiry()
 
-    def expire(self) -> None:
-        """Drop what has lapsed; call it regularly."""
+    def _schedule_expiry(self) -> None:
+        """See to it that what lapses later is dropped then."""
+        dues_s = [self.table.next_drop_s, self.directory.next_drop_s]
+        due_s = min((d for d in dues_s if d is not None), default=None)
+        if due_s is None or self._expiry_s == due_s:
+            return
+        self._expiry_s = due_s
+        self._after(max(0.0, due_s - self._now_s()), self._expire)
+
+    def _expire(self) -> None:
+        self._expiry_s = None
         now_s = self._now_s()
         names = self.directory.names
         self.table.expire(now_s)
         self.directory.expire(now_s)
         if self.directory.names != names:
             self._on_members()
+        self._schedule_expiry()
 
     def _apply(self, change: Change) -> None:
         now_s = self._now_s()
--- a/packages/verbenaworks/src/verbenaworks/steering/entry_directory.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/entry_directory.py
@@ -83,6 +83,12 @@
             if member.drop_at_s is not None and now_s >= member.drop_at_s:
                 del self._members[name]
 
+    @property
+    def next_drop_s(self) -> float | None:
+        """When the first grace ends; none if there is none."""
+        drops_s = [m.drop_at_s for m in self._members.values() if m.drop_at_s]
+        return min(drops_s, default=None)
+
     def heard(
         self,
         now_s: float,
--- a/packages/verbenaworks/src/verbenaworks/steering/server_table.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/server_table.py
@@ -77,13 +77,16 @@
             self.remove(now_s, server_id)
 
     def expire(self, now_s: float) -> None:
-        """Remove servers whose grace has ended; call it regularly."""
+        """Remove servers whose grace has ended."""
         for server_id, held in list(self._held.items()):
             if held.drop_at_s is not None and now_s >= held.drop_at_s:
                 self._drop(now_s, server_id)
-        for server_id, (_, at_s) in list(self._removed.items()):
-            if now_s - at_s > REMEMBER_REMOVED_S:
-                del self._removed[server_id]
+
+    @property
+    def next_drop_s(self) -> float | None:
+        """When the first grace ends; none if there is none."""
+        drops_s = [h.drop_at_s for h in self._held.values() if h.drop_at_s]
+        return min(drops_s, default=None)
 
     def evacuate(self, failure_domain: str, evacuated: bool) -> None:
         """Stop or resume the use of a failure domain."""
@@ -142,6 +145,10 @@
 
     def _drop(self, now_s: float, server_id: str) -> None:
         held = self._held.pop(server_id)
+        oldest_s = now_s - REMEMBER_REMOVED_S
+        for gone_id, (_, at_s) in list(self._removed.items()):
+            if at_s < oldest_s:
+                del self._removed[gone_id]
         self._removed[server_id] = (held.server, now_s)
         self._changed()
 
--- a/packages/verbenaworks/src/verbenaworks/steering/workspace_rates.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/workspace_rates.py
@@ -372,14 +372,20 @@
         """Return how many requests a workspace may send in a window."""
         return self._limit(self._specs[workspace])
 
-    def retry_after_s(self, now_s: float, workspace: str) -> float:
-        """Return the time until the workspace's rate has room."""
+    def retry_after_s(self, workspace: str) -> float:
+        """Return the pause after which a refused request may fit.
+
+        Requests leave the window at the rate. Of those that are refused now,
+        the more come back later the more the demand exceeds it; callers
+        choose a time between half of this and this.
+        """
         spec = self._specs.get(workspace)
         if spec is None or spec.rate_per_s <= 0:
             return 0.0
-        # The requests that fill the window leave it at about this rate.
-        even_per_s = spec.rate_per_s / len(self._members)
-        return min(self._window_s / 2, 1.0 / even_per_s)
+        demand_per_s = self._use(workspace).known.demand_per_s
+        excess = max(0.0, 1.0 - spec.rate_per_s / max(1.0, demand_per_s))
+        one_s = 1.0 / spec.rate_per_s
+        return min(self._window_s / 2, one_s + excess * self._window_s)
 
     def describe(self, now_s: float, workspace: str) -> str:
         """Return the figures behind a refusal."""
--- a/tests/test_workspace_rates.py
+++ b/tests/test_workspace_rates.py
@@ -338,3 +338,16 @@
     for _ in range(100):
         assert rates.take(0.0, "acme") is Admission.ACCEPTED
         rates.give_back(0.0, "acme")
+
+
+def test_refused_requests_come_back_later_under_more_demand() -> None:
+    """Guards against callers that come back only to be refused again."""
+    pauses_s = []
+    for times in (1.1, 2.0, 5.0):
+        fleet = _Fleet(1, 1)
+        fleet.run(10, {})
+        fleet.run(8, {"i0": times * RATE_PER_S})
+        pauses_s.append(fleet.members["i0"].retry_after_s("acme"))
+    assert pauses_s == sorted(pauses_s)
+    assert pauses_s[0] < 1.0
+    assert pauses_s[-1] <= WINDOW_S / 2
