Use idle connections sooner where servers drop them

Cause: a server that drops an idle connection without a word resets the next request on it. For a request that must not be repeated the caller gets 502 and does not come back; and the server counted as crashed, so that it got nothing for half a second and its known objects moved.

Ruled out: probing connections before use; the reset comes only with the next bytes.

Change: requests that must not be repeated use connections that were idle for at most 0.25 s. A connection that is reset within a round trip after it was idle lowers the idle time that is used for all servers, for 15 s. An idempotent request is sent again to the same server on a new connection.

--- a/packages/verbenad/src/verbenad/attempt_failed.py
+++ b/packages/verbenad/src/verbenad/attempt_failed.py
@@ -32,8 +32,9 @@
         it did not run the request.
     :param looks_like_crash: the connection was closed or reset after bytes
         of the request were sent and before any byte of an answer.
-    :param reused: whether the connection had served a request before; the
-        backend server may then just have closed it as idle.
+    :param reused: whether the connection had served a request before.
+    :param reset_when_idle: the connection was reused and closed at once; the
+        backend server had probably dropped it while it was idle.
     :param body_error: what is wrong with the caller's body.
     :param retry_after_s: the backend server's Retry-After, if it gave one.
     """
@@ -42,6 +43,7 @@
     may_have_run: bool
     looks_like_crash: bool = False
     reused: bool = False
+    reset_when_idle: bool = False
     message: str
     body_error: BodyError | None = None
     retry_after_s: float | None = None
--- a/packages/verbenad/src/verbenad/forwarder.py
+++ b/packages/verbenad/src/verbenad/forwarder.py
@@ -37,6 +37,9 @@
 # After a failed send, the answer that explains it has normally arrived.
 _EARLY_ANSWER_S = 0.5
 _REFUSAL_BODY_BYTES = 65536
+# A backend server that has dropped an idle connection resets the next request
+# within a round trip between regions; later resets have other causes.
+_IDLE_RESET_S = 0.06
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -138,6 +141,7 @@
         "_silent_after_s",
         "_ended",
         "_sent_whole",
+        "_started_s",
     )
 
     def __init__(
@@ -154,6 +158,7 @@
         self._sent_whole = False
         self._answered = False
         self._ended = False
+        self._started_s = 0.0
 
     def run(
         self, address: TargetAddress, limit: int, fresh: bool
@@ -165,6 +170,7 @@
         self._charge_request(_held_bytes(body), may_have_run=False)
         connection = self._connect(address, limit, fresh)
         connection.stream.sent_any = False
+        self._started_s = self._forwarder.now_s()
         if request.cancellation is not None:
             request.cancellation.on_cancel(connection.stream.shutdown)
         try:
@@ -560,7 +566,7 @@
     ) -> _FailureError:
         sent = connection.stream.sent_any
         cancellation = self._request.cancellation
-        crash = False
+        crash = reset_when_idle = False
         if cancellation is not None and cancellation.cancelled:
             kind = FailureKind.CALLER_GONE
             message = "the caller has gone"
@@ -570,6 +576,7 @@
         elif not isinstance(error, TimeoutError):
             kind = FailureKind.CLOSED
             crash = sent
+            reset_when_idle = self._is_idle_reset(connection)
             message = "the connection was closed before an answer"
         elif self._bounded_wait(connection) and self._left_s() > 0:
             kind = FailureKind.SILENT
@@ -583,10 +590,18 @@
                 may_have_run=sent,
                 looks_like_crash=crash,
                 reused=connection.reused,
+                reset_when_idle=reset_when_idle,
                 message=message,
             )
         )
 
+    def _is_idle_reset(self, connection: UpstreamConnection) -> bool:
+        took_s = self._forwarder.now_s() - self._started_s
+        if not connection.reused or took_s >= _IDLE_RESET_S:
+            return False
+        self._forwarder.pool.was_reset(connection)
+        return True
+
 
 def _chunk(data: bytes) -> bytes:
     return b"%x\r\n%b\r\n" % (len(data), data)
--- a/packages/verbenad/src/verbenad/steering/request_runner.py
+++ b/packages/verbenad/src/verbenad/steering/request_runner.py
@@ -26,15 +26,13 @@
     RejectReason,
 )
 from verbenaworks.steering.retry_allowance import RetryAllowance
+from verbenaworks.steering.target_load import TargetLoad
 
 # A server answers for itself when its deadline passes; its answer needs a
 # round trip to arrive.
 ANSWER_SLACK_S = 0.15
 # A connection that cannot be opened reaches no server, so it is no attempt.
 MAX_UNREACHED = 3
-# A server that closes an idle connection resets a request that crosses the
-# close within one round trip; later resets are crashes.
-IDLE_CLOSE_S = 0.06
 # With less time left no server can answer.
 MIN_LEFT_S = 0.02
 
@@ -51,6 +49,8 @@
 
     tried: frozenset[str] = frozenset()
     sent: int = 0
+    # A dropped connection was met; the next attempt opens a new one.
+    was_reset: bool = False
     unreached: int = 0
     may_have_run: bool = False
     failed: AttemptFailed | None = None
@@ -142,9 +142,8 @@
                 server.address,
                 call.until_s + ANSWER_SLACK_S,
                 connection_limit=self._connection_limit(call.service),
-                fresh=bool(progress.tried),
+                fresh=bool(progress.tried) or progress.was_reset,
             )
-            progress.tried |= {server.server_id}
             match result:
                 case Ok(answer):
                     outcome, ended = self._received(
@@ -178,6 +177,7 @@
         progress: _Progress,
     ) -> tuple[str, bool]:
         """Take an answer; tells the outcome and whether a stream goes on."""
+        progress.tried |= {placed.server.server_id}
         progress.sent += 1
         progress.may_have_run = True
         now_s = self._now_s()
@@ -228,6 +228,11 @@
         now_s = self._now_s()
         load = self._placement.load_of(placed.server)
         progress.failed = failed
+        if failed.reset_when_idle:
+            # The server itself is well, and may know the object.
+            progress.was_reset = True
+        else:
+            progress.tried |= {placed.server.server_id}
         progress.may_have_run = progress.may_have_run or failed.may_have_run
         match failed.kind:
             case FailureKind.CONNECT_FAILED:
@@ -244,10 +249,7 @@
                 load.shed(now_s)
             case FailureKind.CLOSED:
                 progress.sent += failed.may_have_run
-                load.failed(now_s)
-                if _is_crash(call, failed, now_s - started_s):
-                    load.lost(now_s)
-                    self._crashes.crashed(call.digest)
+                self._closed(call, load, failed)
             case FailureKind.MALFORMED_ANSWER | FailureKind.SILENT:
                 progress.sent += 1
                 load.failed(now_s)
@@ -257,6 +259,22 @@
             case _:
                 progress.sent += failed.may_have_run
 
+    def _closed(
+        self, call: SteeredCall, load: TargetLoad, failed: AttemptFailed
+    ) -> None:
+        """Take a connection that was closed before an answer."""
+        now_s = self._now_s()
+        if not failed.reset_when_idle:
+            load.failed(now_s)
+        if not failed.looks_like_crash:
+            return
+        if not failed.reset_when_idle:
+            load.lost(now_s)
+        if not failed.reset_when_idle or not call.route.idempotent:
+            # An idempotent request is sent again on a new connection, which
+            # tells whether it crashes servers.
+            self._crashes.crashed(call.digest)
+
     def _learn_load(
         self, now_s: float, placed: Placed, answer: UpstreamAnswer
     ) -> str:
@@ -358,14 +376,6 @@
             on_end()
 
 
-def _is_crash(call: SteeredCall, failed: AttemptFailed, took_s: float) -> bool:
-    if not failed.looks_like_crash:
-        return False
-    if not failed.reused or not call.route.idempotent:
-        return True
-    return took_s >= IDLE_CLOSE_S
-
-
 def _refusal(
     call: SteeredCall, progress: _Progress, rejected: Rejected | None
 ) -> Refused:
--- a/packages/verbenad/src/verbenad/steering/steering_daemon.py
+++ b/packages/verbenad/src/verbenad/steering/steering_daemon.py
@@ -56,6 +56,9 @@
 # A server that acknowledges nothing for this long has lost the connection.
 SILENT_S = 1.5
 IDLE_S = 5.0
+# Servers may drop idle connections after some tenths of a second; a request
+# that must not be repeated is lost with one.
+ORDER_IDLE_S = 0.25
 # The registration outlives the time for which keys are accepted without the
 # store by this much.
 LEASE_MARGIN_S = 0.5
@@ -280,7 +283,10 @@
         )
         self._pool = UpstreamPool(
             PoolSettings(
-                connect_s=CONNECT_S, idle_s=IDLE_S, silent_s=SILENT_S
+                connect_s=CONNECT_S,
+                idle_s=IDLE_S,
+                non_idempotent_idle_s=ORDER_IDLE_S,
+                silent_s=SILENT_S,
             ),
             now_s=self._now_s,
         )
--- a/packages/verbenad/src/verbenad/upstream_connection.py
+++ b/packages/verbenad/src/verbenad/upstream_connection.py
@@ -24,7 +24,14 @@
     :raises urllib3.exceptions.HTTPError: if it cannot be opened.
     """
 
-    __slots__ = ("_http", "address", "idle_since_s", "reused", "stream")
+    __slots__ = (
+        "_http",
+        "address",
+        "idle_since_s",
+        "idled_s",
+        "reused",
+        "stream",
+    )
 
     def __init__(
         self,
@@ -48,6 +55,8 @@
         sock: Any = self._http.sock
         self.stream = SocketStream(sock)
         self.idle_since_s = 0.0
+        # How long it was idle before the running request.
+        self.idled_s = 0.0
         self.reused = False
 
     def close(self) -> None:
--- a/packages/verbenad/src/verbenad/upstream_pool.py
+++ b/packages/verbenad/src/verbenad/upstream_pool.py
@@ -16,6 +16,12 @@
 from verbenad.target_address import TargetAddress
 from verbenad.upstream_connection import UpstreamConnection
 
+# Backend servers that drop idle connections early do so for some time. For
+# this long, connections are used only well before the idle time at which one
+# was reset.
+_RESETS_LAST_S = 15.0
+_SAFE_SHARE = 0.5
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class PoolSettings:
@@ -74,6 +80,8 @@
         self.counters: Counter[str] = Counter()
         self._now_s = now_s
         self._targets: dict[TargetAddress, _Target] = {}
+        self._safe_idle_s = float("inf")
+        self._reset_at_s = float("-inf")
 
     def acquire(
         self,
@@ -123,6 +131,19 @@
         self._targets[connection.address].in_use -= 1
         self._close(connection, "discarded")
 
+    def was_reset(self, connection: UpstreamConnection) -> None:
+        """Enter that a reused connection was reset by the next request.
+
+        The backend server had dropped it while it was idle, without a word.
+        """
+        now_s = self._now_s()
+        if now_s - self._reset_at_s > _RESETS_LAST_S:
+            self._safe_idle_s = float("inf")
+        self._reset_at_s = now_s
+        safe_idle_s = _SAFE_SHARE * connection.idled_s
+        self._safe_idle_s = min(self._safe_idle_s, safe_idle_s)
+        self.counters["reset_when_idle"] += 1
+
     def close_expired(self) -> None:
         """Close connections that are idle for too long; call it regularly."""
         oldest_s = self._now_s() - self.settings.idle_s
@@ -156,9 +177,12 @@
             settings.idle_s if idempotent else settings.non_idempotent_idle_s
         )
         now_s = self._now_s()
+        if now_s - self._reset_at_s <= _RESETS_LAST_S:
+            limit_s = min(limit_s, self._safe_idle_s)
         while target.idle:
             connection = target.idle[-1]
-            if now_s - connection.idle_since_s >= limit_s:
+            connection.idled_s = now_s - connection.idle_since_s
+            if connection.idled_s >= limit_s:
                 # The ones below have been idle for longer still.
                 return None
             target.idle.pop()
--- a/tests/test_upstream_pool.py
+++ b/tests/test_upstream_pool.py
@@ -167,3 +167,36 @@
         assert pool.total(backend.address) == 1
         assert pool.in_use(backend.address) == 1
         pool.release(used)
+
+
+def test_connections_are_used_sooner_where_idle_ones_are_reset() -> None:
+    """Guards against orders that are lost with dropped connections."""
+    clock = _Clock()
+    pool = UpstreamPool(PoolSettings(idle_s=5.0), now_s=clock)
+    with raw_backend(_hold) as backend:
+        pool.release(_take(pool, backend))
+        clock.time_s += 0.4
+        dropped = _take(pool, backend)
+        assert dropped.reused
+        pool.was_reset(dropped)
+        pool.discard(dropped)
+        pool.release(_take(pool, backend, fresh=True))
+        clock.time_s += 0.3
+        assert not _take(pool, backend).reused
+        pool.release(_take(pool, backend, fresh=True))
+        clock.time_s += 0.1
+        assert _take(pool, backend).reused
+
+
+def test_resets_of_idle_connections_are_forgotten() -> None:
+    """Guards against new connections long after the trouble."""
+    clock = _Clock()
+    pool = UpstreamPool(PoolSettings(idle_s=5.0), now_s=clock)
+    with raw_backend(_hold) as backend:
+        pool.release(_take(pool, backend))
+        clock.time_s += 0.4
+        pool.was_reset(_take(pool, backend))
+        clock.time_s += 60.0
+        pool.release(_take(pool, backend, fresh=True))
+        clock.time_s += 1.0
+        assert _take(pool, backend).reused
