Close the listening socket when a connection arrives with the stop

Cause: stop() scheduled an exception for the accept loop while it waited. If a connection woke the loop first, the exception arrived in a later sleep, and the loop ended without closing the socket; callers' connects then waited. Change: the exception is thrown only while the loop waits for a connection. Result: test_listener.py failed before (no refusal) and passes; it brings about the order of events without chance.

--- a/packages/verbenad/src/verbenad/listener.py
+++ b/packages/verbenad/src/verbenad/listener.py
@@ -1,6 +1,5 @@
 """Listening socket with admission control and graceful shutdown."""
 
-import contextlib
 import errno
 import socket
 from collections.abc import Callable
@@ -73,9 +72,7 @@
                 continue
             self._accepts += 1
             if self._accepts % _MAX_ACCEPTS_PER_YIELD == 0:
-                # The exception of stop() may arrive late, here.
-                with contextlib.suppress(ListenerClosedError):
-                    eventlet.sleep(0)
+                eventlet.sleep(0)
             client = GreenSocket(accepted[0])
             if self._admit(client):
                 return client, accepted[1]
@@ -83,10 +80,13 @@
     def stop(self) -> None:
         """Stop accepting once the kernel's queue is empty."""
         self._closing = True
+        hubs.get_hub().schedule_call_global(0, self._wake)
+
+    def _wake(self) -> None:
+        # A connection may have woken the accept loop in the meantime. It is
+        # interrupted only while it waits for one, and closes the socket.
         if self._waiting_greenlet is not None:
-            hubs.get_hub().schedule_call_global(
-                0, self._waiting_greenlet.throw, ListenerClosedError()
-            )
+            self._waiting_greenlet.throw(ListenerClosedError())
 
     def _claim_queued_accept(self) -> bool:
         # Without a bound, steady arrivals would keep the listener open.
