Ask the instance that named an unknown member for its record

Cause: a member known only by a brief record was asked of a random known member. Two restarted members knew only each other and asked each other for the third one for good. Change: the instance whose message named the member is asked.

--- a/packages/verbenaworks/src/verbenaworks/membership.py
+++ b/packages/verbenaworks/src/verbenaworks/membership.py
@@ -101,7 +101,9 @@
         self._members: dict[str, Member] = {}
         self._suspected_since_s: dict[str, float] = {}
         self._dead_since_s: dict[str, float] = {}
-        self._unknown_names: set[str] = set()
+        # Addresses of the instances that named members not known here; empty
+        # if the message had no address for the reply.
+        self._unknown_names: dict[str, str] = {}
         self._remaining_sends: dict[str, int] = {}
         self._probe_order: list[str] = []
         self._refresh_order: list[str] = []
@@ -215,6 +217,8 @@
         is_from_list = isinstance(message, MemberList)
         for update in updates:
             self._merge(now_s, update, is_from_list=is_from_list)
+        if isinstance(message, Ping | PingVia | AskMembers):
+            self._record_source(message.reply_to, updates)
         match message:
             case Join(reply_to=reply_to):
                 self._send_list(reply_to, self.members())
@@ -233,6 +237,12 @@
                 self._on_ack(seq)
         return self._drain_outgoing()
 
+    def _record_source(self, address: str, updates: Iterable[Update]) -> None:
+        """Record which instance named members that are not known here."""
+        for update in updates:
+            if update.name in self._unknown_names:
+                self._unknown_names[update.name] = address
+
     # Probes.
 
     def _probe_next(self, now_s: float) -> None:
@@ -379,10 +389,16 @@
             return
         self._next_ask_s = now_s + _ASK_MEMBERS_PERIOD_S
         names = tuple(itertools.islice(self._unknown_names, _MAX_LIST_RECORDS))
+        # The instance that named a member knows it; the others may not.
+        sources = {self._unknown_names[name] for name in names} - {""}
+        addresses = sorted(sources)[:INDIRECT_PROBE_PEERS] or [
+            self._members[peer].bus_address
+            for peer in self._sample(1, exclude="")
+        ]
         self._unknown_names.clear()
-        for peer in self._sample(1, exclude=""):
+        for address in addresses:
             self._send(
-                self._members[peer].bus_address,
+                address,
                 AskMembers(
                     reply_to=self._own.bus_address,
                     names=names,
@@ -422,7 +438,7 @@
         member = _merge_update(known, update)
         if member is None:
             if update.state is not MemberState.DEAD:
-                self._unknown_names.add(update.name)
+                self._unknown_names.setdefault(update.name, "")
             return
         is_change = (
             known is None
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -64,6 +64,27 @@
     assert [message.names for message in sent] == [("c",)]
 
 
+def test_member_is_asked_of_the_instance_that_named_it() -> None:
+    """Guards against views that never agree after several restarts.
+
+    Two restarted members asked only each other for the third one, which
+    neither of them knew.
+    """
+    network = MemberNetwork(68)
+    names = [f"m{n}" for n in range(5)]
+    for name in names:
+        network.start(name, names)
+    network.timers.advance(8.0)
+    for name in ("m2", "m3", "m4"):
+        network.kill(name)
+    network.timers.advance(6.0)
+    network.kill("m0")
+    network.start("m0", names)
+    network.start("m2", names)
+    network.timers.advance(45.0)
+    assert network.has_converged()
+
+
 def test_dead_member_is_detected_by_all() -> None:
     """Guards against work that is sent to a dead instance."""
     network = make_network(8)
