Keep instances with few requests on standby, and shrink the reports

Change: an instance is active from 4 requests a second on; on standby it asks a workspace's coordinator about each request, which reports these as its own. Reports name the workspaces that changed, all of them once in six; other regions get every second one; standby heartbeats are sent each 20 s. Datagrams and bytes are counted by type and distance.

--- a/packages/verbenad/src/verbenad/steering/peer_exchange.py
+++ b/packages/verbenad/src/verbenad/steering/peer_exchange.py
@@ -2,12 +2,14 @@
 
 import socket
 import zlib
+from collections import Counter, defaultdict
 from collections.abc import Callable, Iterable
 
 import eventlet
 import logbook
 
 from verbenad.steering.crash_tracker import CrashTracker
+from verbenad.steering.peer_traffic import PeerTraffic
 from verbenad.steering.workspace_admission import WorkspaceAdmission
 from verbenaworks.errors import WireError
 from verbenaworks.steering.active_peers import ActivePeers
@@ -29,7 +31,14 @@
 # Period of the heartbeats that serving instances send to the others.
 HEARTBEAT_PERIOD_S = 1.0
 # The same for standby instances, whose failure callers do not notice.
-STANDBY_HEARTBEAT_PERIOD_S = 5.0
+STANDBY_HEARTBEAT_PERIOD_S = 20.0
+# Instances of other regions get one report in this many: they share few
+# servers with this one, and links between regions are paid for.
+REMOTE_REPORT_INTERVAL = 2
+# One report in this many names all workspaces. The others name only those
+# with requests in the time that covers the lost reports before.
+FULL_REPORT_INTERVAL = 6
+CHANGE_PERIODS = 3.0
 # A peer's report is used for this many report periods.
 REPORT_VALID_PERIODS = 2.5
 MAX_DATAGRAM_BYTES = 65000
@@ -42,6 +51,7 @@
 
     :param local_instance: record of this instance.
     :param load: load of this instance.
+    :param traffic: counts what this instance sends.
     :param is_usable: returns whether this instance can serve requests with
         keys.
     :param is_leaving: returns whether this instance is shutting down.
@@ -59,6 +69,7 @@
         rate_limiter: WorkspaceRateLimiter,
         crash_tracker: CrashTracker,
         load: InstanceLoad,
+        traffic: PeerTraffic,
         is_usable: Callable[[], bool],
         is_leaving: Callable[[], bool],
         on_members: Callable[[], None],
@@ -66,7 +77,10 @@
     ) -> None:
         self.peers = ActivePeers(local_instance)
         self.admission = WorkspaceAdmission(
-            rate_limiter=rate_limiter, send=self.send, now_s=now_s
+            rate_limiter=rate_limiter,
+            send=self.send,
+            on_coordinator_lost=self._activate,
+            now_s=now_s,
         )
         self._local_instance = local_instance
         self._directory = directory
@@ -75,11 +89,13 @@
         self._rate_limiter = rate_limiter
         self._crash_tracker = crash_tracker
         self._load = load
+        self._traffic = traffic
         self._is_usable = is_usable
         self._is_leaving = is_leaving
         self._on_members = on_members
         self._now_s = now_s
         self._last_sent_number = 0
+        self._report_count = 0
         self._reports: dict[str, tuple[float, PeerReport]] = {}
         self._registered: set[tuple[str, int]] = set()
         self._last_received_numbers: dict[str, tuple[int, int]] = {}
@@ -96,12 +112,17 @@
 
     @property
     def report_period_s(self) -> float:
-        """Time in seconds between two reports to one peer."""
+        """Time in seconds between two reports to a peer of the region."""
         return max(
             MIN_REPORT_PERIOD_S,
             len(self.peers.report_recipients) / MAX_REPORTS_PER_S,
         )
 
+    @property
+    def remote_report_period_s(self) -> float:
+        """Time in seconds between two reports to any other peer."""
+        return REMOTE_REPORT_INTERVAL * self.report_period_s
+
     @property
     def is_active(self) -> bool:
         """Whether this instance takes part in the exchange of reports."""
@@ -122,12 +143,28 @@
     def record_request(self, size_bytes: int) -> None:
         """Count a request.
 
-        The first request makes this instance active; it then sends a report
-        to all peers at once.
+        An instance that gets requests regularly becomes active; it then sends
+        a report to all peers at once.
         """
         self._load.record_request(self._now_s(), size_bytes)
-        if not self._was_active:
+        if not self.peers.active_names:
+            # There is no coordinator that could be asked.
+            self._load.activate(self._now_s())
+        self._update_role()
+
+    def _activate(self) -> None:
+        self._load.activate(self._now_s())
+        self._update_role()
+
+    def _update_role(self) -> None:
+        """Join or leave the instances that exchange reports."""
+        is_active = self.is_active
+        self._rate_limiter.set_standby(
+            frozenset() if is_active else self.peers.active_names
+        )
+        if is_active and not self._was_active:
             self._was_active = True
+            self._on_members()
             self._send_reports(self._directory.peers)
 
     def announce_now(self) -> None:
@@ -139,7 +176,7 @@
         """Send a message to a registered instance."""
         peer = self._directory.peer(name)
         if peer is not None:
-            self._send_to(peer, encode(message))
+            self._send_to(peer, type(message).__name__, encode(message))
 
     def _send_periodically(self) -> None:
         while True:
@@ -148,11 +185,13 @@
             )
             eventlet.sleep(period_s)
             try:
+                self._update_role()
                 self._apply_reports()
                 if self.is_active:
-                    self._send_reports(self.peers.report_recipients)
+                    self._send_periodic_report()
                 elif self._was_active:
                     self._was_active = False
+                    self._on_members()
                     self._next_heartbeat_s = self._now_s()
                     self._send_reports(self.peers.report_recipients)
                 if self._now_s() >= self._next_heartbeat_s:
@@ -160,10 +199,26 @@
             except Exception:
                 _log.exception("sending reports failed")
 
-    def _send_reports(self, peers: Iterable[InstanceRecord]) -> None:
-        data = encode(self._make_report())
+    def _send_periodic_report(self) -> None:
+        self._report_count += 1
+        recipients = self.peers.report_recipients
+        if self._report_count % REMOTE_REPORT_INTERVAL:
+            region = self._local_instance.region
+            recipients = [p for p in recipients if p.region == region]
+        if self._report_count % FULL_REPORT_INTERVAL:
+            changes_s = CHANGE_PERIODS * self.remote_report_period_s
+            self._send_reports(recipients, self._now_s() - changes_s)
+        else:
+            self._send_reports(recipients)
+
+    def _send_reports(
+        self,
+        peers: Iterable[InstanceRecord],
+        changed_since_s: float = float("-inf"),
+    ) -> None:
+        data = encode(self._make_report(changed_since_s))
         for peer in peers:
-            self._send_to(peer, data)
+            self._send_to(peer, PeerReport.__name__, data)
 
     def _send_heartbeats(self) -> None:
         period_s = (
@@ -174,7 +229,7 @@
         self._next_heartbeat_s = self._now_s() + period_s
         data = encode(self._make_heartbeat())
         for peer in self.peers.heartbeat_recipients():
-            self._send_to(peer, data)
+            self._send_to(peer, PeerBeat.__name__, data)
 
     def _make_heartbeat(self) -> PeerBeat:
         self._last_sent_number += 1
@@ -188,7 +243,9 @@
             load=round(self._load.used_capacity(self._now_s()), 3),
         )
 
-    def _make_report(self) -> PeerReport:
+    def _make_report(
+        self, changed_since_s: float = float("-inf")
+    ) -> PeerReport:
         now_s = self._now_s()
         return PeerReport(
             beat=self._make_heartbeat(),
@@ -196,7 +253,7 @@
                 short_hash(server_id): count
                 for server_id, count in self._placement.in_flight().items()
             },
-            usage=self._rate_limiter.local_usage(now_s),
+            usage=self._rate_limiter.local_usage(now_s, changed_since_s),
             crashes=self._crash_tracker.recent_crashes(),
             missing=self._unreachable_peers(now_s),
         )
@@ -205,7 +262,7 @@
         """Return the serving peers without a recent report."""
         if self.peers.is_small_fleet:
             return ()
-        oldest_s = now_s - REPORT_VALID_PERIODS * self.report_period_s
+        oldest_s = now_s - REPORT_VALID_PERIODS * self.remote_report_period_s
         return tuple(
             peer.name
             for peer in self.peers.report_recipients
@@ -213,7 +270,10 @@
             or self._reports[peer.name][0] < oldest_s
         )
 
-    def _send_to(self, peer: InstanceRecord, data: bytes) -> None:
+    def _send_to(
+        self, peer: InstanceRecord, message_type: str, data: bytes
+    ) -> None:
+        self._traffic.record(message_type, peer, len(data))
         host, _, port = peer.peer_address.rpartition(":")
         try:
             self._socket.sendto(data, (host, int(port)))
@@ -246,8 +306,9 @@
                     )
             case PeerBeat():
                 self._handle_heartbeat(message, ())
-            case RateNotice():
-                self.admission.handle_notice(message)
+            case RateNotice(name=name):
+                if self._directory.peer(name) is not None:
+                    self.admission.handle_notice(message)
             case RateAnswer():
                 self.admission.handle_reply(message)
 
@@ -287,8 +348,8 @@
     def _apply_reports(self) -> None:
         """Apply the recent reports to the server loads and the rates."""
         now_s = self._now_s()
-        oldest_s = now_s - REPORT_VALID_PERIODS * self.report_period_s
-        in_flight_by_hash: dict[int, float] = {}
+        oldest_s = now_s - REPORT_VALID_PERIODS * self.remote_report_period_s
+        by_region: dict[str, Counter[int]] = defaultdict(Counter)
         names = set(self._directory.names)
         for name in [n for n in self._last_received_numbers if n not in names]:
             del self._last_received_numbers[name]
@@ -296,17 +357,22 @@
             if name not in names:
                 del self._reports[name]
             elif received_at_s >= oldest_s:
-                for server_hash, count in report.in_flight.items():
-                    in_flight_by_hash[server_hash] = (
-                        in_flight_by_hash.get(server_hash, 0.0) + count
-                    )
-        self._placement.set_peer_requests(
-            now_s,
-            {
-                server_id: in_flight_by_hash.get(short_hash(server_id), 0.0)
-                for server_id in self._table.server_ids
-            },
+                peer = self._directory.peer(name)
+                if peer is not None:
+                    by_region[peer.region].update(report.in_flight)
+        ids = {short_hash(i): i for i in self._table.server_ids}
+        others: Counter[str] = Counter()
+        regional: dict[str, Counter[str]] = defaultdict(Counter)
+        for region, by_hash in by_region.items():
+            for server_hash, count in by_hash.items():
+                if server_hash in ids:
+                    regional[region][ids[server_hash]] = count
+            others.update(regional[region])
+        self._placement.set_peer_requests(now_s, others)
+        regional[self._local_instance.region].update(
+            self._placement.in_flight()
         )
+        self._placement.set_region_requests(now_s, regional)
         self._rate_limiter.refresh(now_s)
 
 
--- a/packages/verbenad/src/verbenad/steering/steering_daemon.py
+++ b/packages/verbenad/src/verbenad/steering/steering_daemon.py
@@ -21,6 +21,7 @@
 from verbenad.request_head import HeadLimits
 from verbenad.steering.crash_tracker import CrashTracker
 from verbenad.steering.peer_exchange import MIN_REPORT_PERIOD_S, PeerExchange
+from verbenad.steering.peer_traffic import PeerTraffic
 from verbenad.steering.platform_client import PlatformClient
 from verbenad.steering.platform_endpoints import (
     EndpointNames,
@@ -142,6 +143,7 @@
         """Start all components and return at once."""
         every = self._timers.every
         every(POOL_CLEANUP_PERIOD_S, self._clean_up)
+        every(5.0, self._log_trial)
         every(LOG_FLUSH_PERIOD_S, self._line_writer.flush)
         every(CHECKPOINT_PERIOD_S, self._write_due_checkpoints)
         self._relay_http_server.start()
@@ -251,6 +253,7 @@
 
     def _build_serving(self, platform: PlatformClient) -> None:
         settings = self._settings
+        self._metrics = Metrics()
         item_log = ItemLog()
         self._update_reader = UpdateReader(
             local_instance=self._local_instance,
@@ -295,6 +298,9 @@
             rate_limiter=self._rate_limiter,
             crash_tracker=self._crash_tracker,
             load=self._load,
+            traffic=PeerTraffic(
+                local_instance=self._local_instance, metrics=self._metrics
+            ),
             is_usable=self._is_usable,
             is_leaving=lambda: self._leaving,
             on_members=self._on_members,
@@ -325,7 +331,6 @@
             cold_requests_per_s=self._cold_requests_per_s,
             now_s=self._now_s,
         )
-        self._metrics = Metrics()
         self._request_log = RequestLog(self._line_writer, self._metrics)
         gateway = SteeringGateway(
             names=self._names.fields,
@@ -426,14 +431,36 @@
 
     def _on_members(self) -> None:
         names = self._peer_exchange.peers.members
-        self._cold_start_limiter.set_instances(names)
+        self._cold_start_limiter.set_instances(
+            names, is_sender=self._peer_exchange.is_active
+        )
         self._retry_budget.set_instances(len(names))
         self._rate_limiter.set_report_period(
-            self._peer_exchange.report_period_s
+            self._peer_exchange.remote_report_period_s
         )
         self._rate_limiter.set_members(self._now_s(), names)
         self._log.info("members changed", extra={"members": len(names)})
 
+    def _log_trial(self) -> None:
+        t = self._peer_exchange._traffic
+        self._log.info(
+            "trial traffic",
+            extra={
+                "b": {"/".join(k): v for k, v in t._bytes.values.items()},
+                "d": {"/".join(k): v for k, v in t._datagrams.values.items()},
+                "active": self._peer_exchange.is_active,
+                "members": len(self._peer_exchange.peers.members),
+                "caps": {
+                    k: v.objects
+                    for k, v in self._placement._cache_capacities.items()
+                },
+                "demand": {
+                    "/".join(k): [round(v.demand, 1), v.share, v.copies]
+                    for k, v in self._placement._region_demand._demands.items()
+                },
+            },
+        )
+
     def _clean_up(self) -> None:
         self._pool.close_expired()
         self._placement.forget_removed_servers(self._table.server_ids)
--- a/packages/verbenad/src/verbenad/steering/workspace_admission.py
+++ b/packages/verbenad/src/verbenad/steering/workspace_admission.py
@@ -23,6 +23,7 @@
 
     :param rate_limiter: local counts of the workspaces' requests.
     :param send: sends a message to the instance with a name.
+    :param on_coordinator_lost: called if a coordinator does not reply.
     """
 
     def __init__(
@@ -30,10 +31,12 @@
         *,
         rate_limiter: WorkspaceRateLimiter,
         send: Callable[[str, object], None],
+        on_coordinator_lost: Callable[[], None],
         now_s: Callable[[], float],
     ) -> None:
         self._rate_limiter = rate_limiter
         self._send = send
+        self._on_coordinator_lost = on_coordinator_lost
         self._now_s = now_s
         self._pending_replies: dict[int, Event] = {}
 
@@ -82,6 +85,7 @@
                 "keeper": self._rate_limiter.coordinator_of(workspace),
             },
         )
+        self._on_coordinator_lost()
         return False
 
     def _send_notice(
--- a/packages/verbenaworks/src/verbenaworks/steering/active_peers.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/active_peers.py
@@ -1,9 +1,9 @@
 """Which instances serve requests and therefore exchange full reports.
 
-In a large fleet most instances are on standby: they get no requests, and
-neither their load nor their use of rates needs to be known. Only instances
-that serve requests exchange full reports. The others get a short heartbeat now
-and then, so that they can direct callers to the right instances.
+In a large fleet most instances are on standby: they get few requests. Only
+instances that serve requests regularly exchange full reports. The others get a
+short heartbeat now and then, so that they can direct callers to the right
+instances and know which ones to ask about the rates of workspaces.
 """
 
 from collections.abc import Iterable
@@ -63,6 +63,13 @@
         """Whether all instances exchange full reports."""
         return len(self._registered) + 1 <= SMALL_FLEET_MAX_INSTANCES
 
+    @property
+    def active_names(self) -> frozenset[str]:
+        """Return the other instances that are known to serve requests."""
+        if self.is_small_fleet:
+            return frozenset(self._registered)
+        return frozenset(self._active)
+
     @property
     def report_recipients(self) -> list[InstanceRecord]:
         """Return the other instances that get full reports."""
--- a/packages/verbenaworks/src/verbenaworks/steering/cold_start_limiter.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/cold_start_limiter.py
@@ -29,9 +29,16 @@
         self._senders: dict[str, tuple[str, ...]] = {}
         self._tokens: dict[str, tuple[float, float]] = {}
 
-    def set_instances(self, names: Iterable[str]) -> None:
-        """Replace the registered instances."""
-        instances = tuple(sorted({*names, self._instance}))
+    def set_instances(
+        self, names: Iterable[str], *, is_sender: bool = True
+    ) -> None:
+        """Replace the instances that share the requests to cold servers.
+
+        :param is_sender: whether this instance is one of them.
+        """
+        own = {self._instance}
+        members = {*names} | own if is_sender else {*names} - own
+        instances = tuple(sorted(members))
         if instances != self._instances:
             self._instances = instances
             self._senders.clear()
@@ -68,6 +75,6 @@
     def _token_count(
         self, now_s: float, server_id: str, per_s: float
     ) -> float:
-        senders = min(SENDERS_PER_SERVER, len(self._instances))
+        senders = max(1, min(SENDERS_PER_SERVER, len(self._instances)))
         tokens, at_s = self._tokens.get(server_id, (BURST_REQUESTS, now_s))
         return min(BURST_REQUESTS, tokens + (now_s - at_s) * per_s / senders)
--- a/packages/verbenaworks/src/verbenaworks/steering/instance_load.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/instance_load.py
@@ -10,7 +10,11 @@
 LINK_MBPS_PER_CORE = 20.0
 # Share of the link's rate that bodies may use.
 MAX_LINK_SHARE = 0.5
-# An instance is active for this long after its last request.
+# An instance becomes active when it gets this many requests per second. A few
+# requests now and then, such as checks of the configuration, do not count.
+MIN_ACTIVE_REQUESTS_PER_S = 4.0
+# It remains active for this long after the rate was last at least this.
+MIN_REMAIN_REQUESTS_PER_S = 1.0
 ACTIVE_S = 10.0
 
 
@@ -37,14 +41,18 @@
         self._requests = 0.0
         self._bytes = 0.0
         self._updated_s = float("-inf")
-        self._last_request_s = float("-inf")
+        self._active_until_s = float("-inf")
 
     def record_request(self, now_s: float, size_bytes: int) -> None:
         """Count a request with the bytes that it moved through the link."""
         self._decay(now_s)
         self._requests += 1.0
         self._bytes += size_bytes
-        self._last_request_s = now_s
+        per_s = self._requests / TIME_CONSTANT_S
+        if per_s >= MIN_ACTIVE_REQUESTS_PER_S or (
+            self.is_active(now_s) and per_s >= MIN_REMAIN_REQUESTS_PER_S
+        ):
+            self.activate(now_s)
 
     def used_capacity(self, now_s: float) -> float:
         """Return the used capacity, in cores."""
@@ -55,9 +63,13 @@
             used = max(used, share * self._capacity)
         return used
 
+    def activate(self, now_s: float) -> None:
+        """Make the instance active, whatever its rate of requests."""
+        self._active_until_s = now_s + ACTIVE_S
+
     def is_active(self, now_s: float) -> bool:
-        """Whether the instance serves requests."""
-        return now_s - self._last_request_s <= ACTIVE_S
+        """Whether the instance serves requests regularly."""
+        return now_s <= self._active_until_s
 
     def _decay(self, now_s: float) -> None:
         elapsed_s = now_s - self._updated_s
--- a/packages/verbenaworks/src/verbenaworks/steering/rate_ledger.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/rate_ledger.py
@@ -24,6 +24,7 @@
     follows_known: bool
     demand_per_s: float = 0.0
     debt: float = 0.0
+    unlisted: float = 0.0
     reported_count: float = 0.0
     granted_at_s: float = float("-inf")
 
@@ -85,18 +86,25 @@
         account.granted_at_s = now_s
 
     def set_demand(
-        self, instance: str, demand_per_s: float, debt: float
+        self,
+        instance: str,
+        *,
+        demand_per_s: float,
+        debt: float,
+        unlisted: float,
     ) -> None:
-        """Record the demand and the debt that an instance reports.
+        """Record the demand and the further use that an instance reports.
 
         :param demand_per_s: requests per second that arrive there.
         :param debt: requests in the window that its previous incarnation may
             have accepted.
+        :param unlisted: requests in the window of instances on standby.
         """
         account = self._accounts.get(instance)
         if account is not None:
             account.demand_per_s = demand_per_s
             account.debt = 0.0 if account.follows_known else debt
+            account.unlisted = unlisted
 
     def end_incarnation(self, instance: str) -> None:
         """Record that an incarnation of an instance has ended."""
@@ -115,9 +123,21 @@
         return account.reported_count if account else 0.0
 
     def used(self, now_s: float) -> float:
-        """Return the counted requests in the window plus the debts."""
+        """Return all requests in the window, as counted or as reported."""
         return self.counted(now_s) + sum(
-            account.debt for account in self._accounts.values()
+            account.debt + account.unlisted
+            for account in self._accounts.values()
+        )
+
+    def unlisted(self, now_s: float, reporting: frozenset[str]) -> float:
+        """Return the requests in the window of instances without reports.
+
+        :param reporting: instances that report their requests to all.
+        """
+        return sum(
+            account.window.count(now_s)
+            for name, account in self._accounts.items()
+            if name not in reporting
         )
 
     def counted(self, now_s: float) -> float:
--- a/packages/verbenaworks/src/verbenaworks/steering/workspace_rate_limiter.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/workspace_rate_limiter.py
@@ -14,6 +14,9 @@
 An unreachable instance is assumed to use at least an even share, so that the
 sides of a network partition stay within the limit together.
 
+Instances on standby do not take part in the reports. They ask a coordinator
+about each of their few requests, and the coordinator reports these as its own.
+
 A restarted instance does not know what its previous incarnation has used. For
 a workspace near its limit, a usage checkpoint in the platform's store holds
 what it has used. Any other workspace is assumed to have used most of its limit
@@ -106,10 +109,14 @@
 
 @dataclass(kw_only=True, slots=True)
 class _WorkspaceUse:
-    """Local and fleet-wide use of one workspace's rate."""
+    """Local and fleet-wide use of one workspace's rate.
+
+    :ivar notified_at_s: when another instance last sent a notice.
+    """
 
     ledger: RateLedger
     local: _LocalUse
+    notified_at_s: float = float("-inf")
     fleet: _FleetUse = field(default_factory=_FleetUse)
 
 
@@ -141,6 +148,8 @@
         self._peers: dict[str, _Peer] = {}
         self._coordinators: dict[str, str] = {}
         self._reachable: frozenset[str] = frozenset({instance})
+        # The instances to ask; empty unless this instance is on standby.
+        self._standby_coordinators: frozenset[str] = frozenset()
         self._last_number = 0
         self._checkpoints: dict[str, UsageCheckpoint] = {}
         # Checkpoints of previous incarnations, which expire with their leases.
@@ -218,6 +227,15 @@
                 use.ledger.end_incarnation(name)
         self.refresh(now_s)
 
+    def set_standby(self, active: frozenset[str]) -> None:
+        """Set the instances that this one asks while it is on standby.
+
+        :param active: the active instances; empty if this one is active too.
+        """
+        if active != self._standby_coordinators:
+            self._standby_coordinators = active
+            self._coordinators.clear()
+
     def record_report(
         self,
         now_s: float,
@@ -239,27 +257,44 @@
                     now_s, peer, incarnation, reported.total, reported.count
                 )
                 use.ledger.set_demand(
-                    peer, reported.demand_per_s, reported.debt
+                    peer,
+                    demand_per_s=reported.demand_per_s,
+                    debt=reported.debt,
+                    unlisted=reported.unlisted,
                 )
 
-    def local_usage(self, now_s: float) -> dict[str, WorkspaceUsage]:
+    def local_usage(
+        self, now_s: float, changed_since_s: float = float("-inf")
+    ) -> dict[str, WorkspaceUsage]:
         """Return the usage report for the other instances.
 
         Unused workspaces are left out. The reported totals are remembered.
+
+        :param changed_since_s: leave out workspaces without a request since
+            this time too.
         """
         report = {}
         for name, use in self._uses.items():
             local = use.local
+            if max(local.demand_at_s, use.notified_at_s) < changed_since_s:
+                continue
             local.reported_total = local.total
             demand_per_s = self._demand(now_s, local)
             count = local.accepted.count(now_s)
             debt = self._previous_use(now_s, self._specs[name])
-            if demand_per_s >= MIN_REPORTED_DEMAND_PER_S or count or debt:
+            unlisted = use.ledger.unlisted(now_s, self._members)
+            if (
+                demand_per_s >= MIN_REPORTED_DEMAND_PER_S
+                or count
+                or debt
+                or unlisted
+            ):
                 report[name] = WorkspaceUsage(
                     total=local.total,
                     count=round(count),
                     debt=round(debt, 1),
                     demand_per_s=round(demand_per_s, 2),
+                    unlisted=unlisted,
                 )
         return report
 
@@ -293,6 +328,8 @@
             self._demand(now_s, local) + 1.0 / DEMAND_TIME_CONSTANT_S
         )
         local.demand_at_s = now_s
+        if self._standby_coordinators:
+            return Admission.ASK_COORDINATOR
         limit = self._limit(spec)
         if self.coordinator_of(workspace) == self._instance:
             if self._used(now_s, spec, use) + 1.0 > limit:
@@ -333,9 +370,8 @@
         """Return the instance that decides near the workspace's limit."""
         coordinator = self._coordinators.get(workspace)
         if coordinator is None:
-            coordinator = first_by_rendezvous(
-                workspace, sorted(self._reachable), 1
-            )[0]
+            names = self._standby_coordinators or self._reachable
+            coordinator = first_by_rendezvous(workspace, sorted(names), 1)[0]
             self._coordinators[workspace] = coordinator
         return coordinator
 
@@ -364,12 +400,14 @@
     ) -> RateAnswer | None:
         """Return the coordinator's answer to a notice.
 
-        There is none if the workspace or the sender is not known.
+        The sender is registered, but may be on standby. There is no answer if
+        the workspace is not known.
         """
         spec = self._specs.get(notice.workspace)
-        if spec is None or notice.name not in self._members:
+        if spec is None:
             return None
         use = self._workspace_use(notice.workspace)
+        use.notified_at_s = now_s
         use.ledger.record_total(
             now_s, notice.name, notice.incarnation, notice.total, notice.count
         )
--- a/packages/verbenaworks/src/verbenaworks/steering/workspace_usage.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/workspace_usage.py
@@ -13,6 +13,8 @@
     :ivar count: those of them that are in the window.
     :ivar debt: requests in the window that the previous incarnation of the
         instance may have accepted.
+    :ivar unlisted: requests in the window that instances on standby have
+        accepted after asking this instance.
     :ivar demand_per_s: requests per second that arrive, accepted or not.
     """
 
@@ -20,3 +22,4 @@
     count: int
     debt: float
     demand_per_s: float
+    unlisted: float = 0.0
--- a/tests/test_workspace_rates.py
+++ b/tests/test_workspace_rates.py
@@ -359,3 +359,96 @@
     assert pauses_s == sorted(pauses_s)
     assert pauses_s[0] < 1.0
     assert pauses_s[-1] <= WINDOW_S / 2
+
+
+class _StandbyFleet:
+    """Two active instances and others that ask them about each request."""
+
+    def __init__(self, standby: int) -> None:
+        self.now_s = 0.0
+        self.specs = {"acme": workspace("acme", 10.0, 10.0)}
+        self.limit = 10.0 * WINDOW_S + 10.0
+        self.active_names = frozenset({"i0", "i1"})
+        self.members = {
+            f"i{number}": self._limiter(f"i{number}")
+            for number in range(2 + standby)
+        }
+        self.accepted: deque[float] = deque()
+
+    def _limiter(self, name: str) -> WorkspaceRateLimiter:
+        limiter = WorkspaceRateLimiter(
+            instance=name,
+            incarnation=1,
+            window_s=WINDOW_S,
+            period_s=REPORT_PERIOD_S,
+        )
+        limiter.set_workspaces(0.0, self.specs)
+        limiter.set_members(0.0, self.active_names | {name})
+        if name not in self.active_names:
+            limiter.set_standby(self.active_names)
+        return limiter
+
+    def exchange_reports(self) -> None:
+        for name in self.active_names:
+            self.members[name].refresh(self.now_s)
+            usage = self.members[name].local_usage(self.now_s)
+            for other in self.active_names - {name}:
+                self.members[other].record_report(self.now_s, name, 1, usage)
+
+    def admit(self, name: str) -> bool:
+        limiter = self.members[name]
+        match limiter.admit(self.now_s, "acme"):
+            case Admission.ACCEPTED:
+                granted = True
+            case Admission.ACCEPTED_AND_NOTIFY:
+                granted = True
+                self._notify(limiter, asks=False)
+            case Admission.ASK_COORDINATOR:
+                granted = self._notify(limiter, asks=True)
+            case _:
+                granted = False
+        if granted:
+            self.accepted.append(self.now_s)
+        while self.accepted and self.accepted[0] <= self.now_s - WINDOW_S:
+            self.accepted.popleft()
+        return granted
+
+    def _notify(self, limiter: WorkspaceRateLimiter, *, asks: bool) -> bool:
+        coordinator = self.members[limiter.coordinator_of("acme")]
+        notice = limiter.make_notice(self.now_s, "acme", asks=asks)
+        reply = coordinator.handle_notice(self.now_s, notice)
+        assert reply is not None
+        limiter.handle_answer(self.now_s, reply, asks)
+        return reply.granted
+
+
+def test_requests_of_instances_on_standby_count() -> None:
+    """Guards against a limit that many idle instances exceed together."""
+    fleet = _StandbyFleet(standby=40)
+    names = sorted(fleet.members)
+    most = 0
+    for step in range(400):
+        fleet.now_s = step * 0.05
+        if step % 8 == 0:
+            fleet.exchange_reports()
+        for offset in range(2):
+            fleet.admit(names[(2 * step + offset) % len(names)])
+        most = max(most, len(fleet.accepted))
+    assert fleet.limit * 0.8 <= most <= fleet.limit * 1.1
+
+
+def test_small_workspace_is_served_by_any_instance() -> None:
+    """Guards against even shares below one request in a large fleet.
+
+    On matunda-lb-large, 309 requests inside their rate were refused on a calm
+    day.
+    """
+    fleet = _StandbyFleet(standby=180)
+    names = sorted(fleet.members)
+    refused = 0
+    for step in range(100):
+        fleet.now_s = step * 0.2
+        if step % 2 == 0:
+            fleet.exchange_reports()
+        refused += not fleet.admit(names[(37 * step) % len(names)])
+    assert refused == 0
