Bound responses without end, and check permissions again before sending

Cause: a response body that never ended, or a response to another request without an end, held a request until its caller closed; a key withdrawn while the body arrived, or while the process was paused, still worked for that request; on a used connection, an error response without a request id could belong to an earlier request.

--- a/packages/verbenad/src/verbenad/attempt_failure.py
+++ b/packages/verbenad/src/verbenad/attempt_failure.py
@@ -21,6 +21,7 @@
     BODY = "body-too-short"
     KEY_IN_PATH = "key-misplaced"
     LINK_FULL = "link-full"
+    PERMISSION_EXPIRED = "not-fresh"
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/packages/verbenad/src/verbenad/forward_request.py
+++ b/packages/verbenad/src/verbenad/forward_request.py
@@ -24,6 +24,8 @@
     :param workspace: workspace to send to the backend server.
     :param work_until_s: monotonic time at which the backend server should
         stop working on the request; None for the attempt's deadline.
+    :param permitted_until_s: monotonic time after which no byte of the request
+        may be sent; None if there is no such time.
     """
 
     request_id: str
@@ -38,3 +40,4 @@
     server_id: str = ""
     workspace: str = ""
     work_until_s: float | None = None
+    permitted_until_s: float | None = None
--- a/packages/verbenad/src/verbenad/forwarder.py
+++ b/packages/verbenad/src/verbenad/forwarder.py
@@ -34,6 +34,8 @@
 from verbenad.upstream_response import ResponseBody, UpstreamResponse
 
 _MAX_INTERIM_RESPONSES = 16
+# A longer response to another request is not worth reading to its end.
+_MAX_SKIPPED_BODY_BYTES = 1 << 20
 # When a send fails, the response that explains why has usually arrived.
 _EARLY_RESPONSE_TIMEOUT_S = 0.5
 _MAX_REFUSAL_BODY_BYTES = 65536
@@ -180,6 +182,7 @@
         self._charge_request(_buffered_bytes(body), may_have_run=False)
         connection = self._connect(address, connection_limit, new_connection)
         connection.stream.sent_any = False
+        self._check_permission(connection)
         self._started_s = self._forwarder.now_s()
         if request.cancellation is not None:
             request.cancellation.on_cancel(connection.stream.shutdown)
@@ -271,11 +274,17 @@
         body, otherwise None.
         """
         stream = connection.stream
+        interim_responses = 0
         while True:
             if stream.has_input():
                 head = self._read_head(connection, self._time_left_s())
                 if head.status >= 200:
                     return head
+                interim_responses += 1
+                if interim_responses > _MAX_INTERIM_RESPONSES:
+                    raise MalformedResponseError(
+                        "too many interim responses came first"
+                    )
                 continue
             try:
                 piece = body.read_some()
@@ -311,18 +320,20 @@
             )
             if head.status < 200:
                 continue
-            if self._matches_request(head):
+            if self._matches_request(connection, head):
                 return head
             self._skip_response(connection, head)
         raise MalformedResponseError(
             "too many interim or unrelated responses came first"
         )
 
-    def _matches_request(self, head: ResponseHead) -> bool:
+    def _matches_request(
+        self, connection: UpstreamConnection, head: ResponseHead
+    ) -> bool:
         """Return whether the response belongs to this request.
 
-        :raises MalformedResponseError: if a successful response has no
-            request id.
+        :raises MalformedResponseError: if a response without a request id is
+            successful, or may belong to an earlier request.
         """
         names = self._forwarder.settings.names
         if not names.echoes_request_id:
@@ -330,7 +341,7 @@
         ids = values_of(head.headers, names.request_id.lower())
         if ids:
             return ids == [self._request.request_id]
-        if head.status < 300:
+        if head.status < 300 or connection.reused:
             raise MalformedResponseError("the response has no request id")
         return True
 
@@ -349,8 +360,15 @@
             stall_s=self._time_left_s(),
             on_end=lambda _read_to_end: None,
         )
-        while body.read_some():
-            pass
+        skipped_bytes = 0
+        while piece := body.read_some():
+            skipped_bytes += len(piece)
+            if skipped_bytes > _MAX_SKIPPED_BODY_BYTES:
+                raise MalformedResponseError(
+                    "a response to another request has no end"
+                )
+            if self._time_left_s() <= 0:
+                raise TimeoutError("no time left to skip a response")
 
     def _next_byte_timeout_s(self, connection: UpstreamConnection) -> float:
         time_left_s = self._time_left_s()
@@ -580,6 +598,17 @@
                 may_have_run=may_have_run,
             )
 
+    def _check_permission(self, connection: UpstreamConnection) -> None:
+        """Check that the request may be sent; the process may have slept."""
+        until_s = self._request.permitted_until_s
+        if until_s is None or self._forwarder.now_s() <= until_s:
+            return
+        self._return_connection(connection, False, False)
+        raise self._make_failure(
+            FailureKind.PERMISSION_EXPIRED,
+            "the configuration was not confirmed in time",
+        )
+
     def _make_failure(
         self, kind: FailureKind, message: str, *, may_have_run: bool = False
     ) -> _AttemptError:
--- a/packages/verbenad/src/verbenad/steering/request_runner.py
+++ b/packages/verbenad/src/verbenad/steering/request_runner.py
@@ -19,6 +19,7 @@
     buffer_response,
 )
 from verbenad.steering.crash_tracker import CrashTracker
+from verbenad.steering.permission_check import PermissionCheck
 from verbenad.steering.request_record import AttemptRecord
 from verbenad.upstream_response import UpstreamResponse
 from verbenaworks.steering.fleet_retry_budget import FleetRetryBudget
@@ -34,9 +35,13 @@
 # A backend server responds with its own error when the deadline passes. This
 # margin leaves one round trip for that response to arrive.
 RESPONSE_MARGIN_S = 0.15
+# A long body that is being passed on may go on for this much longer.
+STREAM_MARGIN_S = 0.4
 # An attempt without a connection does not count against the route's attempts,
 # because the request reached no server. This bounds such attempts instead.
 MAX_CONNECT_RETRIES = 3
+# Pause after a refusal because the configuration was not confirmed in time.
+STALE_RETRY_AFTER_S = 0.3
 # No backend server can respond in less time than this.
 MIN_TIME_LEFT_S = 0.02
 
@@ -85,6 +90,7 @@
         forwarder: Forwarder,
         retry_budget: FleetRetryBudget,
         crash_tracker: CrashTracker,
+        permission_check: PermissionCheck,
         connection_limit: Callable[[str], int],
         cold_requests_per_s: Callable[[str], float],
         now_s: Callable[[], float],
@@ -93,6 +99,7 @@
         self._forwarder = forwarder
         self._retry_budget = retry_budget
         self._crash_tracker = crash_tracker
+        self._permission_check = permission_check
         self._connection_limit = connection_limit
         self._cold_requests_per_s = cold_requests_per_s
         self._now_s = now_s
@@ -109,6 +116,8 @@
         self._retry_budget.record_request(self._now_s(), request.service)
         progress = _Progress()
         while True:
+            if not self._check_permission(request, progress):
+                return self._give_up(request, progress, None)
             placement_request = self._placement_request(request, progress)
             placed = self._placement.choose(
                 self._now_s(),
@@ -127,6 +136,22 @@
             if not self._may_retry(request, progress):
                 return self._give_up(request, progress, None)
 
+    def _check_permission(
+        self, request: AdmittedRequest, progress: _Progress
+    ) -> bool:
+        """Return whether the request may still be sent.
+
+        :raises RefusalError: if it may not, and it was not sent before.
+        """
+        code = self._permission_check.refusal_code(request)
+        if code is None:
+            return True
+        if progress.may_have_run or progress.response is not None:
+            return False
+        raise refusal_error(
+            code, request.request_id, retry_after_s=STALE_RETRY_AFTER_S
+        )
+
     def _placement_request(
         self, request: AdmittedRequest, progress: _Progress
     ) -> PlacementRequest:
@@ -224,7 +249,11 @@
                 ),
                 TimeoutError,
             ):
-                buffered = buffer_response(response)
+                buffered = buffer_response(
+                    response,
+                    end_s=request.deadline_s + STREAM_MARGIN_S,
+                    now_s=self._now_s,
+                )
         except (ResponseTruncatedError, TimeoutError) as error:
             response.body.close()
             load.record_failure(self._now_s())
@@ -279,7 +308,7 @@
             case FailureKind.CONNECT_FAILED:
                 progress.failed_connects += 1
                 load.record_connection_failure(now_s)
-            case FailureKind.CONNECTION_LIMIT:
+            case FailureKind.CONNECTION_LIMIT | FailureKind.PERMISSION_EXPIRED:
                 progress.failed_connects += 1
             case FailureKind.MISDIRECTED:
                 progress.sent_attempts += 1
@@ -356,6 +385,9 @@
             server_id=server_id,
             workspace=request.workspace,
             work_until_s=request.deadline_s,
+            permitted_until_s=self._permission_check.permitted_until_s(
+                request
+            ),
         )
 
     def _is_server_error(self, progress: _Progress) -> bool:
--- a/packages/verbenad/src/verbenad/upstream_pool.py
+++ b/packages/verbenad/src/verbenad/upstream_pool.py
@@ -148,9 +148,18 @@
         self.counters["reset_when_idle"] += 1
 
     def close_expired(self) -> None:
-        """Close connections past the idle timeout; call it regularly."""
+        """Close connections past the idle timeout; call it regularly.
+
+        Connections on which bytes arrived while they were idle are closed
+        too. The bytes belong to no request, and a faulty server may send them
+        without end.
+        """
         oldest_s = self._now_s() - self.settings.idle_timeout_s
         for address, target in list(self._targets.items()):
+            for connection in list(target.idle):
+                if connection.stream.has_input():
+                    target.idle.remove(connection)
+                    self._close(connection, "closed_by_target")
             while target.idle and target.idle[0].idle_since_s < oldest_s:
                 self._close(target.idle.pop(0), "closed_idle")
             if not target.total:
--- a/packages/verbenaworks/src/verbenaworks/steering/config_freshness.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/config_freshness.py
@@ -37,6 +37,13 @@
             return float("inf")
         return now_s - self._confirmed_at_s
 
+    @property
+    def valid_until_s(self) -> float:
+        """Time until which keys may be accepted without a confirmation."""
+        if self._confirmed_at_s is None:
+            return float("-inf")
+        return self._confirmed_at_s + self.max_age_s
+
     def is_valid(self, now_s: float) -> bool:
         """Whether keys may be accepted now."""
         return self.age_s(now_s) <= self.max_age_s
