Derive the serving instances from the registrations

Cause: an instance became active only by requests that it had admitted. Change: the serving set of each region is computed by every instance from the registrations and is active from the start; requests count when they arrive; three replies in a row must be lost; shares start from the number of servers and change by at most 0.03 a second.

--- a/packages/verbenad/src/verbenad/steering/peer_exchange.py
+++ b/packages/verbenad/src/verbenad/steering/peer_exchange.py
@@ -100,6 +100,7 @@
         self._registered: set[tuple[str, int]] = set()
         self._last_received_numbers: dict[str, tuple[int, int]] = {}
         self._was_active = False
+        self._serving_names: frozenset[str] = frozenset()
         self._next_heartbeat_s = float("-inf")
         host, _, port = local_instance.peer_address.rpartition(":")
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -126,7 +127,11 @@
     @property
     def is_active(self) -> bool:
         """Whether this instance takes part in the exchange of reports."""
-        return self.peers.is_small_fleet or self._load.is_active(self._now_s())
+        return (
+            self.peers.is_small_fleet
+            or self._local_instance.name in self._serving_names
+            or self._load.is_active(self._now_s())
+        )
 
     def set_registered(self, records: Iterable[InstanceRecord]) -> None:
         """Replace the registered instances other than this one."""
@@ -134,24 +139,33 @@
         known = self._registered
         self._registered = {(r.name, r.incarnation) for r in records}
         self.peers.set_registered(records)
+        self._update_serving_names()
         if self.is_active:
             # A new incarnation needs this instance's load and usage soon.
             self._send_reports(
                 r for r in records if (r.name, r.incarnation) not in known
             )
 
-    def record_request(self, size_bytes: int) -> None:
-        """Count a request.
+    def record_request(self) -> None:
+        """Count a request that has arrived, whether or not it may run.
 
         An instance that gets requests regularly becomes active; it then sends
         a report to all peers at once.
         """
-        self._load.record_request(self._now_s(), size_bytes)
-        if not self.peers.active_names:
-            # There is no coordinator that could be asked.
-            self._load.activate(self._now_s())
+        self._load.record_request(self._now_s())
         self._update_role()
 
+    def record_body(self, size_bytes: int) -> None:
+        """Count the bytes of a request's body."""
+        self._load.record_body(self._now_s(), size_bytes)
+
+    def _update_serving_names(self) -> None:
+        now_s = self._now_s()
+        if not self.peers.is_small_fleet:
+            self._serving_names = self._directory.serving_names(
+                now_s, self._load.used_capacity(now_s)
+            )
+
     def _activate(self) -> None:
         self._load.activate(self._now_s())
         self._update_role()
@@ -159,9 +173,10 @@
     def _update_role(self) -> None:
         """Join or leave the instances that exchange reports."""
         is_active = self.is_active
-        self._rate_limiter.set_standby(
-            frozenset() if is_active else self.peers.active_names
-        )
+        coordinators: frozenset[str] = frozenset()
+        if not is_active:
+            coordinators = self.peers.active_names or self._serving_names
+        self._rate_limiter.set_standby(coordinators)
         if is_active and not self._was_active:
             self._was_active = True
             self._on_members()
@@ -185,6 +200,7 @@
             )
             eventlet.sleep(period_s)
             try:
+                self._update_serving_names()
                 self._update_role()
                 self._apply_reports()
                 if self.is_active:
--- a/packages/verbenad/src/verbenad/steering/steering_daemon.py
+++ b/packages/verbenad/src/verbenad/steering/steering_daemon.py
@@ -22,6 +22,7 @@
 from verbenad.steering.crash_tracker import CrashTracker
 from verbenad.steering.peer_exchange import MIN_REPORT_PERIOD_S, PeerExchange
 from verbenad.steering.peer_traffic import PeerTraffic
+from verbenad.steering.permission_check import PermissionCheck
 from verbenad.steering.platform_client import PlatformClient
 from verbenad.steering.platform_endpoints import (
     EndpointNames,
@@ -327,6 +328,11 @@
             ),
             retry_budget=self._retry_budget,
             crash_tracker=self._crash_tracker,
+            permission_check=PermissionCheck(
+                state=self._state,
+                key_field=self._names.fields.key.lower(),
+                now_s=self._now_s,
+            ),
             connection_limit=self._connection_limit,
             cold_requests_per_s=self._cold_requests_per_s,
             now_s=self._now_s,
@@ -341,7 +347,8 @@
             runner=runner,
             crash_tracker=self._crash_tracker,
             refuses_new=lambda: self._refuses_new,
-            record_load=self._peer_exchange.record_request,
+            record_arrival=self._peer_exchange.record_request,
+            record_body=self._peer_exchange.record_body,
             log_request=self._request_log.record,
             now_s=self._now_s,
             random=self._random,
--- a/packages/verbenad/src/verbenad/steering/steering_gateway.py
+++ b/packages/verbenad/src/verbenad/steering/steering_gateway.py
@@ -20,7 +20,10 @@
 from verbenad.steering.crash_tracker import CrashTracker
 from verbenad.steering.refusal_format import RefusalFormat
 from verbenad.steering.request_record import RequestRecord
-from verbenad.steering.request_runner import RequestRunner
+from verbenad.steering.request_runner import (
+    STALE_RETRY_AFTER_S,
+    RequestRunner,
+)
 from verbenad.steering.request_trace import RequestTrace
 from verbenad.steering.steering_state import SteeringState
 from verbenaworks.steering.route import Route
@@ -38,7 +41,6 @@
 # A longer deadline is ignored. The timeout of the route then applies, as it
 # does for requests without a deadline.
 MAX_DEADLINE_DIGITS = 9
-STALE_CONFIG_RETRY_AFTER_S = 0.3
 # Backend servers need some seconds to restart after a crash.
 CRASH_RETRY_AFTER_S = 5.0
 
@@ -52,8 +54,8 @@
         the workspace's rate, and counts it if so.
     :param refuses_new: returns whether the instance is about to stop and
         refuses new requests.
-    :param record_load: counts a request and the bytes of its body as load of
-        this instance.
+    :param record_arrival: counts a request as load of this instance.
+    :param record_body: counts the bytes of a body as load of this instance.
     :param log_request: writes the log line of a request.
     """
 
@@ -68,7 +70,8 @@
         runner: RequestRunner,
         crash_tracker: CrashTracker,
         refuses_new: Callable[[], bool],
-        record_load: Callable[[int], None],
+        record_arrival: Callable[[], None],
+        record_body: Callable[[int], None],
         log_request: Callable[[RequestRecord], None],
         now_s: Callable[[], float],
         random: Random,
@@ -85,7 +88,8 @@
         self._runner = runner
         self._crash_tracker = crash_tracker
         self._refuses_new = refuses_new
-        self._record_load = record_load
+        self._record_arrival = record_arrival
+        self._record_body = record_body
         self._log_request = log_request
         self._now_s = now_s
         self._random = random
@@ -127,12 +131,13 @@
         :raises RefusalError: if it may not run.
         """
         request_id = trace.request_id
+        self._record_arrival()
         config = self._state.config
         if config is None:
             raise refusal_error(
                 "not-fresh",
                 request_id,
-                retry_after_s=STALE_CONFIG_RETRY_AFTER_S,
+                retry_after_s=STALE_RETRY_AFTER_S,
             )
         if self._refuses_new():
             raise refusal_error("leaving", request_id, retry_after_s=0.1)
@@ -144,7 +149,7 @@
                 raise refusal_error(
                     "not-fresh",
                     request_id,
-                    retry_after_s=STALE_CONFIG_RETRY_AFTER_S,
+                    retry_after_s=STALE_RETRY_AFTER_S,
                 )
             raise refusal_error("unknown-service", request_id)
         trace.route = route.name
@@ -184,7 +189,7 @@
             raise refusal_error(
                 "not-fresh",
                 request_id,
-                retry_after_s=STALE_CONFIG_RETRY_AFTER_S,
+                retry_after_s=STALE_RETRY_AFTER_S,
             )
         keys = head.values(self._key_field)
         if not keys:
@@ -212,7 +217,7 @@
             )
         if body.exists:
             body.prefetch(MAX_PREFETCH_BYTES)
-        self._record_load(len(body.prefix))
+        self._record_body(len(body.prefix))
         trace.service = self._choose_service(route)
         trace.affinity_key = self._affinity_key(route, head)
         trace.deadline_s = trace.started_s + self._timeout_s(route, head)
--- a/packages/verbenad/src/verbenad/steering/workspace_admission.py
+++ b/packages/verbenad/src/verbenad/steering/workspace_admission.py
@@ -14,6 +14,8 @@
 REPLY_TIMEOUT_S = 0.1
 # The second query is sent because a datagram may be lost.
 MAX_QUERIES = 2
+# Requests in a row without a reply after which the coordinators count as lost.
+MAX_LOST_REPLIES = 3
 
 _log = logbook.Logger("verbenad.rates")
 
@@ -23,7 +25,8 @@
 
     :param rate_limiter: local counts of the workspaces' requests.
     :param send: sends a message to the instance with a name.
-    :param on_coordinator_lost: called if a coordinator does not reply.
+    :param on_coordinator_lost: called if coordinators do not reply several
+        times in a row.
     """
 
     def __init__(
@@ -39,6 +42,7 @@
         self._on_coordinator_lost = on_coordinator_lost
         self._now_s = now_s
         self._pending_replies: dict[int, Event] = {}
+        self._lost_replies = 0
 
     def admit(self, workspace: str) -> bool:
         """Return whether a request fits into its workspace's rate.
@@ -76,6 +80,7 @@
             number = self._send_notice(workspace, asks=True, event=event)
             granted: bool | None = event.wait(REPLY_TIMEOUT_S)
             if granted is not None:
+                self._lost_replies = 0
                 return granted
             self._pending_replies.pop(number, None)
         _log.warning(
@@ -85,7 +90,9 @@
                 "keeper": self._rate_limiter.coordinator_of(workspace),
             },
         )
-        self._on_coordinator_lost()
+        self._lost_replies += 1
+        if self._lost_replies >= MAX_LOST_REPLIES:
+            self._on_coordinator_lost()
         return False
 
     def _send_notice(
--- a/packages/verbenaworks/src/verbenaworks/steering/instance_directory.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/instance_directory.py
@@ -175,6 +175,26 @@
         records = serving_set([m.record for m in candidates], load)
         return sorted(r.caller_address for r in records[:MAX_ADDRESSES])
 
+    def serving_names(
+        self, now_s: float, own_load: float = 0.0
+    ) -> frozenset[str]:
+        """Return the instances that callers of all regions should use.
+
+        All instances derive them alike from the registrations, so that those
+        that serve are known before the first request.
+        """
+        by_region: dict[str, list[_Member]] = {}
+        own = _Member(record=self._own, load=own_load)
+        for member in (own, *self._members.values()):
+            if not member.leaving:
+                by_region.setdefault(member.record.region, []).append(member)
+        names: set[str] = set()
+        for region, members in by_region.items():
+            load = self._peak(now_s, region, sum(m.load for m in members))
+            records = serving_set([m.record for m in members], load)
+            names.update(record.name for record in records)
+        return frozenset(names)
+
     def _peak(self, now_s: float, region: str, load: float) -> float:
         """Return the load of a region, or its decaying peak if higher."""
         peak = self._peaks.get(region)
--- a/packages/verbenaworks/src/verbenaworks/steering/instance_load.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/instance_load.py
@@ -43,11 +43,15 @@
         self._updated_s = float("-inf")
         self._active_until_s = float("-inf")
 
-    def record_request(self, now_s: float, size_bytes: int) -> None:
-        """Count a request with the bytes that it moved through the link."""
+    def record_body(self, now_s: float, size_bytes: int) -> None:
+        """Count bytes that a request moved through the link."""
         self._decay(now_s)
-        self._requests += 1.0
         self._bytes += size_bytes
+
+    def record_request(self, now_s: float, size_bytes: int = 0) -> None:
+        """Count a request with the bytes that it moved through the link."""
+        self.record_body(now_s, size_bytes)
+        self._requests += 1.0
         per_s = self._requests / TIME_CONSTANT_S
         if per_s >= MIN_ACTIVE_REQUESTS_PER_S or (
             self.is_active(now_s) and per_s >= MIN_REMAIN_REQUESTS_PER_S
--- a/packages/verbenaworks/src/verbenaworks/steering/placement.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/placement.py
@@ -435,16 +435,20 @@
             # reason to serve an object elsewhere, where it is not cached too.
             cached_ratio = self._times.cached_ratio(service)
             cached_objects = self._cache_capacity(service).objects
-            for region in {server.region for server in servers}:
+            regions = {server.region for server in servers}
+            mean_slots = sum(s.slots for s in servers) / len(regions)
+            for region in sorted(regions):
                 by_server = by_region.get(region, {})
                 local = [s for s in servers if s.region == region]
+                slots = sum(server.slots for server in local)
                 self._region_demand.update(
                     now_s,
                     region,
                     service,
                     demand=cached_ratio
                     * sum(by_server.get(s.server_id, 0.0) for s in servers),
-                    slots=sum(server.slots for server in local),
+                    slots=slots,
+                    slots_share=slots / mean_slots,
                     # Regions are assumed to have as many objects as this one.
                     objects=recent.count(now_s) if recent else 0,
                     cached_objects=len(local) * cached_objects,
--- a/packages/verbenaworks/src/verbenaworks/steering/region_demand.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/region_demand.py
@@ -3,7 +3,7 @@
 A region with few servers cannot serve all of its requests, or cannot keep the
 data of all their objects cached. The instances agree on the share of a
 region's objects that are served in the region, from the demand that they
-report to one another. The share has few values, so that few objects move.
+report to one another. The share changes slowly, so that few objects move.
 """
 
 import math
@@ -14,18 +14,20 @@
 # Use of the region's slots and caches up to which objects stay in the region.
 MAX_SLOT_USE = 0.6
 MAX_CACHE_USE = 0.6
-# A share is one of these values, so that instances with slightly different
-# figures use the same one.
-SHARES = (1.0, 0.75, 0.55, 0.4, 0.3, 0.2, 0.1)
-# The share grows only if the next value fits with this margin.
-GROWTH_MARGIN = 1.15
+# Use of the fleet's slots that is assumed before the demand is known.
+INITIAL_SLOT_USE = 0.5
+# Change of a share per second. A faster one would move many requests to other
+# regions at once.
+MAX_CHANGE_PER_S = 0.03
+# Part of a share by which it may differ from the wanted one.
+TOLERANCE = 0.1
 
 
 @dataclass(kw_only=True, slots=True)
 class _ServiceDemand:
     updated_s: float
+    share: float
     demand: float = 0.0
-    share: float = 1.0
     copies: int = 1
 
 
@@ -43,6 +45,7 @@
         *,
         demand: float,
         slots: int,
+        slots_share: float,
         objects: int,
         cached_objects: float,
     ) -> None:
@@ -50,12 +53,17 @@
 
         :param demand: slots that the region's requests use in all regions.
         :param slots: slots of the region's servers.
+        :param slots_share: these slots as a multiple of the mean of all
+            regions.
         :param objects: objects that the region's requests concern.
         :param cached_objects: objects that the region's servers keep cached.
         """
-        state = self._demands.setdefault(
-            (region, service), _ServiceDemand(updated_s=now_s)
-        )
+        state = self._demands.get((region, service))
+        if state is None:
+            share = MAX_SLOT_USE * slots_share / INITIAL_SLOT_USE
+            state = self._demands[(region, service)] = _ServiceDemand(
+                updated_s=now_s, share=min(1.0, share)
+            )
         elapsed_s = now_s - state.updated_s
         state.updated_s = now_s
         new_share = 1.0 - math.exp(-elapsed_s / DEMAND_TIME_CONSTANT_S)
@@ -65,8 +73,9 @@
         wanted = min(
             1.0, MAX_SLOT_USE * slots / max(state.demand, 0.1), cache_share
         )
-        if wanted < state.share or wanted > GROWTH_MARGIN * state.share:
-            state.share = _fitting_share(wanted, state.share)
+        if abs(wanted - state.share) > TOLERANCE * state.share:
+            change = MAX_CHANGE_PER_S * elapsed_s
+            state.share += max(-change, min(change, wanted - state.share))
 
     def local_copies(self, region: str, service: str) -> int:
         """Return at how many of its servers a region can cache an object."""
@@ -77,12 +86,3 @@
         """Return the share of its objects that a region serves itself."""
         state = self._demands.get((region, service))
         return state.share if state else 1.0
-
-
-def _fitting_share(wanted: float, current: float) -> float:
-    """Return the largest share that fits, with a margin if it grows."""
-    for share in SHARES:
-        margin = GROWTH_MARGIN if share > current else 1.0
-        if share == 1.0 and wanted >= 1.0 or share * margin <= wanted:
-            return share
-    return SHARES[-1]
