Let a resent order wait for the answer that is being reported

Cause: the end of an attempt reaches the owner of its key a moment after the caller has the answer. Change: while another attempt runs, the claim is repeated each 0.1 s within its share of the time left.

--- a/packages/verbenad/src/verbenad/run_claims.py
+++ b/packages/verbenad/src/verbenad/run_claims.py
@@ -35,6 +35,8 @@
 
 CLAIM_RESEND_INTERVAL_S = 0.25
 REPORT_RESEND_INTERVAL_S = 0.5
+# Interval of claims while another attempt runs.
+STILL_RUNNING_INTERVAL_S = 0.1
 MAX_REPORT_SENDS = 20
 # A generation lasts 600 s and its tickets are accepted for six generations,
 # so a new generation need not be known at once.
@@ -162,6 +164,26 @@
             del self._waiting[request.attempt_id]
         return None
 
+    def claim_after_end(
+        self, request: ClaimRun, deadline_s: float
+    ) -> ClaimReply | None:
+        """Return the reply once no other attempt runs.
+
+        The end of an attempt reaches the owner a moment after the caller has
+        its answer. A caller that sends the request again at once gets the
+        same answer and not the news that the request is still running.
+
+        :returns: ``StillRunning`` if another attempt runs until the deadline.
+        """
+        while True:
+            reply = self.claim(request, deadline_s)
+            left_s = deadline_s - self._now_s()
+            if not isinstance(reply, StillRunning) or left_s <= 0:
+                return reply
+            eventlet.sleep(min(STILL_RUNNING_INTERVAL_S, left_s))
+            if self._now_s() >= deadline_s:
+                return reply
+
     def report(self, report: RunReport) -> None:
         """Send the end of an attempt until the owner acknowledges it."""
         self._unreported.add(report.attempt_id)
--- a/packages/verbenad/src/verbenad/run_guard.py
+++ b/packages/verbenad/src/verbenad/run_guard.py
@@ -123,7 +123,7 @@
             key=scoped_key, attempt_id=secrets.token_hex(8), ticket=ticket
         )
         deadline_s = now_s + (call.deadline_s - now_s) * _CLAIM_TIME_SHARE
-        reply = self._claims.claim(
+        reply = self._claims.claim_after_end(
             ClaimRun(
                 shard=ticket.shard,
                 epoch=ticket.epoch,
