--- /dev/null
+++ b/packages/verbenad/src/verbenad/steering/instance_gauges.py
@@ -0,0 +1,50 @@
+"""Gauges of an entry instance."""
+
+from collections.abc import Callable
+
+from verbenad.metrics import Metrics
+from verbenaworks.steering.steering_config import SteeringConfig
+
+MAX_SHOWN_AGE_S = 1e6
+
+
+def declare_gauges(
+    metrics: Metrics,
+    *,
+    config: Callable[[], SteeringConfig | None],
+    config_age_s: Callable[[], float],
+    running_requests: Callable[[], int],
+    backend_servers: Callable[[], int],
+    dropped_log_lines: Callable[[], int],
+) -> None:
+    """Declare the gauges, which are read when the metrics are rendered."""
+
+    def config_version() -> float:
+        current = config()
+        return float(current.version if current else 0)
+
+    metrics.gauge_source(
+        "verbenad_config_version",
+        "Version of the operator's document in force.",
+        config_version,
+    )
+    metrics.gauge_source(
+        "verbenad_config_age_seconds",
+        "Age of the last proof that the version is in force.",
+        lambda: min(MAX_SHOWN_AGE_S, config_age_s()),
+    )
+    metrics.gauge_source(
+        "verbenad_requests_running",
+        "Connections of callers with a request in progress.",
+        lambda: float(running_requests()),
+    )
+    metrics.gauge_source(
+        "verbenad_backend_servers",
+        "Backend servers that the platform lists.",
+        lambda: float(backend_servers()),
+    )
+    metrics.gauge_source(
+        "verbenad_log_lines_dropped_total",
+        "Log lines lost because standard output stalled.",
+        lambda: float(dropped_log_lines()),
+    )
--- a/packages/verbenad/src/verbenad/steering/steering_daemon.py
+++ b/packages/verbenad/src/verbenad/steering/steering_daemon.py
@@ -20,6 +20,7 @@
 from verbenad.request_body import BodyLimits
 from verbenad.request_head import HeadLimits
 from verbenad.steering.crash_tracker import CrashTracker
+from verbenad.steering.instance_gauges import declare_gauges
 from verbenad.steering.peer_exchange import MIN_REPORT_PERIOD_S, PeerExchange
 from verbenad.steering.peer_traffic import PeerTraffic
 from verbenad.steering.permission_check import PermissionCheck
@@ -144,7 +145,6 @@
         """Start all components and return at once."""
         every = self._timers.every
         every(POOL_CLEANUP_PERIOD_S, self._clean_up)
-        every(5.0, self._log_trial)
         every(LOG_FLUSH_PERIOD_S, self._line_writer.flush)
         every(CHECKPOINT_PERIOD_S, self._write_due_checkpoints)
         self._relay_http_server.start()
@@ -366,7 +366,14 @@
 
     def _build_endpoints(self) -> None:
         settings = self._settings
-        self._declare_gauges()
+        declare_gauges(
+            self._metrics,
+            config=lambda: self._state.config,
+            config_age_s=lambda: self._state.freshness.age_s(self._now_s()),
+            running_requests=lambda: len(self._caller_http_server.running),
+            backend_servers=lambda: len(self._table),
+            dropped_log_lines=lambda: self._line_writer.dropped_lines,
+        )
         endpoints = PlatformEndpoints(
             names=self._names.endpoints,
             lookup=self._lookup,
@@ -393,36 +400,6 @@
                 )
             )
 
-    def _declare_gauges(self) -> None:
-        gauge = self._metrics.gauge_source
-        gauge(
-            "verbenad_config_version",
-            "Version of the operator's document in force.",
-            lambda: float(
-                self._state.config.version if self._state.config else 0
-            ),
-        )
-        gauge(
-            "verbenad_config_age_seconds",
-            "Age of the last proof that the version is in force.",
-            lambda: min(1e6, self._state.freshness.age_s(self._now_s())),
-        )
-        gauge(
-            "verbenad_requests_running",
-            "Connections of callers with a request in progress.",
-            lambda: float(len(self._caller_http_server.running)),
-        )
-        gauge(
-            "verbenad_backend_servers",
-            "Backend servers that the platform lists.",
-            lambda: float(len(self._table)),
-        )
-        gauge(
-            "verbenad_log_lines_dropped_total",
-            "Log lines lost because standard output stalled.",
-            lambda: float(self._line_writer.dropped_lines),
-        )
-
     def _on_config(self, config: SteeringConfig) -> None:
         self._rate_limiter.set_workspaces(self._now_s(), config.workspaces)
         self._caller_http_server.limits = self._caller_limits(config)
@@ -448,26 +425,6 @@
         self._rate_limiter.set_members(self._now_s(), names)
         self._log.info("members changed", extra={"members": len(names)})
 
-    def _log_trial(self) -> None:
-        t = self._peer_exchange._traffic
-        self._log.info(
-            "trial traffic",
-            extra={
-                "b": {"/".join(k): v for k, v in t._bytes.values.items()},
-                "d": {"/".join(k): v for k, v in t._datagrams.values.items()},
-                "active": self._peer_exchange.is_active,
-                "members": len(self._peer_exchange.peers.members),
-                "caps": {
-                    k: v.objects
-                    for k, v in self._placement._cache_capacities.items()
-                },
-                "demand": {
-                    "/".join(k): [round(v.demand, 1), v.share, v.copies]
-                    for k, v in self._placement._region_demand._demands.items()
-                },
-            },
-        )
-
     def _clean_up(self) -> None:
         self._pool.close_expired()
         self._placement.forget_removed_servers(self._table.server_ids)
--- a/packages/verbenaworks/src/verbenaworks/steering/placement.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/placement.py
@@ -12,12 +12,15 @@
 capacity.
 """
 
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable, Mapping
 from random import Random
 
-from verbenaworks.steering.affinity_order import AffinityOrder, ObjectKey
 from verbenaworks.steering.backend_server import BackendServer
 from verbenaworks.steering.cache_capacity import CacheCapacity
+from verbenaworks.steering.candidate_servers import (
+    CandidateServers,
+    object_key,
+)
 from verbenaworks.steering.cold_start_limiter import ColdStartLimiter
 from verbenaworks.steering.overload_detector import OverloadDetector
 from verbenaworks.steering.placement_result import (
@@ -26,22 +29,13 @@
     PlacementRequest,
     RefusalReason,
 )
-from verbenaworks.steering.recent_objects import RecentObjects
-from verbenaworks.steering.region_demand import RegionDemand
 from verbenaworks.steering.server_load import ServerLoad
 from verbenaworks.steering.server_table import ServerTable
 from verbenaworks.steering.service_times import TRACKED_RANKS, ServiceTimes
+from verbenaworks.steering.wait_limits import WaitLimits
 
 # The first servers of the rendezvous order, which are always compared.
 PREFERRED_CANDIDATES = 3
-# Servers of the order that are compared if the preferred ones are busy.
-RANKED_CANDIDATES = 6
-# Servers of the local region, or of the local failure domain for large bodies,
-# that are compared if the request has no affinity key.
-NEAR_CANDIDATES = 4
-# Servers drawn at random in addition, so that free servers are found in a
-# large service whose first choices are all busy.
-RANDOM_CANDIDATES = 2
 # Round trips to another failure domain and to another region. Only their order
 # of magnitude matters in comparison with service times.
 CROSS_DOMAIN_RTT_S = 0.003
@@ -52,20 +46,12 @@
 # Cost of crossing regions besides the time that it takes: the links between
 # them carry the requests of all instances.
 CROSS_REGION_COST_S = 0.030
-# Bodies of at least this size use a separate server order in each domain.
-LARGE_BODY_BYTES = 16_384
 # Least slowdown that is assumed for a server in its cold start.
 COLD_START_SLOWDOWN = 2.0
 # A server that is slower than this is not used to learn cache sizes.
 MAX_LEARNING_SLOWDOWN = 1.5
 # Expected cost of a failed request, which must be retried, in service times.
 FAILURE_COST_SERVICE_TIMES = 3.0
-# Wait that is always allowed, as a share of the latency objective.
-MIN_WAIT_SHARE = 0.25
-# Under sustained overload, the service time is assumed to be this many times
-# the usual one, and a wait of the given share of the objective is allowed.
-STRICT_SERVICE_TIME_FACTOR = 1.6
-MIN_STRICT_WAIT_SHARE = 0.1
 # Share of its slots up to which a server counts as having slots to spare.
 MAX_SPARE_USE = 0.67
 # Shortest pause after a refusal: the time in which a slot becomes free.
@@ -96,12 +82,19 @@
         self._cold_start_limiter = cold_start_limiter
         self._random = random
         self._loads: dict[str, ServerLoad] = {}
-        self._order = AffinityOrder(
-            region=region, failure_domain=failure_domain, table=table
+        self._wait_limits = WaitLimits(times)
+        self._candidates = CandidateServers(
+            region=region,
+            failure_domain=failure_domain,
+            table=table,
+            times=times,
+            load_of=self.load_of,
+            cached_objects=lambda service: (
+                self._cache_capacity(service).objects
+            ),
+            random=random,
         )
-        self._region_demand = RegionDemand()
         self._cache_capacities: dict[str, CacheCapacity] = {}
-        self._recent_objects: dict[str, RecentObjects] = {}
         self._overloads: dict[str, OverloadDetector] = {}
         self._serving_since_s: float | None = None
         # Server incarnations that need no first request from this instance.
@@ -208,8 +201,8 @@
         best_cost_s = 0.0
         reason = RefusalReason.NO_SERVER
         overload = self._overload(request.service)
-        max_wait_s = self._max_wait_s(request)
-        candidates = self._candidates(now_s, request)
+        max_wait_s = self._wait_limits.max_wait_s(request)
+        candidates = self._candidates.candidates(now_s, request)
         for number, (rank, server) in enumerate(candidates):
             if (
                 number >= PREFERRED_CANDIDATES
@@ -249,7 +242,7 @@
     ) -> PlacementRefused | None:
         """Return a refusal if not even the best server is good enough."""
         overload = self._overload(request.service)
-        max_wait_s = self._max_wait_s(request)
+        max_wait_s = self._wait_limits.max_wait_s(request)
         late = best.wait_s > max_wait_s
         if not request.tried_servers:
             overload.observe(now_s, late)
@@ -267,7 +260,8 @@
         )
         is_excess = (
             overload.is_sustained
-            and best.wait_s > self._strict_max_wait_s(request, best.server)
+            and best.wait_s
+            > self._wait_limits.strict_max_wait_s(request, best.server)
         )
         if not misses_deadline and not is_excess:
             return None
@@ -287,7 +281,7 @@
         The preferred servers of an object may be busy while others are idle.
         There the response is late, but the data is cached for the next one.
         """
-        for rank, server in self._candidates(now_s, request):
+        for rank, server in self._candidates.candidates(now_s, request):
             load = self.load_of(server).load(now_s)
             if load + 1 > MAX_SPARE_USE * server.slots:
                 continue
@@ -300,47 +294,6 @@
                 return placed
         return None
 
-    def _max_wait_s(self, request: PlacementRequest) -> float:
-        """Return the longest wait that meets the latency objective.
-
-        It does not depend on the expected service time of this request:
-        otherwise requests without an affinity key, or on a new route, would
-        be refused more often than others.
-        """
-        route = request.route
-        cached_s = self._times.cached_s(
-            route.name, request.service, route.latency_objective_s
-        )
-        return max(
-            route.latency_objective_s - cached_s,
-            MIN_WAIT_SHARE * route.latency_objective_s,
-        )
-
-    def _strict_max_wait_s(
-        self, request: PlacementRequest, server: BackendServer
-    ) -> float:
-        """Return a wait that meets the latency objective with a margin.
-
-        Waits are estimates; under sustained overload they are too low as
-        often as too high. One request may always wait for a slot, so that
-        slots do not stay free until the next request arrives.
-        """
-        route = request.route
-        cached_s = self._times.cached_s(
-            route.name, request.service, route.latency_objective_s
-        )
-        strict_wait_s = max(
-            route.latency_objective_s - STRICT_SERVICE_TIME_FACTOR * cached_s,
-            MIN_STRICT_WAIT_SHARE * route.latency_objective_s,
-        )
-        mean_s = self._times.mean_s(
-            route.name, request.service, route.latency_objective_s
-        )
-        return min(
-            self._max_wait_s(request),
-            max(strict_wait_s, mean_s / server.slots),
-        )
-
     def _overload(self, service: str) -> OverloadDetector:
         overload = self._overloads.get(service)
         if overload is None:
@@ -371,7 +324,7 @@
         at_server_s = max(0.001, took_s - rtt_s)
         load.record_success(now_s, took_s / max(0.001, placed.predicted_s))
         if request.affinity_key:
-            load.record_object(_object_key(request).text)
+            load.record_object(object_key(request).text)
         self._times.observe_mean(
             request.route.name,
             request.service,
@@ -429,39 +382,7 @@
         :param by_region: number of requests by region of the sender and
             server id, those of this instance included.
         """
-        for service, servers in self._table.usable_by_service.items():
-            recent = self._recent_objects.get(service)
-            # Requests whose data is not cached take longer. They are no
-            # reason to serve an object elsewhere, where it is not cached too.
-            cached_ratio = self._times.cached_ratio(service)
-            cached_objects = self._cache_capacity(service).objects
-            regions = {server.region for server in servers}
-            mean_slots = sum(s.slots for s in servers) / len(regions)
-            for region in sorted(regions):
-                by_server = by_region.get(region, {})
-                local = [s for s in servers if s.region == region]
-                slots = sum(server.slots for server in local)
-                self._region_demand.update(
-                    now_s,
-                    region,
-                    service,
-                    demand=cached_ratio
-                    * sum(by_server.get(s.server_id, 0.0) for s in servers),
-                    slots=slots,
-                    slots_share=slots / mean_slots,
-                    # Regions are assumed to have as many objects as this one.
-                    objects=recent.count(now_s) if recent else 0,
-                    cached_objects=len(local) * cached_objects,
-                )
-
-    def _full_regions(self, service: str) -> frozenset[str]:
-        """Return the regions that cannot serve all of their own objects."""
-        regions = {s.region for s in self._table.usable(service)}
-        return frozenset(
-            region
-            for region in regions
-            if self._region_demand.local_share(region, service) < 1.0
-        )
+        self._candidates.set_region_requests(now_s, by_region)
 
     def forget_removed_servers(self, server_ids: Iterable[str]) -> None:
         """Delete the data about servers that no longer exist.
@@ -488,7 +409,7 @@
         key = (route.name, request.service, route.latency_objective_s)
         objects_since = None
         if rank is not None:
-            objects_since = load.objects_since(_object_key(request).text)
+            objects_since = load.objects_since(object_key(request).text)
         cached = (
             objects_since is not None
             and objects_since < self._cache_capacity(request.service).objects
@@ -563,105 +484,3 @@
         if server.region == self._region:
             return CROSS_DOMAIN_RTT_S
         return CROSS_REGION_RTT_S
-
-    def _candidates(
-        self, now_s: float, request: PlacementRequest
-    ) -> list[tuple[int | None, BackendServer]]:
-        """Return the servers to compare, each with its rank in the order.
-
-        The rank is none if the request has no affinity key.
-        """
-        if not request.affinity_key:
-            sampled = self._sample(request, self._available(now_s, request))
-            return [(None, server) for server in sampled]
-        key = _object_key(request)
-        recent = self._recent_objects.setdefault(
-            request.service, RecentObjects()
-        )
-        recent.add(now_s, key.text)
-        order = self._order.servers(
-            key,
-            local_share=self._region_demand.local_share(
-                self._region, request.service
-            ),
-            local_copies=self._region_demand.local_copies(
-                self._region, request.service
-            ),
-            full_regions=self._full_regions(request.service),
-        )
-        ranked = [s for s in order if self._is_available(now_s, request, s)]
-        if not ranked:
-            # The preferred servers are down. All others have the last rank.
-            available = self._available(now_s, request)
-            drawn = self._draw(available, RANKED_CANDIDATES)
-            return [(RANKED_CANDIDATES, server) for server in drawn]
-        candidates: list[tuple[int | None, BackendServer]] = []
-        candidates += enumerate(ranked[:RANKED_CANDIDATES])
-        drawn = self._draw(
-            self._table.usable(request.service), RANDOM_CANDIDATES
-        )
-        for server in drawn:
-            if server not in ranked and self._is_available(
-                now_s, request, server
-            ):
-                candidates.append((RANKED_CANDIDATES, server))
-        return candidates
-
-    def _is_available(
-        self, now_s: float, request: PlacementRequest, server: BackendServer
-    ) -> bool:
-        """Whether a server may get the request and is not known to be down."""
-        return _is_allowed(request, server) and not self.load_of(
-            server
-        ).is_down(now_s)
-
-    def _available(
-        self, now_s: float, request: PlacementRequest
-    ) -> list[BackendServer]:
-        """Return all servers that may get the request."""
-        allowed = [
-            server
-            for server in self._table.usable(request.service)
-            if _is_allowed(request, server)
-        ]
-        up = [s for s in allowed if not self.load_of(s).is_down(now_s)]
-        # If all are down, they are tried anyway: a failed connection attempt
-        # costs little, and the next one may succeed.
-        return up or allowed
-
-    def _sample(
-        self, request: PlacementRequest, usable: list[BackendServer]
-    ) -> list[BackendServer]:
-        """Return random servers for a request without an affinity key."""
-        if request.body_bytes >= LARGE_BODY_BYTES:
-            near = [
-                s for s in usable if s.failure_domain == self._failure_domain
-            ]
-        else:
-            near = [s for s in usable if s.region == self._region]
-        return self._draw(near, NEAR_CANDIDATES) + self._draw(
-            usable, RANKED_CANDIDATES - NEAR_CANDIDATES
-        )
-
-    def _draw(
-        self, servers: Sequence[BackendServer], count: int
-    ) -> list[BackendServer]:
-        return self._random.sample(servers, min(count, len(servers)))
-
-
-def _is_allowed(request: PlacementRequest, server: BackendServer) -> bool:
-    """Whether the request may run on a server and was not sent to it yet."""
-    home_regions = request.home_regions
-    return server.server_id not in request.tried_servers and (
-        not home_regions or server.region in home_regions
-    )
-
-
-def _object_key(request: PlacementRequest) -> ObjectKey:
-    return ObjectKey(
-        service=request.service,
-        route=request.route.name,
-        affinity_key=request.affinity_key,
-        home_regions=request.home_regions,
-        is_large=request.body_bytes >= LARGE_BODY_BYTES,
-    )
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -12,6 +12,7 @@
 from edge_process import BackendConnection, RawBackend, raw_backend
 from verbenad.attempt_failure import AttemptFailure, FailureKind
 from verbenad.cancellation import Cancellation
+from verbenad.field_names import FieldNames
 from verbenad.forward_request import ForwardRequest
 from verbenad.forwarder import Forwarder, ForwarderSettings
 from verbenad.http_syntax import Headers
@@ -719,3 +720,22 @@
         )
         with pytest.raises(ResponseTruncatedError, match="link"):
             _body(outcome)
+
+
+def test_response_without_an_id_on_a_used_connection() -> None:
+    """Guards against an error response that belongs to an earlier request."""
+
+    def handle(connection: BackendConnection, number: int) -> None:
+        connection.read_request()
+        connection.send(
+            b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 0\r\n\r\n"
+        )
+        connection.read_request()
+        connection.send(b"HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n")
+
+    names = FieldNames(request_id="Request-Id", echoes_request_id=True)
+    forwarder = Forwarder(UpstreamPool(), ForwarderSettings(names=names))
+    with raw_backend(handle) as backend:
+        assert _body(_attempt(forwarder, backend.address)) == b""
+        failure = _failure_of(_attempt(forwarder, backend.address))
+    assert failure.kind is FailureKind.MALFORMED_ANSWER
