Tell all instances when one stops serving

Change: serving starts a second after the first registrations; the end of it goes to all instances three times; instances that should serve are members.

--- a/packages/verbenad/src/verbenad/steering/peer_exchange.py
+++ b/packages/verbenad/src/verbenad/steering/peer_exchange.py
@@ -32,6 +32,12 @@
 HEARTBEAT_PERIOD_S = 1.0
 # The same for standby instances, whose failure callers do not notice.
 STANDBY_HEARTBEAT_PERIOD_S = 20.0
+# An instance that stops serving tells all the others in this many rounds,
+# because a datagram may be lost.
+STANDBY_NOTICES = 3
+# The registrations of a fleet that starts arrive in this time. Before, an
+# instance may wrongly find itself among those that should serve.
+REGISTRATIONS_SETTLE_S = 1.0
 # Instances of other regions get one report in this many: they share few
 # servers with this one, and links between regions are paid for.
 REMOTE_REPORT_INTERVAL = 2
@@ -101,6 +107,8 @@
         self._last_received_numbers: dict[str, tuple[int, int]] = {}
         self._was_active = False
         self._serving_names: frozenset[str] = frozenset()
+        self._first_registered_s = float("inf")
+        self._standby_notices_left = 0
         self._next_heartbeat_s = float("-inf")
         host, _, port = local_instance.peer_address.rpartition(":")
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -127,15 +135,23 @@
     @property
     def is_active(self) -> bool:
         """Whether this instance takes part in the exchange of reports."""
+        now_s = self._now_s()
+        is_settled = now_s - self._first_registered_s >= REGISTRATIONS_SETTLE_S
         return (
             self.peers.is_small_fleet
-            or self._local_instance.name in self._serving_names
-            or self._load.is_active(self._now_s())
+            or (
+                is_settled and self._local_instance.name in self._serving_names
+            )
+            or self._load.is_active(now_s)
         )
 
     def set_registered(self, records: Iterable[InstanceRecord]) -> None:
         """Replace the registered instances other than this one."""
         records = list(records)
+        if records:
+            self._first_registered_s = min(
+                self._first_registered_s, self._now_s()
+            )
         known = self._registered
         self._registered = {(r.name, r.incarnation) for r in records}
         self.peers.set_registered(records)
@@ -165,6 +181,7 @@
             self._serving_names = self._directory.serving_names(
                 now_s, self._load.used_capacity(now_s)
             )
+            self.peers.set_serving(self._serving_names)
 
     def _activate(self) -> None:
         self._load.activate(self._now_s())
@@ -179,6 +196,7 @@
         self._rate_limiter.set_standby(coordinators)
         if is_active and not self._was_active:
             self._was_active = True
+            self._standby_notices_left = 0
             self._on_members()
             self._send_reports(self._directory.peers)
 
@@ -207,9 +225,11 @@
                     self._send_periodic_report()
                 elif self._was_active:
                     self._was_active = False
+                    self._standby_notices_left = STANDBY_NOTICES
                     self._on_members()
-                    self._next_heartbeat_s = self._now_s()
-                    self._send_reports(self.peers.report_recipients)
+                if self._standby_notices_left:
+                    self._standby_notices_left -= 1
+                    self._send_heartbeat_to(self._directory.peers)
                 if self._now_s() >= self._next_heartbeat_s:
                     self._send_heartbeats()
             except Exception:
@@ -243,8 +263,11 @@
             else STANDBY_HEARTBEAT_PERIOD_S
         )
         self._next_heartbeat_s = self._now_s() + period_s
+        self._send_heartbeat_to(self.peers.heartbeat_recipients())
+
+    def _send_heartbeat_to(self, peers: Iterable[InstanceRecord]) -> None:
         data = encode(self._make_heartbeat())
-        for peer in self.peers.heartbeat_recipients():
+        for peer in peers:
             self._send_to(peer, PeerBeat.__name__, data)
 
     def _make_heartbeat(self) -> PeerBeat:
--- a/packages/verbenaworks/src/verbenaworks/steering/active_peers.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/active_peers.py
@@ -26,6 +26,7 @@
         self._own = own
         self._registered: dict[str, InstanceRecord] = {}
         self._active: set[str] = set()
+        self._serving: frozenset[str] = frozenset()
         self._missing: dict[str, frozenset[str]] = {}
         self._next_remote = 0
 
@@ -58,6 +59,13 @@
         self._missing[name] = frozenset(missing)
         return is_new
 
+    def set_serving(self, names: frozenset[str]) -> None:
+        """Set the instances that callers should use.
+
+        They count as active although they have not reported yet.
+        """
+        self._serving = names
+
     @property
     def is_small_fleet(self) -> bool:
         """Whether all instances exchange full reports."""
@@ -86,7 +94,8 @@
         """
         if self.is_small_fleet:
             return frozenset({*self._registered, self._own.name})
-        if not self._active:
+        serving = self._serving & set(self._registered)
+        if not self._active and not serving:
             # Without any report, all the others may be active.
             return frozenset({*self._registered, self._own.name})
         missing = (
@@ -95,7 +104,7 @@
             for name in names
             if name in self._registered
         )
-        return frozenset({*self._active, *missing, self._own.name})
+        return frozenset({*self._active, *serving, *missing, self._own.name})
 
     def heartbeat_recipients(self) -> list[InstanceRecord]:
         """Return the instances that get the next heartbeat.
--- a/tests/test_active_peers.py
+++ b/tests/test_active_peers.py
@@ -43,6 +43,19 @@
     assert len(_peers(64).members) == 65
 
 
+def test_instances_that_should_serve_count_before_any_report() -> None:
+    """Guards against even shares for instances that accept nothing.
+
+    On sankei-lots-grown, 80 of 89 instances counted, and 2,051 requests inside
+    their rates were refused within four seconds.
+    """
+    peers = _peers(64)
+    peers.set_serving(frozenset({"i1", "i2", "own", "gone"}))
+    assert peers.members == {"own", "i1", "i2"}
+    peers.record_report("i3", active=True)
+    assert peers.members == {"own", "i1", "i2", "i3"}
+
+
 def test_instances_missing_at_a_peer_count() -> None:
     """Guards against uncounted use beyond a network partition."""
     peers = _peers(64)
