--- a/packages/verbenaworks/src/verbenaworks/steering/relay_choice.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/relay_choice.py
@@ -59,7 +59,3 @@
         (by_name[name] for name in names),
         key=lambda record: record.region != own.region,
     )
-
-
-def _rank(record: InstanceRecord) -> tuple[float, bytes]:
-    return (-record.capacity, rendezvous_weight("", record.name))
