--- a/packages/verbenad/src/verbenad/steering/request_log.py
+++ b/packages/verbenad/src/verbenad/steering/request_log.py
@@ -32,6 +32,11 @@
             "Attempts by service and outcome.",
             ("service", "outcome"),
         )
+        self._region_count = metrics.counter(
+            "verbenad_region_attempts_total",
+            "Attempts by service, region of the server and reason.",
+            ("service", "region", "choice"),
+        )
 
     def record(self, record: RequestRecord) -> None:
         """Log and count one request."""
@@ -42,3 +47,6 @@
         self._durations.observe((record.route,), record.took_ms / 1000)
         for attempt in record.attempts:
             self._attempt_count.add((record.service, attempt.outcome))
+            self._region_count.add(
+                (record.service, attempt.region, attempt.choice)
+            )
--- a/packages/verbenad/src/verbenad/steering/request_record.py
+++ b/packages/verbenad/src/verbenad/steering/request_record.py
@@ -7,6 +7,8 @@
 class AttemptRecord:
     """One attempt and the figures behind the choice of its server.
 
+    :ivar region: region of the server.
+    :ivar choice: why this server was chosen.
     :ivar load: requests at the server as known at the time: those of this
         instance, those of other instances according to their reports, and
         those of all others according to the load that the server reported.
@@ -18,6 +20,8 @@
     """
 
     server: str
+    region: str
+    choice: str
     load: str
     predicted_ms: int
     place: int | None
--- a/packages/verbenad/src/verbenad/steering/request_runner.py
+++ b/packages/verbenad/src/verbenad/steering/request_runner.py
@@ -209,6 +209,8 @@
             attempts.append(
                 AttemptRecord(
                     server=server.server_id,
+                    region=server.region,
+                    choice=placed.reason,
                     load=load_description,
                     predicted_ms=int(placed.predicted_s * 1000),
                     place=placed.rank,
--- a/packages/verbenad/src/verbenad/steering/steering_daemon.py
+++ b/packages/verbenad/src/verbenad/steering/steering_daemon.py
@@ -30,6 +30,7 @@
     PlatformEndpoints,
 )
 from verbenad.steering.platform_sync import PlatformSync
+from verbenad.steering.region_share_log import RegionShareLog
 from verbenad.steering.relay_server import RelayServer
 from verbenad.steering.request_log import RequestLog
 from verbenad.steering.request_runner import RequestRunner
@@ -57,6 +58,7 @@
 POOL_CLEANUP_PERIOD_S = 1.0
 LOG_FLUSH_PERIOD_S = 0.5
 CHECKPOINT_PERIOD_S = 1.0
+SHARE_LOG_PERIOD_S = 1.0
 # Timeouts of connections to backend servers. Connecting may take several
 # round trips between regions.
 CONNECT_TIMEOUT_S = 0.3
@@ -147,6 +149,7 @@
         every(POOL_CLEANUP_PERIOD_S, self._clean_up)
         every(LOG_FLUSH_PERIOD_S, self._line_writer.flush)
         every(CHECKPOINT_PERIOD_S, self._write_due_checkpoints)
+        every(SHARE_LOG_PERIOD_S, self._log_region_shares)
         self._relay_http_server.start()
         self._platform_sync.start()
         self._peer_exchange.start()
@@ -337,6 +340,7 @@
             cold_requests_per_s=self._cold_requests_per_s,
             now_s=self._now_s,
         )
+        self._region_share_log = RegionShareLog()
         self._request_log = RequestLog(self._line_writer, self._metrics)
         gateway = SteeringGateway(
             names=self._names.fields,
@@ -429,6 +433,9 @@
         self._pool.close_expired()
         self._placement.forget_removed_servers(self._table.server_ids)
 
+    def _log_region_shares(self) -> None:
+        self._region_share_log.record(self._placement.local_shares())
+
     def _write_due_checkpoints(self) -> None:
         for name, checkpoint in self._rate_limiter.due_checkpoints(
             self._now_s()
--- a/packages/verbenad/src/verbenad/steering/steering_state.py
+++ b/packages/verbenad/src/verbenad/steering/steering_state.py
@@ -116,6 +116,7 @@
                     extra={
                         "server": server.server_id,
                         "service": server.service,
+                        "failure_domain": server.failure_domain,
                         "draining": server.draining,
                         "cold_left_s": server.cold_left_s,
                         "taken": accepted,
--- a/packages/verbenaworks/src/verbenaworks/steering/candidate_servers.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/candidate_servers.py
@@ -179,6 +179,10 @@
                     cached_objects=len(local) * cached_objects,
                 )
 
+    def local_shares(self) -> dict[tuple[str, str], float]:
+        """Return the shares of objects that regions serve themselves."""
+        return self._demand.local_shares()
+
     def _full_regions(self, service: str) -> frozenset[str]:
         """Return the regions that cannot serve all of their own objects."""
         regions = {s.region for s in self._table.usable(service)}
--- a/packages/verbenaworks/src/verbenaworks/steering/placement.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/placement.py
@@ -13,6 +13,7 @@
 """
 
 from collections.abc import Iterable, Mapping
+from dataclasses import replace
 from random import Random
 
 from verbenaworks.steering.backend_server import BackendServer
@@ -24,6 +25,7 @@
 from verbenaworks.steering.cold_start_limiter import ColdStartLimiter
 from verbenaworks.steering.overload_detector import OverloadDetector
 from verbenaworks.steering.placement_result import (
+    ChoiceReason,
     Placed,
     PlacementRefused,
     PlacementRequest,
@@ -133,7 +135,7 @@
             spare = self._spare_server(now_s, request)
             if spare is None:
                 return refused
-            best = spare
+            best = replace(spare, reason=ChoiceReason.SPARE)
         if self._table.cold_left_s(now_s, best.server.server_id) > 0:
             self._cold_start_limiter.record_request(
                 now_s, best.server.server_id, cold_requests_per_s
@@ -185,7 +187,8 @@
                 continue
             self._introduced.add(key)
             rank = TRACKED_RANKS if request.affinity_key else None
-            return self._predict(now_s, request, server, rank, cold=cold)
+            placed = self._predict(now_s, request, server, rank, cold=cold)
+            return replace(placed, reason=ChoiceReason.JOINED)
         if not is_one_left:
             self._all_introduced_version[request.service] = version
         return None
@@ -374,6 +377,13 @@
         for server_id, load in self._loads.items():
             load.set_peer_requests(now_s, by_server.get(server_id, 0.0))
 
+    def local_shares(self) -> dict[tuple[str, str], float]:
+        """Return the shares of objects that regions serve themselves.
+
+        :returns: shares by region and service.
+        """
+        return self._candidates.local_shares()
+
     def set_region_requests(
         self, now_s: float, by_region: Mapping[str, Mapping[str, float]]
     ) -> None:
@@ -437,6 +447,9 @@
             rank=rank,
             load=load.load(now_s),
             objects_since=objects_since,
+            reason=(
+                ChoiceReason.SHORTER_WAIT if rank else ChoiceReason.PREFERRED
+            ),
         )
 
     def _learn_cache_capacity(
--- a/packages/verbenaworks/src/verbenaworks/steering/placement_result.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/placement_result.py
@@ -1,7 +1,7 @@
 """Input and result of the choice of a backend server."""
 
 from dataclasses import dataclass
-from enum import Enum, auto
+from enum import Enum, StrEnum, auto
 
 from verbenaworks.steering.backend_server import BackendServer
 from verbenaworks.steering.route import Route
@@ -15,6 +15,22 @@
     COLD_START_LIMIT = auto()
 
 
+class ChoiceReason(StrEnum):
+    """Reason for the choice of a server, for the log.
+
+    :cvar PREFERRED: the first server of the object's order, or any server for
+        a request without an affinity key.
+    :cvar SHORTER_WAIT: another server is predicted to respond sooner.
+    :cvar SPARE: an idle server instead of a refusal.
+    :cvar JOINED: the first request to a server that has just joined.
+    """
+
+    PREFERRED = auto()
+    SHORTER_WAIT = auto()
+    SPARE = auto()
+    JOINED = auto()
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class PlacementRequest:
     """Properties of a request that its placement depends on.
@@ -58,6 +74,7 @@
     rank: int | None
     load: float
     objects_since: int | None = None
+    reason: ChoiceReason = ChoiceReason.PREFERRED
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/packages/verbenaworks/src/verbenaworks/steering/region_demand.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/region_demand.py
@@ -86,3 +86,7 @@
         """Return the share of its objects that a region serves itself."""
         state = self._demands.get((region, service))
         return state.share if state else 1.0
+
+    def local_shares(self) -> dict[tuple[str, str], float]:
+        """Return the shares of all regions and services."""
+        return {key: state.share for key, state in self._demands.items()}
