Model several regions in the replay of load patterns

Cause: no test could show requests that change their region, because the model had one region and recorded no place of a run. Change: regions with their instances, servers and callers; instances that restart or are cut off; servers that join, leave or turn cold. Instances of the model no longer pass on the loads that servers report, since the daemon does not do so either.

--- a/tools/steering_model.py
+++ b/tools/steering_model.py
@@ -2,7 +2,8 @@
 
 Each modelled server has slots, a queue and a cache of affinity keys. The
 instances run the real placement code and exchange their counts of requests in
-flight once in each report period. The tool prints the rate of responses within
+flight once in each report period. There may be several regions, each with its
+instances, servers and callers. The tool prints the rate of responses within
 the latency objective for the placement code and for a baseline, which sends
 each request to the server with the fewest requests from the same instance.
 """
@@ -10,9 +11,9 @@
 import argparse
 import heapq
 import itertools
-from collections import OrderedDict, deque
+from collections import Counter, OrderedDict, defaultdict, deque
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from random import Random
 
 from verbenaworks.steering.backend_server import BackendServer
@@ -45,9 +46,27 @@
 CACHED_SERVICE_TIME_S = 0.2
 UNCACHED_SERVICE_TIME_S = 0.64
 REPORT_PERIOD_S = 0.4
+# Instances use the reports of the last periods, as the daemon does.
+REPORT_VALID_S = 2.0
+# Round trip between two regions.
+CROSS_REGION_RTT_S = 0.04
+COLD_REQUESTS_PER_S = 17.0
+COLD_START_S = 3.0
+COLD_SLOWDOWN = 2.0
+# Time between two looks at the load pattern while there are no requests.
+IDLE_CHECK_PERIOD_S = 0.05
 NO_HOME_REGIONS: frozenset[str] = frozenset()
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ModelRegion:
+    """One region of a modelled deployment."""
+
+    name: str
+    instances: int
+    servers: int
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ModelSize:
     """Sizes of a modelled deployment.
@@ -59,8 +78,9 @@
     :ivar max_cached_keys: affinity keys that fit in the cache of a server.
     """
 
-    instances: int = 10
-    servers: int = 16
+    regions: tuple[ModelRegion, ...] = (
+        ModelRegion(name="r", instances=10, servers=16),
+    )
     slots: int = 6
     affinity_keys: int = 47
     max_cached_keys: int = 37
@@ -68,7 +88,21 @@
     @property
     def capacity_per_s(self) -> float:
         """Requests per second that all servers run with warm caches."""
-        return self.servers * self.slots / CACHED_SERVICE_TIME_S
+        servers = sum(region.servers for region in self.regions)
+        return servers * self.slots / CACHED_SERVICE_TIME_S
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ModelRun:
+    """One request that ran.
+
+    :ivar from_region: region of its caller.
+    :ivar in_region: region of the server.
+    """
+
+    arrived_s: float
+    from_region: str
+    in_region: str
 
 
 @dataclass(kw_only=True, slots=True)
@@ -81,6 +115,7 @@
     :ivar refused: requests refused by placement or by a full server queue.
     :ivar failed: requests that timed out.
     :ivar useful_at_s: end times of the useful requests.
+    :ivar runs: requests that ran, in the order of their ends.
     """
 
     requests: int = 0
@@ -89,6 +124,7 @@
     refused: int = 0
     failed: int = 0
     useful_at_s: list[float] = field(default_factory=list)
+    runs: list[ModelRun] = field(default_factory=list)
 
     @property
     def useful_share(self) -> float:
@@ -100,22 +136,48 @@
         count = sum(from_s <= at_s < to_s for at_s in self.useful_at_s)
         return count / (to_s - from_s)
 
+    def moved_share(self, region: str, at_s: float, window_s: float) -> float:
+        """Return the share of a region's requests that changed their region.
+
+        :param at_s: end of the first and start of the second window.
+        """
+        before: Counter[str] = Counter()
+        after: Counter[str] = Counter()
+        for run in self.runs:
+            if run.from_region != region:
+                continue
+            if at_s - window_s <= run.arrived_s < at_s:
+                before[run.in_region] += 1
+            elif at_s <= run.arrived_s < at_s + window_s:
+                after[run.in_region] += 1
+        if not before or not after:
+            return 0.0
+        return sum(
+            max(0.0, after[r] / after.total() - before[r] / before.total())
+            for r in after
+        )
+
 
 @dataclass(kw_only=True, slots=True)
 class _Server:
     server: BackendServer
     max_cached_keys: int
     service_time_factor: float = 1.0
+    cold_until_s: float = 0.0
     running: int = 0
     waiting: deque["_Request"] = field(default_factory=deque)
     cached_keys: OrderedDict[str, None] = field(default_factory=OrderedDict)
 
-    def service_time_s(self, affinity_key: str, random: Random) -> float:
+    def service_time_s(
+        self, now_s: float, affinity_key: str, random: Random
+    ) -> float:
         mean_s = (
             CACHED_SERVICE_TIME_S
             if affinity_key in self.cached_keys
             else UNCACHED_SERVICE_TIME_S
         )
+        if now_s < self.cold_until_s:
+            mean_s *= COLD_SLOWDOWN
         return mean_s * self.service_time_factor * random.uniform(0.8, 1.2)
 
     def cache_key(self, affinity_key: str) -> None:
@@ -125,9 +187,20 @@
             self.cached_keys.popitem(last=False)
 
 
+@dataclass(kw_only=True, slots=True)
+class _Instance:
+    region: str
+    placement: Placement
+    is_cut_off: bool = False
+    # In-flight requests in its last report, by server.
+    report: dict[str, int] = field(default_factory=dict)
+    reported_at_s: float = float("-inf")
+
+
 @dataclass(kw_only=True, slots=True)
 class _Request:
-    instance: int
+    instance: _Instance
+    placement: Placement
     affinity_key: str
     arrived_s: float
     placement_request: PlacementRequest
@@ -139,6 +212,8 @@
     """One run of a load pattern.
 
     :param per_s: returns the offered requests per second at a given time.
+    :param share_of: returns the share of these requests that come from the
+        callers of a region at a given time; by default, all regions are equal.
     :param slow_server: whether one server takes five times as long.
     :param baseline: whether to use the baseline instead of placement.
     """
@@ -147,6 +222,7 @@
         self,
         *,
         per_s: Callable[[float], float],
+        share_of: Callable[[str, float], float] | None = None,
         size: ModelSize | None = None,
         seed: int = 1,
         baseline: bool = False,
@@ -155,67 +231,127 @@
         self.size = size or ModelSize()
         self.result = ModelResult()
         self._per_s = per_s
+        self._share_of = share_of or (lambda region, at_s: 1.0)
         self._baseline = baseline
         self._random = Random(seed)
         self._now_s = 0.0
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._event_numbers = itertools.count()
-        table = ServerTable()
-        self._servers = {}
-        for number in range(self.size.servers):
-            server = BackendServer(
-                server_id=f"s{number}",
-                service=SERVICE,
-                address=("127.0.0.1", 80 + number),
-                failure_domain="a",
-                region="r",
-                slots=self.size.slots,
-                draining=False,
-                cold_left_s=0.0,
-                sequence=1,
-            )
-            table.report(0.0, server)
-            self._servers[server.server_id] = _Server(
-                server=server, max_cached_keys=self.size.max_cached_keys
-            )
+        self._table = ServerTable()
+        self._servers: dict[str, _Server] = {}
+        self._instances: list[_Instance] = []
+        for region in self.size.regions:
+            for _ in range(region.servers):
+                self.add_server(region.name)
+            for _ in range(region.instances):
+                self._add_instance(region.name)
         if slow_server:
             self._servers["s0"].service_time_factor = 5.0
-        self._table = table
-        self._placements = [
-            Placement(
-                region="r",
-                failure_domain="a",
-                table=table,
-                times=ServiceTimes(),
-                cold_start_limiter=ColdStartLimiter(f"i{number}"),
-                random=Random(seed * 1000 + number),
+
+    def at(self, at_s: float, action: Callable[[], None]) -> None:
+        """Do something at a time of the run."""
+        self._schedule(at_s, action)
+
+    def add_server(self, region: str, *, cold: bool = False) -> None:
+        """Add a server to a region."""
+        number = len(self._servers)
+        server = BackendServer(
+            server_id=f"s{number}",
+            service=SERVICE,
+            address=("127.0.0.1", 80 + number),
+            failure_domain=f"{region}-a",
+            region=region,
+            slots=self.size.slots,
+            draining=False,
+            cold_left_s=COLD_START_S if cold else 0.0,
+            sequence=1,
+        )
+        self._table.report(self._now_s, server)
+        self._servers[server.server_id] = _Server(
+            server=server,
+            max_cached_keys=self.size.max_cached_keys,
+            cold_until_s=self._now_s + server.cold_left_s,
+        )
+
+    def remove_server(self, region: str) -> None:
+        """Let one server of a region leave; its requests end normally."""
+        server = next(
+            s for s in self._table.usable(SERVICE) if s.region == region
+        )
+        self._table.remove(self._now_s, server.server_id)
+
+    def make_cold(self, region: str, count: int) -> None:
+        """Let some servers of a region start again with empty caches."""
+        servers = self._table.usable(SERVICE)
+        for server in [s for s in servers if s.region == region][:count]:
+            state = self._servers[server.server_id]
+            state.cached_keys.clear()
+            state.cold_until_s = self._now_s + COLD_START_S
+            self._table.report(
+                self._now_s,
+                replace(
+                    server,
+                    cold_left_s=COLD_START_S,
+                    sequence=server.sequence + 1,
+                ),
             )
-            for number in range(self.size.instances)
-        ]
+
+    def restart_instance(self, number: int) -> None:
+        """Replace an instance by one that knows nothing."""
+        instance = self._instances[number]
+        instance.placement = self._make_placement(number, instance.region)
+        instance.report = {}
+
+    def set_cut_off(self, number: int, is_cut_off: bool) -> None:
+        """Cut the reports to and from an instance, or restore them."""
+        self._instances[number].is_cut_off = is_cut_off
 
     def run(self, duration_s: float) -> ModelResult:
         """Run the pattern and return the counts of requests by outcome."""
         self._schedule(0.0, self._handle_arrival)
-        for number in range(self.size.instances):
+        for instance in self._instances:
             offset_s = self._random.uniform(0, REPORT_PERIOD_S)
             self._schedule(
-                offset_s, lambda n=number: self._exchange_reports(n)
+                offset_s, lambda i=instance: self._exchange_reports(i)
             )
         while self._events and self._events[0][0] < duration_s:
             self._now_s, _, event = heapq.heappop(self._events)
             event()
         return self.result
 
+    def _add_instance(self, region: str) -> None:
+        number = len(self._instances)
+        self._instances.append(
+            _Instance(
+                region=region, placement=self._make_placement(number, region)
+            )
+        )
+
+    def _make_placement(self, number: int, region: str) -> Placement:
+        return Placement(
+            region=region,
+            failure_domain=f"{region}-a",
+            table=self._table,
+            times=ServiceTimes(),
+            cold_start_limiter=ColdStartLimiter(f"i{number}"),
+            random=Random(self._random.randrange(2**32)),
+        )
+
     def _schedule(self, at_s: float, event: Callable[[], None]) -> None:
         heapq.heappush(self._events, (at_s, next(self._event_numbers), event))
 
     def _handle_arrival(self) -> None:
-        per_s = max(0.01, self._per_s(self._now_s))
+        per_s = self._per_s(self._now_s)
+        if per_s <= 0:
+            self._schedule(
+                self._now_s + IDLE_CHECK_PERIOD_S, self._handle_arrival
+            )
+            return
         self._schedule(
             self._now_s + self._random.expovariate(per_s), self._handle_arrival
         )
         affinity_key = str(self._random.randrange(self.size.affinity_keys))
-        instance = self._random.randrange(self.size.instances)
+        instance = self._entry_instance()
         self.result.requests += 1
         placement_request = PlacementRequest(
             route=ROUTE,
@@ -224,35 +360,50 @@
             time_left_s=ROUTE.timeout_s,
             home_regions=NO_HOME_REGIONS,
         )
-        placement = self._placements[instance]
-        placed = self._choose(placement, placement_request)
+        placed = self._choose(instance.placement, placement_request)
         if isinstance(placed, PlacementRefused):
             self.result.refused += 1
             return
-        server = self._servers[placed.server.server_id]
         request = _Request(
             instance=instance,
+            placement=instance.placement,
             affinity_key=affinity_key,
             arrived_s=self._now_s,
             placement_request=placement_request,
             placed=placed,
-            server=server,
+            server=self._servers[placed.server.server_id],
         )
-        placement.request_started(placed.server)
+        self._send(request)
+
+    def _entry_instance(self) -> _Instance:
+        regions = [region.name for region in self.size.regions]
+        shares = [self._share_of(name, self._now_s) for name in regions]
+        region = self._random.choices(regions, shares)[0]
+        return self._random.choice(
+            [i for i in self._instances if i.region == region]
+        )
+
+    def _send(self, request: _Request) -> None:
+        server = request.server
+        request.placement.request_started(server.server)
         if server.running < self.size.slots:
             self._start(request)
         elif len(server.waiting) < 3 * self.size.slots:
             server.waiting.append(request)
         else:
-            placement.request_ended(placed.server)
-            placement.load_of(placed.server).record_overload(self._now_s)
+            request.placement.request_ended(server.server)
+            request.placement.load_of(server.server).record_overload(
+                self._now_s
+            )
             self.result.refused += 1
 
     def _choose(
         self, placement: Placement, placement_request: PlacementRequest
     ) -> Placed | PlacementRefused:
         if not self._baseline:
-            return placement.choose(self._now_s, placement_request, 1000.0)
+            return placement.choose(
+                self._now_s, placement_request, COLD_REQUESTS_PER_S
+            )
         servers = list(self._table.usable(SERVICE))
         self._random.shuffle(servers)
         chosen = min(servers, key=lambda s: placement.load_of(s).in_flight)
@@ -269,7 +420,7 @@
     def _start(self, request: _Request) -> None:
         request.server.running += 1
         service_time_s = request.server.service_time_s(
-            request.affinity_key, self._random
+            self._now_s, request.affinity_key, self._random
         )
         deadline_s = request.arrived_s + ROUTE.timeout_s
         end_s = min(self._now_s + service_time_s, deadline_s)
@@ -278,8 +429,18 @@
     def _handle_end(self, request: _Request) -> None:
         server = request.server
         server.running -= 1
+        region = request.instance.region
         response_time_s = self._now_s - request.arrived_s
-        placement = self._placements[request.instance]
+        if server.server.region != region:
+            response_time_s += CROSS_REGION_RTT_S
+        self.result.runs.append(
+            ModelRun(
+                arrived_s=request.arrived_s,
+                from_region=region,
+                in_region=server.server.region,
+            )
+        )
+        placement = request.placement
         placement.request_ended(server.server)
         if response_time_s < ROUTE.timeout_s:
             # A server that aborts a request at its deadline caches no key and
@@ -301,31 +462,39 @@
             self.result.late += 1
         else:
             self.result.failed += 1
+        self._start_waiting(server)
+
+    def _start_waiting(self, server: _Server) -> None:
         while server.waiting and server.running < self.size.slots:
             waiting = server.waiting.popleft()
             if self._now_s - waiting.arrived_s < ROUTE.timeout_s:
                 self._start(waiting)
             else:
                 self.result.failed += 1
-                self._placements[waiting.instance].request_ended(server.server)
+                waiting.placement.request_ended(server.server)
 
-    def _exchange_reports(self, number: int) -> None:
+    def _exchange_reports(self, instance: _Instance) -> None:
         self._schedule(
             self._now_s + REPORT_PERIOD_S,
-            lambda: self._exchange_reports(number),
+            lambda: self._exchange_reports(instance),
         )
-        totals: dict[str, float] = {}
-        local = self._placements[number]
-        for other, placement in enumerate(self._placements):
-            if other != number:
-                for server_id, count in placement.in_flight().items():
-                    totals[server_id] = totals.get(server_id, 0.0) + count
-                reported = placement.reported_loads(
-                    self._now_s - REPORT_PERIOD_S
-                )
-                for server_id, load in reported.items():
-                    local.record_load_from_peer(self._now_s, server_id, load)
-        local.set_peer_requests(self._now_s, totals)
+        if not instance.is_cut_off:
+            instance.report = instance.placement.in_flight()
+            instance.reported_at_s = self._now_s
+        peers = [i for i in self._instances if i is not instance]
+        if instance.is_cut_off:
+            peers = []
+        oldest_s = self._now_s - REPORT_VALID_S
+        totals: Counter[str] = Counter()
+        by_region: dict[str, Counter[str]] = defaultdict(Counter)
+        for peer in peers:
+            if peer.reported_at_s >= oldest_s:
+                totals.update(peer.report)
+                by_region[peer.region].update(peer.report)
+        placement = instance.placement
+        placement.set_peer_requests(self._now_s, totals)
+        by_region[instance.region].update(placement.in_flight())
+        placement.set_region_requests(self._now_s, by_region)
 
 
 def constant(per_s: float) -> Callable[[float], float]:
