Take a learned cache size for a limit only if data is evicted

Cause: the learned number of cached objects starts at 12 and cannot grow beyond the 14 objects that a server is asked for; the users' servers keep 81.

--- a/packages/verbenaworks/src/verbenaworks/steering/candidate_servers.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/candidate_servers.py
@@ -35,7 +35,7 @@
     :param failure_domain: failure domain of the instance.
     :param load_of: returns the load and health of a server.
     :param cached_objects: returns how many objects a server of a service
-        keeps cached.
+        keeps cached; infinite if its cache is not known to be too small.
     """
 
     def __init__(
--- a/packages/verbenaworks/src/verbenaworks/steering/placement.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/placement.py
@@ -92,7 +92,7 @@
             times=times,
             load_of=self.load_of,
             cached_objects=lambda service: (
-                self._cache_capacity(service).objects
+                self._cache_capacity(service).max_objects
             ),
             random=random,
         )
--- a/packages/verbenaworks/src/verbenaworks/steering/region_demand.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/region_demand.py
@@ -19,6 +19,8 @@
 # Change of a share per second. A faster one would move many requests to other
 # regions at once.
 MAX_CHANGE_PER_S = 0.03
+# An object is not cached at more servers than this on purpose.
+MAX_COPIES = 8
 # Part of a share by which it may differ from the wanted one.
 TOLERANCE = 0.1
 
@@ -69,7 +71,7 @@
         new_share = 1.0 - math.exp(-elapsed_s / DEMAND_TIME_CONSTANT_S)
         state.demand += new_share * (demand - state.demand)
         cache_share = MAX_CACHE_USE * cached_objects / max(objects, 1)
-        state.copies = max(1, int(cache_share))
+        state.copies = int(min(max(cache_share, 1.0), MAX_COPIES))
         wanted = min(
             1.0, MAX_SLOT_USE * slots / max(state.demand, 0.1), cache_share
         )
--- a/tests/test_cache_learning.py
+++ b/tests/test_cache_learning.py
@@ -1,5 +1,6 @@
 """Learned cache sizes, and the share of objects that a region can serve."""
 
+import math
 from collections import OrderedDict
 from random import Random
 
@@ -10,7 +11,7 @@
 from verbenaworks.steering.region_demand import RegionDemand
 
 
-def _learned(cached: int, objects: int, noise: float = 0.0) -> float:
+def _learn(cached: int, objects: int, noise: float = 0.0) -> CacheCapacity:
     """Return what is learned of a server that caches so many objects."""
     random = Random(1)
     capacity = CacheCapacity()
@@ -25,7 +26,7 @@
             capacity.observe(since, fast=fast)
             del recent[requested]
         recent[requested] = None
-    return capacity.objects
+    return capacity
 
 
 @pytest.mark.parametrize("cached", [6, 14, 25, 50])
@@ -34,14 +35,26 @@
 
     On the users' sites, servers keep 8 to 54 objects; 24 were assumed.
     """
-    learned = _learned(cached, 3 * cached)
-    assert 0.7 * cached <= learned <= 1.3 * cached
+    learned = _learn(cached, 3 * cached)
+    assert 0.7 * cached <= learned.objects <= 1.3 * cached
+    assert learned.max_objects == learned.objects
 
 
 def test_noise_does_not_shrink_the_learned_size() -> None:
     """Guards against slow responses that count as evicted objects."""
-    learned = _learned(20, 60, noise=0.05)
-    assert 0.7 * 20 <= learned <= 1.3 * 20
+    learned = _learn(20, 60, noise=0.05)
+    assert 0.7 * 20 <= learned.objects <= 1.3 * 20
+
+
+@pytest.mark.parametrize("noise", [0.0, 0.1])
+def test_cache_that_holds_all_objects_is_no_limit(noise: float) -> None:
+    """Guards against the number of objects that is taken for a cache's size.
+
+    On toilechassis-gslb, caches of 81 objects were taken for caches of 12,
+    because each server was asked for 14.
+    """
+    assert _learn(81, 14, noise).max_objects == math.inf
+    assert CacheCapacity().max_objects == math.inf
 
 
 def test_objects_are_forgotten() -> None:
