--- a/packages/verbenaworks/src/verbenaworks/steering/placement.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/placement.py
@@ -17,11 +17,7 @@
 from random import Random
 
 from verbenaworks.steering.backend_server import BackendServer
-from verbenaworks.steering.cache_capacity import CacheCapacity
-from verbenaworks.steering.candidate_servers import (
-    CandidateServers,
-    object_key,
-)
+from verbenaworks.steering.candidate_servers import CandidateServers
 from verbenaworks.steering.cold_start_limiter import ColdStartLimiter
 from verbenaworks.steering.overload_detector import OverloadDetector
 from verbenaworks.steering.placement_result import (
@@ -31,6 +27,7 @@
     PlacementRequest,
     RefusalReason,
 )
+from verbenaworks.steering.response_predictor import ResponsePredictor
 from verbenaworks.steering.server_load import ServerLoad
 from verbenaworks.steering.server_table import ServerTable
 from verbenaworks.steering.service_times import TRACKED_RANKS, ServiceTimes
@@ -38,22 +35,12 @@
 
 # The first servers of the rendezvous order, which are always compared.
 PREFERRED_CANDIDATES = 3
-# Round trips to another failure domain and to another region. Only their order
-# of magnitude matters in comparison with service times.
-CROSS_DOMAIN_RTT_S = 0.003
-CROSS_REGION_RTT_S = 0.030
 # Rate used to convert body sizes into a cost for crossing failure domains. The
 # links are faster, but the body takes bandwidth from other requests.
 CROSS_DOMAIN_BYTES_PER_S = 150_000
 # Cost of crossing regions besides the time that it takes: the links between
 # them carry the requests of all instances.
 CROSS_REGION_COST_S = 0.030
-# Least slowdown that is assumed for a server in its cold start.
-COLD_START_SLOWDOWN = 2.0
-# A server that is slower than this is not used to learn cache sizes.
-MAX_LEARNING_SLOWDOWN = 1.5
-# Expected cost of a failed request, which must be retried, in service times.
-FAILURE_COST_SERVICE_TIMES = 3.0
 # Share of its slots up to which a server counts as having slots to spare.
 MAX_SPARE_USE = 0.67
 # Shortest pause after a refusal: the time in which a slot becomes free.
@@ -83,7 +70,9 @@
         self._times = times
         self._cold_start_limiter = cold_start_limiter
         self._random = random
-        self._loads: dict[str, ServerLoad] = {}
+        self._predictor = ResponsePredictor(
+            region=region, failure_domain=failure_domain, times=times
+        )
         self._wait_limits = WaitLimits(times)
         self._candidates = CandidateServers(
             region=region,
@@ -92,11 +81,10 @@
             times=times,
             load_of=self.load_of,
             cached_objects=lambda service: (
-                self._cache_capacity(service).max_objects
+                self._predictor.cache_capacity(service).max_objects
             ),
             random=random,
         )
-        self._cache_capacities: dict[str, CacheCapacity] = {}
         self._overloads: dict[str, OverloadDetector] = {}
         self._serving_since_s: float | None = None
         # Server incarnations that need no first request from this instance.
@@ -106,12 +94,7 @@
 
     def load_of(self, server: BackendServer) -> ServerLoad:
         """Return the load and health of a server, as known here."""
-        load = self._loads.get(server.server_id)
-        if load is None:
-            load = self._loads[server.server_id] = ServerLoad(
-                slots=server.slots
-            )
-        return load
+        return self._predictor.load_of(server)
 
     def choose(
         self,
@@ -187,7 +170,9 @@
                 continue
             self._introduced.add(key)
             rank = TRACKED_RANKS if request.affinity_key else None
-            placed = self._predict(now_s, request, server, rank, cold=cold)
+            placed = self._predictor.predict(
+                now_s, request, server, rank, cold=cold
+            )
             return replace(placed, reason=ChoiceReason.JOINED)
         if not is_one_left:
             self._all_introduced_version[request.service] = version
@@ -221,7 +206,9 @@
             ):
                 reason = RefusalReason.COLD_START_LIMIT
                 continue
-            placed = self._predict(now_s, request, server, rank, cold=cold)
+            placed = self._predictor.predict(
+                now_s, request, server, rank, cold=cold
+            )
             # The longer service time without cached data takes capacity from
             # other requests. It counts more if many requests are late.
             cost_s = (
@@ -290,7 +277,9 @@
                 continue
             if self._table.cold_left_s(now_s, server.server_id) > 0:
                 continue
-            placed = self._predict(now_s, request, server, rank, cold=False)
+            placed = self._predictor.predict(
+                now_s, request, server, rank, cold=False
+            )
             if placed.predicted_s <= request.time_left_s:
                 # The first one in the order, so that the requests that follow
                 # find the data there.
@@ -322,41 +311,20 @@
 
         :param took_s: time from the start of the request to the response.
         """
-        load = self.load_of(placed.server)
-        rtt_s = self._rtt_s(placed.server)
-        at_server_s = max(0.001, took_s - rtt_s)
-        load.record_success(now_s, took_s / max(0.001, placed.predicted_s))
-        if request.affinity_key:
-            load.record_object(object_key(request).text)
-        self._times.observe_mean(
-            request.route.name,
-            request.service,
-            request.route.latency_objective_s,
-            at_server_s - placed.wait_s,
-        )
-        if not placed.wait_s:
-            self._times.observe(
-                request.route.name,
-                request.service,
-                request.route.latency_objective_s,
-                at_server_s,
-                cached=placed.cached,
-                rank=placed.rank,
-            )
-            self._learn_cache_capacity(now_s, request, placed, at_server_s)
+        self._predictor.record_response(now_s, request, placed, took_s)
 
     def in_flight(self) -> dict[str, int]:
         """Return the local requests in flight by server id, without zeros."""
         return {
             server_id: load.in_flight
-            for server_id, load in self._loads.items()
+            for server_id, load in self._predictor.loads.items()
             if load.in_flight > 0
         }
 
     def reported_loads(self, newer_than_s: float) -> dict[str, int]:
         """Return the loads that servers have reported here since a time."""
         loads = {}
-        for server_id, load in self._loads.items():
+        for server_id, load in self._predictor.loads.items():
             reported = load.recent_reported_load(newer_than_s)
             if reported is not None:
                 loads[server_id] = reported
@@ -366,7 +334,7 @@
         self, now_s: float, server_id: str, reported: float
     ) -> None:
         """Record the load that a server reported to another instance."""
-        load = self._loads.get(server_id)
+        load = self._predictor.loads.get(server_id)
         if load is not None:
             load.record_load_from_peer(now_s, reported)
 
@@ -374,7 +342,7 @@
         self, now_s: float, by_server: Mapping[str, float]
     ) -> None:
         """Set the requests that other instances report to be in flight."""
-        for server_id, load in self._loads.items():
+        for server_id, load in self._predictor.loads.items():
             load.set_peer_requests(now_s, by_server.get(server_id, 0.0))
 
     def local_shares(self) -> dict[tuple[str, str], float]:
@@ -400,85 +368,9 @@
         :param server_ids: ids of all existing servers.
         """
         existing_ids = set(server_ids)
-        for server_id, load in list(self._loads.items()):
+        for server_id, load in list(self._predictor.loads.items()):
             if server_id not in existing_ids and not load.in_flight:
-                del self._loads[server_id]
-
-    def _predict(
-        self,
-        now_s: float,
-        request: PlacementRequest,
-        server: BackendServer,
-        rank: int | None,
-        *,
-        cold: bool,
-    ) -> Placed:
-        load = self.load_of(server)
-        route = request.route
-        times = self._times
-        key = (route.name, request.service, route.latency_objective_s)
-        objects_since = None
-        if rank is not None:
-            objects_since = load.objects_since(object_key(request).text)
-        cached = (
-            objects_since is not None
-            and objects_since < self._cache_capacity(request.service).objects
-        )
-        cached_share = 1.0 if cached else 0.0
-        if rank is not None and not cached:
-            cached_share = times.cached_share(*key, rank)
-        expected_s = times.expected_s(*key, cached_share)
-        slowdown = load.slowdown(now_s)
-        if cold:
-            slowdown = max(slowdown, COLD_START_SLOWDOWN)
-        wait_s = slowdown * load.wait_s(now_s, times.mean_s(*key))
-        failure_cost_s = (
-            load.failure_share(now_s) * FAILURE_COST_SERVICE_TIMES * expected_s
-        )
-        return Placed(
-            server=server,
-            expected_s=expected_s,
-            wait_s=wait_s,
-            predicted_s=self._rtt_s(server)
-            + slowdown * expected_s
-            + wait_s
-            + failure_cost_s,
-            cached=cached,
-            rank=rank,
-            load=load.load(now_s),
-            objects_since=objects_since,
-            reason=(
-                ChoiceReason.SHORTER_WAIT if rank else ChoiceReason.PREFERRED
-            ),
-        )
-
-    def _learn_cache_capacity(
-        self,
-        now_s: float,
-        request: PlacementRequest,
-        placed: Placed,
-        at_server_s: float,
-    ) -> None:
-        """Update the learned cache size from a response without a wait."""
-        slowdown = self.load_of(placed.server).slowdown(now_s)
-        if placed.objects_since is None or slowdown > MAX_LEARNING_SLOWDOWN:
-            return
-        route = request.route
-        fast = self._times.is_fast(
-            route.name,
-            request.service,
-            route.latency_objective_s,
-            at_server_s,
-        )
-        self._cache_capacity(request.service).observe(
-            placed.objects_since, fast=fast
-        )
-
-    def _cache_capacity(self, service: str) -> CacheCapacity:
-        capacity = self._cache_capacities.get(service)
-        if capacity is None:
-            capacity = self._cache_capacities[service] = CacheCapacity()
-        return capacity
+                del self._predictor.loads[server_id]
 
     def _crossing_cost_s(
         self, request: PlacementRequest, server: BackendServer
@@ -490,10 +382,3 @@
         if server.region != self._region:
             cost_s += CROSS_REGION_COST_S
         return cost_s
-
-    def _rtt_s(self, server: BackendServer) -> float:
-        if server.failure_domain == self._failure_domain:
-            return 0.0
-        if server.region == self._region:
-            return CROSS_DOMAIN_RTT_S
-        return CROSS_REGION_RTT_S
--- /dev/null
+++ b/packages/verbenaworks/src/verbenaworks/steering/response_predictor.py
@@ -0,0 +1,173 @@
+"""Prediction of response times, and what it is learned from."""
+
+from verbenaworks.steering.backend_server import BackendServer
+from verbenaworks.steering.cache_capacity import CacheCapacity
+from verbenaworks.steering.candidate_servers import object_key
+from verbenaworks.steering.placement_result import (
+    ChoiceReason,
+    Placed,
+    PlacementRequest,
+)
+from verbenaworks.steering.server_load import ServerLoad
+from verbenaworks.steering.service_times import ServiceTimes
+
+# Round trips to another failure domain and to another region. Only their order
+# of magnitude matters in comparison with service times.
+CROSS_DOMAIN_RTT_S = 0.003
+CROSS_REGION_RTT_S = 0.030
+# Least slowdown that is assumed for a server in its cold start.
+COLD_START_SLOWDOWN = 2.0
+# A server that is slower than this is not used to learn cache sizes.
+MAX_LEARNING_SLOWDOWN = 1.5
+# Expected cost of a failed request, which must be retried, in service times.
+FAILURE_COST_SERVICE_TIMES = 3.0
+
+
+class ResponsePredictor:
+    """Loads, health and service times of servers as one instance sees them.
+
+    :param region: region of the instance.
+    :param failure_domain: failure domain of the instance.
+    :ivar loads: load and health by server id.
+    """
+
+    def __init__(
+        self, *, region: str, failure_domain: str, times: ServiceTimes
+    ) -> None:
+        self._region = region
+        self._failure_domain = failure_domain
+        self._times = times
+        self.loads: dict[str, ServerLoad] = {}
+        self._cache_capacities: dict[str, CacheCapacity] = {}
+
+    def load_of(self, server: BackendServer) -> ServerLoad:
+        """Return the load and health of a server, as known here."""
+        load = self.loads.get(server.server_id)
+        if load is None:
+            load = self.loads[server.server_id] = ServerLoad(
+                slots=server.slots
+            )
+        return load
+
+    def cache_capacity(self, service: str) -> CacheCapacity:
+        """Return what is known of the caches of a service's servers."""
+        capacity = self._cache_capacities.get(service)
+        if capacity is None:
+            capacity = self._cache_capacities[service] = CacheCapacity()
+        return capacity
+
+    def predict(
+        self,
+        now_s: float,
+        request: PlacementRequest,
+        server: BackendServer,
+        rank: int | None,
+        *,
+        cold: bool,
+    ) -> Placed:
+        """Predict how a server would respond to a request.
+
+        :param rank: rank of the server in the object's order.
+        :param cold: whether the server is in its cold start.
+        """
+        load = self.load_of(server)
+        route = request.route
+        times = self._times
+        key = (route.name, request.service, route.latency_objective_s)
+        objects_since = None
+        if rank is not None:
+            objects_since = load.objects_since(object_key(request).text)
+        cached = (
+            objects_since is not None
+            and objects_since < self.cache_capacity(request.service).objects
+        )
+        cached_share = 1.0 if cached else 0.0
+        if rank is not None and not cached:
+            cached_share = times.cached_share(*key, rank)
+        expected_s = times.expected_s(*key, cached_share)
+        slowdown = load.slowdown(now_s)
+        if cold:
+            slowdown = max(slowdown, COLD_START_SLOWDOWN)
+        wait_s = slowdown * load.wait_s(now_s, times.mean_s(*key))
+        failure_cost_s = (
+            load.failure_share(now_s) * FAILURE_COST_SERVICE_TIMES * expected_s
+        )
+        return Placed(
+            server=server,
+            expected_s=expected_s,
+            wait_s=wait_s,
+            predicted_s=self._rtt_s(server)
+            + slowdown * expected_s
+            + wait_s
+            + failure_cost_s,
+            cached=cached,
+            rank=rank,
+            load=load.load(now_s),
+            objects_since=objects_since,
+            reason=(
+                ChoiceReason.SHORTER_WAIT if rank else ChoiceReason.PREFERRED
+            ),
+        )
+
+    def record_response(
+        self,
+        now_s: float,
+        request: PlacementRequest,
+        placed: Placed,
+        took_s: float,
+    ) -> None:
+        """Update the load, the health and the service times of a server.
+
+        :param took_s: time from the start of the request to the response.
+        """
+        load = self.load_of(placed.server)
+        rtt_s = self._rtt_s(placed.server)
+        at_server_s = max(0.001, took_s - rtt_s)
+        load.record_success(now_s, took_s / max(0.001, placed.predicted_s))
+        if request.affinity_key:
+            load.record_object(object_key(request).text)
+        self._times.observe_mean(
+            request.route.name,
+            request.service,
+            request.route.latency_objective_s,
+            at_server_s - placed.wait_s,
+        )
+        if not placed.wait_s:
+            self._times.observe(
+                request.route.name,
+                request.service,
+                request.route.latency_objective_s,
+                at_server_s,
+                cached=placed.cached,
+                rank=placed.rank,
+            )
+            self._learn_cache_capacity(now_s, request, placed, at_server_s)
+
+    def _learn_cache_capacity(
+        self,
+        now_s: float,
+        request: PlacementRequest,
+        placed: Placed,
+        at_server_s: float,
+    ) -> None:
+        """Update the learned cache size from a response without a wait."""
+        slowdown = self.load_of(placed.server).slowdown(now_s)
+        if placed.objects_since is None or slowdown > MAX_LEARNING_SLOWDOWN:
+            return
+        route = request.route
+        fast = self._times.is_fast(
+            route.name,
+            request.service,
+            route.latency_objective_s,
+            at_server_s,
+        )
+        self.cache_capacity(request.service).observe(
+            placed.objects_since, fast=fast
+        )
+
+    def _rtt_s(self, server: BackendServer) -> float:
+        if server.failure_domain == self._failure_domain:
+            return 0.0
+        if server.region == self._region:
+            return CROSS_DOMAIN_RTT_S
+        return CROSS_REGION_RTT_S
