Keep the shares of the regions while there is no traffic

Callers saw: when traffic started, a region with a ninth of the servers was full at once, and 30 of 100 of its requests moved within two seconds. Cause: without requests the demand is zero, so that any region seemed to have room for all of its callers. In the ten seconds before the first request the shares rose to 1; before that they started from a part of the servers. Change: until a twentieth of a service's slots is in use, the shares are worked out from all servers that are known, as if all regions asked for the same.

--- a/packages/verbenaworks/src/verbenaworks/steering/region_split.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/region_split.py
@@ -31,8 +31,8 @@
         self._region = region
         self.shares: dict[str, float] = {}
 
-    def start(self, shares: Mapping[str, float]) -> None:
-        """Set the first shares."""
+    def guess(self, shares: Mapping[str, float]) -> None:
+        """Set the shares before there is any traffic."""
         self.shares = dict(shares)
 
     def follow(self, elapsed_s: float, wanted: Mapping[str, float]) -> None:
--- a/packages/verbenaworks/src/verbenaworks/steering/region_splits.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/region_splits.py
@@ -13,8 +13,10 @@
 
 # Time constant of the moving average of the demand.
 DEMAND_TIME_CONSTANT_S = 4.0
-# Use of the service's slots that is assumed before the demand is known.
+# Use of the service's slots that is assumed before there is traffic, and the
+# use from which on there is.
 INITIAL_SLOT_USE = 0.5
+MIN_TRAFFIC_USE = 0.05
 # When a region loses servers, requests leave it at once if the others would be
 # used more than this.
 MAX_USE_AFTER_LOSS = 0.9
@@ -43,10 +45,11 @@
 @dataclass(kw_only=True, slots=True)
 class _ServiceState:
     split: RegionSplit
-    updated_s: float
     slots: Mapping[str, float] = field(default_factory=dict)
     demand: dict[str, float] = field(default_factory=dict)
     used: dict[str, float] = field(default_factory=dict)
+    has_traffic: bool = False
+    updated_s: float = float("-inf")
 
 
 class RegionSplits:
@@ -76,31 +79,39 @@
         """Update the shares of a service; call it a few times a second."""
         state = self._services.get(service)
         if state is None:
-            state = self._start(now_s, service, load)
+            state = self._services[service] = _ServiceState(
+                split=RegionSplit(self._region)
+            )
         elapsed_s = max(0.0, now_s - state.updated_s)
         state.updated_s = now_s
         overloaded = _overloaded_parts(state, load.slots)
         state.slots = load.slots
-        weight = 1.0 - math.exp(-elapsed_s / DEMAND_TIME_CONSTANT_S)
-        _average(state.demand, load.demand, weight)
-        _average(state.used, load.used, weight)
+        if not self._observe_demand(state, elapsed_s, load):
+            return
         wanted = self._wanted(state, load)
         if overloaded:
             state.split.leave(overloaded, wanted)
         state.split.follow(elapsed_s, wanted)
 
-    def _start(
-        self, now_s: float, service: str, load: ServiceLoad
-    ) -> _ServiceState:
-        """Assume that all regions ask for the same number of slots."""
-        state = _ServiceState(split=RegionSplit(self._region), updated_s=now_s)
-        used_slots = INITIAL_SLOT_USE * sum(load.slots.values())
-        state.demand = dict.fromkeys(
-            load.slots, used_slots / max(1, len(load.slots))
-        )
-        state.split.start(self._wanted(state, load))
-        self._services[service] = state
-        return state
+    def _observe_demand(
+        self, state: _ServiceState, elapsed_s: float, load: ServiceLoad
+    ) -> bool:
+        """Average the demand; false while there is no traffic."""
+        if not state.has_traffic:
+            slots = sum(load.slots.values())
+            # All regions are assumed to ask for the same number of slots.
+            state.demand = dict.fromkeys(
+                load.slots,
+                INITIAL_SLOT_USE * slots / max(1, len(load.slots)),
+            )
+            state.split.guess(self._wanted(state, load))
+            total = sum(load.demand.values())
+            state.has_traffic = total >= MIN_TRAFFIC_USE * max(slots, 1.0)
+            return state.has_traffic
+        weight = 1.0 - math.exp(-elapsed_s / DEMAND_TIME_CONSTANT_S)
+        _average(state.demand, load.demand, weight)
+        _average(state.used, load.used, weight)
+        return True
 
     def _wanted(
         self, state: _ServiceState, load: ServiceLoad
--- a/tests/test_region_splits.py
+++ b/tests/test_region_splits.py
@@ -111,6 +111,18 @@
     assert 0.35 <= region.shares["north"] <= 0.45
 
 
+def test_shares_wait_for_traffic() -> None:
+    """Guards against shares that grow because nobody asks for anything."""
+    region = _Region()
+    region.go_on(30.0, _load(demand=0.0))
+    assert 0.35 <= region.shares["north"] <= 0.45
+    # Servers that are read later count like those that were read first.
+    late = _Region()
+    late.go_on(2.0, _load(demand=0.0, slots={"north": 6.0}))
+    late.go_on(2.0, _load(demand=0.0))
+    assert late.shares == pytest.approx(region.shares)
+
+
 def test_shares_change_slowly() -> None:
     """Guards against many requests that change their region at once.
 
