Let the instances of a region agree on its shares

Callers saw: requests that changed their region because another instance had taken them. Cause: each instance worked out the shares by itself. One that had restarted began with a guess, and one that was cut off saw no demand of the others and raised its region's share. Change: complete reports carry the shares. An instance that has only guessed takes over the mean of its region, and one that differs by over 0.1 moves towards it. While under three quarters of the instances report, the shares are kept.

--- a/packages/verbenad/src/verbenad/steering/peer_exchange.py
+++ b/packages/verbenad/src/verbenad/steering/peer_exchange.py
@@ -1,14 +1,13 @@
 """Exchanges load reports and heartbeats between instances, in datagrams."""
 
 import socket
-import zlib
-from collections import Counter, defaultdict
 from collections.abc import Callable, Iterable
 
 import eventlet
 import logbook
 
 from verbenad.steering.crash_tracker import CrashTracker
+from verbenad.steering.peer_shares import PeerShares
 from verbenad.steering.peer_traffic import PeerTraffic
 from verbenad.steering.workspace_admission import WorkspaceAdmission
 from verbenaworks.errors import WireError
@@ -19,6 +18,13 @@
 from verbenaworks.steering.peer_report import PeerBeat, PeerReport
 from verbenaworks.steering.placement import Placement
 from verbenaworks.steering.rate_messages import RateAnswer, RateNotice
+from verbenaworks.steering.report_summary import (
+    add_counts,
+    pack_counts,
+    pack_shares,
+    requests_by_region,
+    total_in_flight,
+)
 from verbenaworks.steering.server_table import ServerTable
 from verbenaworks.steering.workspace_rate_limiter import WorkspaceRateLimiter
 from verbenaworks.wire import decode, encode
@@ -47,6 +53,9 @@
 CHANGE_PERIODS = 3.0
 # A peer's report is used for this many report periods.
 REPORT_VALID_PERIODS = 2.5
+# The demand of the regions is known if this share of the instances has
+# reported.
+MIN_REPORTING_SHARE = 0.75
 MAX_DATAGRAM_BYTES = 65000
 
 _log = logbook.Logger("verbenad.peers")
@@ -103,6 +112,7 @@
         self._last_sent_number = 0
         self._report_count = 0
         self._reports: dict[str, tuple[float, PeerReport]] = {}
+        self._peer_shares = PeerShares(local_instance.region, table)
         self._registered: set[tuple[str, int]] = set()
         self._last_received_numbers: dict[str, tuple[int, int]] = {}
         self._was_active = False
@@ -288,13 +298,15 @@
         now_s = self._now_s()
         return PeerReport(
             beat=self._make_heartbeat(),
-            in_flight={
-                short_hash(server_id): count
-                for server_id, count in self._placement.in_flight().items()
-            },
+            in_flight=pack_counts(self._placement.in_flight()),
             usage=self._rate_limiter.local_usage(now_s, changed_since_s),
             crashes=self._crash_tracker.recent_crashes(),
             missing=self._unreachable_peers(now_s),
+            shares=(
+                {}
+                if changed_since_s > float("-inf")
+                else pack_shares(self._placement.region_shares())
+            ),
         )
 
     def _unreachable_peers(self, now_s: float) -> tuple[str, ...]:
@@ -340,6 +352,9 @@
                 if self._handle_heartbeat(beat, missing):
                     now_s = self._now_s()
                     self._reports[beat.name] = (now_s, message)
+                    peer = self._directory.peer(beat.name)
+                    if peer is not None:
+                        self._peer_shares.record(now_s, peer, message.shares)
                     self._rate_limiter.record_report(
                         now_s, beat.name, beat.incarnation, message.usage
                     )
@@ -388,33 +403,30 @@
         """Apply the recent reports to the server loads and the rates."""
         now_s = self._now_s()
         oldest_s = now_s - REPORT_VALID_PERIODS * self.remote_report_period_s
-        by_region: dict[str, Counter[int]] = defaultdict(Counter)
         names = set(self._directory.names)
         for name in [n for n in self._last_received_numbers if n not in names]:
             del self._last_received_numbers[name]
-        for name, (received_at_s, report) in list(self._reports.items()):
-            if name not in names:
-                del self._reports[name]
-            elif received_at_s >= oldest_s:
-                peer = self._directory.peer(name)
-                if peer is not None:
-                    by_region[peer.region].update(report.in_flight)
-        ids = {short_hash(i): i for i in self._table.server_ids}
-        others: Counter[str] = Counter()
-        regional: dict[str, Counter[str]] = defaultdict(Counter)
-        for region, by_hash in by_region.items():
-            for server_hash, count in by_hash.items():
-                if server_hash in ids:
-                    regional[region][ids[server_hash]] = count
-            others.update(regional[region])
-        self._placement.set_peer_requests(now_s, others)
-        regional[self._local_instance.region].update(
-            self._placement.in_flight()
+        for name in [n for n in self._reports if n not in names]:
+            del self._reports[name]
+        recent = [
+            (peer.region, report)
+            for name, (received_at_s, report) in self._reports.items()
+            if received_at_s >= oldest_s
+            and (peer := self._directory.peer(name)) is not None
+        ]
+        by_region = requests_by_region(recent, self._table.server_ids)
+        self._placement.set_peer_requests(
+            now_s, total_in_flight(by_region.values())
+        )
+        region = self._local_instance.region
+        by_region[region] = add_counts(
+            by_region.get(region, {}), self._placement.in_flight()
+        )
+        self._placement.set_peer_shares(self._peer_shares.recent(now_s))
+        self._placement.set_region_requests(
+            now_s,
+            by_region,
+            is_complete=len(recent) + 1
+            >= MIN_REPORTING_SHARE * len(self.peers.members),
         )
-        self._placement.set_region_requests(now_s, regional)
         self._rate_limiter.refresh(now_s)
-
-
-def short_hash(server_id: str) -> int:
-    """Return the number that stands for a server in reports."""
-    return zlib.crc32(server_id.encode("utf-8", "replace"))
--- a/packages/verbenaworks/src/verbenaworks/steering/placement.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/placement.py
@@ -137,7 +137,7 @@
         shares = self._splits.shares(service)
         if not shares:
             # No instance has reported yet.
-            self._demand.update(now_s, {})
+            self._demand.update(now_s, {}, is_complete=False)
             shares = self._splits.shares(service)
         return shares
 
@@ -469,17 +469,27 @@
         self,
         now_s: float,
         by_region: Mapping[str, Mapping[str, float]],
+        *,
+        is_complete: bool = True,
     ) -> None:
         """Set the requests in flight that the instances of regions have sent.
 
         :param by_region: number of requests by region of the sender and
             server id, those of this instance included.
+        :param is_complete: whether nearly all instances have reported.
         """
-        self._demand.update(now_s, by_region)
+        self._demand.update(now_s, by_region, is_complete=is_complete)
+
+    def set_peer_shares(self, peers: Iterable[Shares]) -> None:
+        """Set the shares that the region's other instances use."""
+        self._splits.set_peers(peers)
 
     def region_shares(self) -> Shares:
-        """Return the shares of each service's requests by region."""
-        return self._splits.all_shares
+        """Return the shares of each service's requests by region.
+
+        Shares that are only guessed are left out.
+        """
+        return self._splits.settled_shares
 
     def forget_removed_servers(self, server_ids: Iterable[str]) -> None:
         """Delete the data about servers that no longer exist.
--- a/packages/verbenaworks/src/verbenaworks/steering/region_demand.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/region_demand.py
@@ -45,11 +45,14 @@
         self,
         now_s: float,
         by_region: Mapping[str, Mapping[str, float]],
+        *,
+        is_complete: bool,
     ) -> None:
         """Update the shares of all services.
 
         :param by_region: requests in flight by region of the sender and
             server id.
+        :param is_complete: whether nearly all instances have reported.
         """
         for service, servers in self._table.usable_by_service.items():
             # Requests whose data is not cached take longer. They are no
@@ -70,7 +73,7 @@
                 },
                 max_local_share=self._cached_share(now_s, service),
             )
-            self._splits.update(now_s, service, load)
+            self._splits.update(now_s, service, load, is_complete=is_complete)
 
     def _available_slots(self, now_s: float, service: str) -> dict[str, float]:
         by_region = self._table.usable_by_region(service)
--- a/packages/verbenaworks/src/verbenaworks/steering/region_split.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/region_split.py
@@ -5,7 +5,7 @@
 there may be no room for all of them.
 """
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 from verbenaworks.steering.region_balance import moved_share
 
@@ -13,6 +13,11 @@
 # to the callers' region. Demand that falls often rises again soon.
 MAX_CHANGE_PER_S = 0.02
 MAX_RETURN_PER_S = 0.01
+# The same for an instance whose shares differ from those of the region's other
+# instances, and the difference from which on it changes them. Smaller ones are
+# due to the age of reports and would keep all instances from changing.
+MAX_ALIGNMENT_PER_S = 0.05
+MIN_ALIGNED_DIFFERENCE = 0.1
 # Smaller differences from the wanted shares are ignored, so that objects do
 # not move to and fro.
 TOLERANCE = 0.03
@@ -25,11 +30,13 @@
 
     :param region: region of the instance.
     :ivar shares: share of the requests by region; their sum is 1.
+    :ivar is_settled: whether the shares are more than an initial guess.
     """
 
     def __init__(self, region: str) -> None:
         self._region = region
         self.shares: dict[str, float] = {}
+        self.is_settled = False
 
     def guess(self, shares: Mapping[str, float]) -> None:
         """Set the shares before there is any traffic."""
@@ -37,6 +44,7 @@
 
     def follow(self, elapsed_s: float, wanted: Mapping[str, float]) -> None:
         """Move the shares towards the wanted ones."""
+        self.is_settled = True
         if moved_share(self.shares, wanted) <= TOLERANCE:
             return
         local_share = self.shares.get(self._region, 0.0)
@@ -69,6 +77,25 @@
                     self.shares.get(other, 0.0) + moved * share / total
                 )
 
+    def align(
+        self, elapsed_s: float, peers: Iterable[Mapping[str, float]]
+    ) -> None:
+        """Move the shares towards those of the region's other instances.
+
+        An instance that has only guessed takes them over at once.
+        """
+        mean = _mean(peers)
+        if not mean:
+            return
+        if not self.is_settled:
+            self.shares = mean
+            self.is_settled = True
+            return
+        if moved_share(self.shares, mean) > MIN_ALIGNED_DIFFERENCE:
+            self._move(
+                mean, MAX_ALIGNMENT_PER_S * min(elapsed_s, MAX_ELAPSED_S)
+            )
+
     def _move(self, wanted: Mapping[str, float], max_moved: float) -> None:
         moved = moved_share(self.shares, wanted)
         if moved <= 0 or max_moved <= 0 or not wanted:
@@ -79,3 +106,14 @@
             + part * wanted.get(region, 0.0)
             for region in {*self.shares, *wanted}
         }
+
+
+def _mean(
+    splits: Iterable[Mapping[str, float]],
+) -> dict[str, float]:
+    splits = list(splits)
+    regions = {region for split in splits for region in split}
+    return {
+        region: sum(split.get(region, 0.0) for split in splits) / len(splits)
+        for region in sorted(regions)
+    }
--- a/packages/verbenaworks/src/verbenaworks/steering/region_splits.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/region_splits.py
@@ -1,11 +1,12 @@
 """Shares of all services' requests that run in each region.
 
 The instances report their requests in flight to one another. Each one derives
-the shares of its region from these reports.
+the shares of its region from these reports, and moves its own shares towards
+those of the region's other instances.
 """
 
 import math
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
 from verbenaworks.steering.region_balance import RegionLoad, wanted_shares
@@ -61,6 +62,7 @@
     def __init__(self, region: str) -> None:
         self._region = region
         self._services: dict[str, _ServiceState] = {}
+        self._peers: tuple[Shares, ...] = ()
 
     def shares(self, service: str) -> Mapping[str, float]:
         """Return the share of a service's requests by region."""
@@ -68,15 +70,31 @@
         return state.split.shares if state else {}
 
     @property
-    def all_shares(self) -> dict[str, Mapping[str, float]]:
-        """Return the shares of all services."""
+    def settled_shares(self) -> dict[str, Mapping[str, float]]:
+        """Return the shares by service that are more than a guess."""
         return {
             service: state.split.shares
             for service, state in self._services.items()
+            if state.split.is_settled
         }
 
-    def update(self, now_s: float, service: str, load: ServiceLoad) -> None:
-        """Update the shares of a service; call it a few times a second."""
+    def set_peers(self, peers: Iterable[Shares]) -> None:
+        """Set the shares of the region's other instances."""
+        self._peers = tuple(peers)
+
+    def update(
+        self,
+        now_s: float,
+        service: str,
+        load: ServiceLoad,
+        *,
+        is_complete: bool,
+    ) -> None:
+        """Update the shares of a service; call it a few times a second.
+
+        :param is_complete: whether the demand includes nearly all instances;
+            otherwise the shares are kept.
+        """
         state = self._services.get(service)
         if state is None:
             state = self._services[service] = _ServiceState(
@@ -86,15 +104,25 @@
         state.updated_s = now_s
         overloaded = _overloaded_parts(state, load.slots)
         state.slots = load.slots
-        if not self._observe_demand(state, elapsed_s, load):
+        has_traffic = self._observe_demand(state, elapsed_s, load, is_complete)
+        # The others may know of traffic that this instance does not see yet.
+        state.split.align(
+            elapsed_s, [p[service] for p in self._peers if p.get(service)]
+        )
+        if not has_traffic:
             return
         wanted = self._wanted(state, load)
         if overloaded:
             state.split.leave(overloaded, wanted)
-        state.split.follow(elapsed_s, wanted)
+        if is_complete:
+            state.split.follow(elapsed_s, wanted)
 
     def _observe_demand(
-        self, state: _ServiceState, elapsed_s: float, load: ServiceLoad
+        self,
+        state: _ServiceState,
+        elapsed_s: float,
+        load: ServiceLoad,
+        is_complete: bool,
     ) -> bool:
         """Average the demand; false while there is no traffic."""
         if not state.has_traffic:
@@ -104,13 +132,15 @@
                 load.slots,
                 INITIAL_SLOT_USE * slots / max(1, len(load.slots)),
             )
-            state.split.guess(self._wanted(state, load))
+            if not state.split.is_settled:
+                state.split.guess(self._wanted(state, load))
             total = sum(load.demand.values())
             state.has_traffic = total >= MIN_TRAFFIC_USE * max(slots, 1.0)
             return state.has_traffic
-        weight = 1.0 - math.exp(-elapsed_s / DEMAND_TIME_CONSTANT_S)
-        _average(state.demand, load.demand, weight)
-        _average(state.used, load.used, weight)
+        if is_complete:
+            weight = 1.0 - math.exp(-elapsed_s / DEMAND_TIME_CONSTANT_S)
+            _average(state.demand, load.demand, weight)
+            _average(state.used, load.used, weight)
         return True
 
     def _wanted(
--- /dev/null
+++ b/packages/verbenaworks/src/verbenaworks/steering/report_summary.py
@@ -0,0 +1,95 @@
+"""What the reports of several instances say together."""
+
+import zlib
+from collections.abc import Iterable, Mapping
+
+from verbenaworks.steering.peer_report import PeerReport
+from verbenaworks.steering.region_splits import Shares
+
+# Shares are reported in thousandths.
+SHARE_UNITS = 1000
+
+
+def requests_by_region(
+    reports: Iterable[tuple[str, PeerReport]], server_ids: Iterable[str]
+) -> dict[str, dict[str, float]]:
+    """Add up the requests in flight by the region of the reporting instance.
+
+    :param reports: reports with the region of their sender.
+    :param server_ids: all servers; requests at others are left out.
+    :returns: numbers of requests by region and server id.
+    """
+    ids = {short_hash(server_id): server_id for server_id in server_ids}
+    total: dict[str, dict[str, float]] = {}
+    for region, report in reports:
+        known = {
+            ids[server_hash]: count
+            for server_hash, count in report.in_flight.items()
+            if server_hash in ids
+        }
+        total[region] = add_counts(total.get(region, {}), known)
+    return total
+
+
+def total_in_flight(
+    regions: Iterable[Mapping[str, float]],
+) -> dict[str, float]:
+    """Add up the requests in flight of several regions, by server id."""
+    total: dict[str, float] = {}
+    for counts in regions:
+        total = add_counts(total, counts)
+    return total
+
+
+def add_counts(
+    first: Mapping[str, float], second: Mapping[str, float]
+) -> dict[str, float]:
+    """Add numbers of requests by server id."""
+    return {
+        key: first.get(key, 0.0) + second.get(key, 0.0)
+        for key in {*first, *second}
+    }
+
+
+def pack_counts(by_server: Mapping[str, int]) -> dict[int, int]:
+    """Return numbers of requests by server in the form of a report."""
+    return {short_hash(name): count for name, count in by_server.items()}
+
+
+def pack_shares(shares: Shares) -> dict[int, dict[int, int]]:
+    """Return shares in the form of a report."""
+    return {
+        short_hash(service): {
+            short_hash(region): round(share * SHARE_UNITS)
+            for region, share in by_region.items()
+        }
+        for service, by_region in shares.items()
+    }
+
+
+def unpack_shares(
+    packed: Mapping[int, Mapping[int, int]],
+    *,
+    services: Iterable[str],
+    regions: Iterable[str],
+) -> Shares:
+    """Return the shares of a report; unknown services are left out.
+
+    A service is also left out if one of its regions is unknown, because the
+    shares of the others would not add up.
+    """
+    region_names = {short_hash(region): region for region in regions}
+    unpacked = {}
+    for service in services:
+        by_hash = packed.get(short_hash(service), {})
+        if by_hash and by_hash.keys() <= region_names.keys():
+            unpacked[service] = {
+                region_names[region]: units / SHARE_UNITS
+                for region, units in by_hash.items()
+            }
+    return unpacked
+
+
+def short_hash(name: str) -> int:
+    """Return the number that stands for a name in reports."""
+    return zlib.crc32(name.encode("utf-8", "replace"))
--- a/tests/test_region_shift.py
+++ b/tests/test_region_shift.py
@@ -112,6 +112,23 @@
     assert moved[0] <= MAX_MOVED_SHARE, moved
 
 
+def test_restarted_instances_use_what_the_others_have_learned() -> None:
+    """Guards against instances that start with shares of their own.
+
+    The callers of flanders ask for more than those of the other regions, so
+    that its servers take less of it than their number would suggest.
+    """
+    model = SteeringModel(
+        per_s=constant(CALM_PER_S),
+        share_of=lambda region, _: 3.0 if region == "flanders" else 1.0,
+        size=SIZE,
+    )
+    for number in range(FLANDERS, FLANDERS + 3):
+        model.at(26.0, lambda n=number: model.restart_instance(n))
+    moved = _most_moved(model, 24.0, 28.0)
+    assert moved[0] <= MAX_MOVED_SHARE / 2, moved
+
+
 def test_instances_back_from_a_cut_move_few_requests() -> None:
     """Guards against shares that change while reports are missing."""
     model = _calm()
--- a/tests/test_region_splits.py
+++ b/tests/test_region_splits.py
@@ -10,6 +10,7 @@
 )
 from verbenaworks.steering.region_split import MAX_ELAPSED_S, RegionSplit
 from verbenaworks.steering.region_splits import RegionSplits, ServiceLoad
+from verbenaworks.steering.report_summary import pack_shares, unpack_shares
 
 # The users allow so many requests to change their region within two seconds.
 MAX_MOVED_SHARE = 0.15
@@ -43,10 +44,18 @@
     def shares(self) -> dict[str, float]:
         return dict(self.splits.shares("stock"))
 
-    def go_on(self, for_s: float, load: ServiceLoad) -> None:
+    def go_on(
+        self,
+        for_s: float,
+        load: ServiceLoad,
+        *,
+        is_complete: bool = True,
+    ) -> None:
         for _ in range(round(for_s / PERIOD_S)):
             self.now_s += PERIOD_S
-            self.splits.update(self.now_s, "stock", load)
+            self.splits.update(
+                self.now_s, "stock", load, is_complete=is_complete
+            )
             self.history.append(self.shares)
 
     def most_moved(self) -> float:
@@ -147,6 +156,15 @@
     assert moved_share(before, region.shares) <= 0.05 * MAX_ELAPSED_S
 
 
+def test_shares_are_kept_while_reports_are_missing() -> None:
+    """Guards against an instance that is cut off and sees no demand."""
+    region = _Region()
+    region.go_on(30.0, _load(demand=20.0))
+    before = region.shares
+    region.go_on(30.0, _load(demand=0.1), is_complete=False)
+    assert region.shares == before
+
+
 def test_lost_servers_are_left_as_far_as_the_others_are_full() -> None:
     """Guards against requests that wait for servers that are gone."""
     half = SLOTS | {"south": 12.0}
@@ -172,9 +190,58 @@
     assert sum(region.shares.values()) == pytest.approx(1.0)
 
 
+def test_new_instance_takes_over_the_shares_of_the_others() -> None:
+    """Guards against an instance that starts with shares of its own."""
+    region = _Region()
+    learned = {"north": 0.1, "south": 0.6, "west": 0.3}
+    region.splits.set_peers([{"stock": learned}, {"stock": learned}])
+    region.go_on(PERIOD_S, _load(demand=10.0))
+    assert moved_share(region.shares, learned) <= 0.03
+
+
+def test_different_shares_become_alike_slowly() -> None:
+    """Guards against an instance that keeps shares of its own."""
+    region = _Region()
+    region.go_on(40.0, _load(demand=20.0))
+    others = {"north": 0.9, "south": 0.1}
+    region.splits.set_peers([{"stock": others}])
+    region.go_on(20.0, _load(demand=20.0))
+    assert region.shares["north"] >= 0.6
+    assert region.most_moved() <= MAX_MOVED_SHARE
+
+
+def test_old_reports_do_not_keep_shares_from_changing() -> None:
+    """Guards against instances that all wait for one another."""
+    first, second = _Region(), _Region()
+    for region in (first, second):
+        region.go_on(20.0, _load(demand=2.0))
+    for _ in range(12):
+        reported = [first.shares, second.shares]
+        for region, other in ((first, reported[1]), (second, reported[0])):
+            region.splits.set_peers([{"stock": other}])
+            region.go_on(2.4, _load(demand=20.0))
+    assert first.shares["north"] < 0.6
+    assert moved_share(first.shares, second.shares) <= 0.1
+
+
+def test_settled_shares_are_reported() -> None:
+    """Guards against guesses that other instances take for knowledge."""
+    region = _Region()
+    region.go_on(2.0, _load(demand=0.0))
+    assert region.splits.settled_shares == {}
+    region.go_on(2.0, _load(demand=10.0))
+    shares = region.splits.settled_shares
+    packed = pack_shares(shares)
+    unpacked = unpack_shares(packed, services=["stock"], regions=list(SLOTS))
+    assert unpacked["stock"] == pytest.approx(shares["stock"], abs=0.001)
+    # A receiver that does not know all of the regions leaves it out.
+    assert not unpack_shares(packed, services=["stock"], regions=["north"])
+
+
 def test_split_without_shares_stays_empty() -> None:
     """Guards against an error while no server is known."""
     split = RegionSplit("north")
     split.follow(0.4, {})
     split.leave({"south": 0.5}, {})
+    split.align(0.4, [])
     assert split.shares == {}
--- a/tools/steering_model.py
+++ b/tools/steering_model.py
@@ -24,6 +24,7 @@
     PlacementRefused,
     PlacementRequest,
 )
+from verbenaworks.steering.region_splits import Shares
 from verbenaworks.steering.route import RequestKind, Route, RouteDestination
 from verbenaworks.steering.server_table import ServerTable
 from verbenaworks.steering.service_times import ServiceTimes
@@ -48,6 +49,7 @@
 REPORT_PERIOD_S = 0.4
 # Instances use the reports of the last periods, as the daemon does.
 REPORT_VALID_S = 2.0
+MIN_REPORTING_SHARE = 0.75
 # Round trip between two regions.
 CROSS_REGION_RTT_S = 0.04
 COLD_REQUESTS_PER_S = 17.0
@@ -194,6 +196,8 @@
     is_cut_off: bool = False
     # In-flight requests in its last report, by server.
     report: dict[str, int] = field(default_factory=dict)
+    # The shares that it uses, as of its last report.
+    shares: Shares = field(default_factory=dict)
     reported_at_s: float = float("-inf")
 
 
@@ -480,21 +484,30 @@
         )
         if not instance.is_cut_off:
             instance.report = instance.placement.in_flight()
+            instance.shares = instance.placement.region_shares()
             instance.reported_at_s = self._now_s
         peers = [i for i in self._instances if i is not instance]
         if instance.is_cut_off:
             peers = []
         oldest_s = self._now_s - REPORT_VALID_S
+        peers = [i for i in peers if i.reported_at_s >= oldest_s]
         totals: Counter[str] = Counter()
         by_region: dict[str, Counter[str]] = defaultdict(Counter)
         for peer in peers:
-            if peer.reported_at_s >= oldest_s:
-                totals.update(peer.report)
-                by_region[peer.region].update(peer.report)
+            totals.update(peer.report)
+            by_region[peer.region].update(peer.report)
         placement = instance.placement
         placement.set_peer_requests(self._now_s, totals)
         by_region[instance.region].update(placement.in_flight())
-        placement.set_region_requests(self._now_s, by_region)
+        placement.set_peer_shares(
+            [i.shares for i in peers if i.region == instance.region]
+        )
+        placement.set_region_requests(
+            self._now_s,
+            by_region,
+            is_complete=len(peers) + 1
+            >= MIN_REPORTING_SHARE * len(self._instances),
+        )
 
 
 def constant(per_s: float) -> Callable[[float], float]:
