Let requests with home regions take their slots first

Cause: the shares promised flanders' own callers slots that the bound requests of all regions had filled. Change: reports tell how many of the requests in flight may not run everywhere. Their slots are not counted as room, and they are no demand that could go elsewhere. Until they show, the rates and home regions of the workspaces say what to expect.

--- a/packages/verbenad/src/verbenad/steering/peer_exchange.py
+++ b/packages/verbenad/src/verbenad/steering/peer_exchange.py
@@ -19,7 +19,7 @@
 from verbenaworks.steering.placement import Placement
 from verbenaworks.steering.rate_messages import RateAnswer, RateNotice
 from verbenaworks.steering.report_summary import (
-    add_counts,
+    add_requests,
     pack_counts,
     pack_shares,
     requests_by_region,
@@ -302,6 +302,7 @@
             usage=self._rate_limiter.local_usage(now_s, changed_since_s),
             crashes=self._crash_tracker.recent_crashes(),
             missing=self._unreachable_peers(now_s),
+            bound=pack_counts(self._placement.bound_requests()),
             shares=(
                 {}
                 if changed_since_s > float("-inf")
@@ -419,8 +420,10 @@
             now_s, total_in_flight(by_region.values())
         )
         region = self._local_instance.region
-        by_region[region] = add_counts(
-            by_region.get(region, {}), self._placement.in_flight()
+        by_region[region] = add_requests(
+            by_region.get(region),
+            in_flight=self._placement.in_flight(),
+            bound=self._placement.bound_requests(),
         )
         self._placement.set_peer_shares(self._peer_shares.recent(now_s))
         self._placement.set_region_requests(
--- a/packages/verbenad/src/verbenad/steering/request_runner.py
+++ b/packages/verbenad/src/verbenad/steering/request_runner.py
@@ -178,7 +178,8 @@
         server = placed.server
         started_s = self._now_s()
         load_description = self._placement.load_of(server).describe(started_s)
-        self._placement.request_started(server)
+        is_bound = bool(request.home_regions)
+        self._placement.request_started(server, is_bound=is_bound)
         is_streaming = False
         outcome = "interrupted"
         try:
@@ -207,7 +208,7 @@
                     )
         finally:
             if not is_streaming:
-                self._placement.request_ended(server)
+                self._placement.request_ended(server, is_bound=is_bound)
             attempts.append(
                 AttemptRecord(
                     server=server.server_id,
@@ -279,7 +280,9 @@
         if not isinstance(buffered.pieces, list):
             stream = NotifyingStream(
                 buffered.pieces,
-                lambda: self._placement.request_ended(placed.server),
+                lambda: self._placement.request_ended(
+                    placed.server, is_bound=bool(request.home_regions)
+                ),
             )
             progress.response = BufferedResponse(
                 status=buffered.status,
--- a/packages/verbenad/src/verbenad/steering/steering_daemon.py
+++ b/packages/verbenad/src/verbenad/steering/steering_daemon.py
@@ -42,6 +42,7 @@
 from verbenad.steering.steering_state import SteeringState
 from verbenad.steering.update_reader import UpdateReader
 from verbenad.upstream_pool import PoolSettings, UpstreamPool
+from verbenaworks.steering.bound_rates import bound_parts
 from verbenaworks.steering.cold_start_limiter import ColdStartLimiter
 from verbenaworks.steering.config_freshness import ConfigFreshness
 from verbenaworks.steering.fleet_retry_budget import FleetRetryBudget
@@ -406,6 +407,9 @@
 
     def _on_config(self, config: SteeringConfig) -> None:
         self._rate_limiter.set_workspaces(self._now_s(), config.workspaces)
+        self._placement.set_bound_parts(
+            bound_parts(config.workspaces.values())
+        )
         self._caller_http_server.limits = self._caller_limits(config)
 
     def _on_registrations(self) -> None:
--- a/packages/verbenaworks/src/verbenaworks/steering/peer_report.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/peer_report.py
@@ -34,6 +34,8 @@
     :ivar usage: use of the workspaces' rates.
     :ivar crashes: recent crashes as pairs of request digest and crash id.
     :ivar missing: active instances that it cannot reach.
+    :ivar bound: those of its requests in flight that may not run in every
+        region, by a short hash of the server.
     :ivar shares: share of requests in thousandths, by short hashes of the
         service and the region; only in reports that are complete.
     """
@@ -43,4 +45,5 @@
     usage: dict[str, WorkspaceUsage]
     crashes: tuple[tuple[str, str], ...]
     missing: tuple[str, ...]
+    bound: dict[int, int] = {}
     shares: dict[int, dict[int, int]] = {}
--- a/packages/verbenaworks/src/verbenaworks/steering/placement.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/placement.py
@@ -29,6 +29,7 @@
     RefusalReason,
 )
 from verbenaworks.steering.region_demand import RegionDemand
+from verbenaworks.steering.region_requests import RegionRequests
 from verbenaworks.steering.region_splits import RegionSplits, Shares
 from verbenaworks.steering.response_predictor import ResponsePredictor
 from verbenaworks.steering.server_load import ServerLoad
@@ -429,13 +430,24 @@
             overload = self._overloads[service] = OverloadDetector()
         return overload
 
-    def request_started(self, server: BackendServer) -> None:
-        """Count a request that is sent to a server."""
-        self.load_of(server).in_flight += 1
+    def request_started(
+        self, server: BackendServer, *, is_bound: bool = False
+    ) -> None:
+        """Count a request that is sent to a server.
+
+        :param is_bound: whether it may not run in every region.
+        """
+        load = self.load_of(server)
+        load.in_flight += 1
+        load.bound += is_bound
 
-    def request_ended(self, server: BackendServer) -> None:
+    def request_ended(
+        self, server: BackendServer, *, is_bound: bool = False
+    ) -> None:
         """Stop counting a request that the server no longer works on."""
-        self.load_of(server).in_flight -= 1
+        load = self.load_of(server)
+        load.in_flight -= 1
+        load.bound -= is_bound
 
     def record_response(
         self,
@@ -458,6 +470,14 @@
             if load.in_flight > 0
         }
 
+    def bound_requests(self) -> dict[str, int]:
+        """Return those that may not run in every region, by server id."""
+        return {
+            server_id: load.bound
+            for server_id, load in self._predictor.loads.items()
+            if load.bound > 0
+        }
+
     def set_peer_requests(
         self, now_s: float, by_server: Mapping[str, float]
     ) -> None:
@@ -468,18 +488,22 @@
     def set_region_requests(
         self,
         now_s: float,
-        by_region: Mapping[str, Mapping[str, float]],
+        by_region: Mapping[str, RegionRequests],
         *,
         is_complete: bool = True,
     ) -> None:
         """Set the requests in flight that the instances of regions have sent.
 
-        :param by_region: number of requests by region of the sender and
-            server id, those of this instance included.
+        :param by_region: requests by region of the sender, those of this
+            instance included.
         :param is_complete: whether nearly all instances have reported.
         """
         self._demand.update(now_s, by_region, is_complete=is_complete)
 
+    def set_bound_parts(self, parts: Mapping[str, float]) -> None:
+        """Set what part of all requests is bound to each region."""
+        self._splits.set_bound_parts(parts)
+
     def set_peer_shares(self, peers: Iterable[Shares]) -> None:
         """Set the shares that the region's other instances use."""
         self._splits.set_peers(peers)
--- a/packages/verbenaworks/src/verbenaworks/steering/region_balance.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/region_balance.py
@@ -1,8 +1,9 @@
 """Division of a region's requests between the regions of its service.
 
-A region serves its own callers as far as its servers have room. The others run
-in regions that have room left after serving theirs. If none has, all regions
-are used to the same degree.
+Requests that may not run everywhere take their slots first. A region serves
+its own callers as far as its servers then have room. The others run in regions
+that have room left after serving theirs. If none has, all regions are used to
+the same degree.
 """
 
 from collections.abc import Mapping
@@ -21,10 +22,17 @@
 
     :param slots: slots of the servers that are available.
     :param demand: slots that requests from the region use, in all regions.
+    :param bound: slots of its servers that requests use which may not run
+        everywhere; they are not part of the demand.
     """
 
     slots: float
     demand: float
+    bound: float = 0.0
+
+    def room(self, use: float) -> float:
+        """Return the slots for other requests at a given use of the slots."""
+        return max(0.0, use * self.slots - self.bound)
 
 
 def wanted_shares(
@@ -41,11 +49,11 @@
     slots = sum(load.slots for load in loads.values())
     if slots <= 0:
         return {}
-    used = sum(load.demand for load in loads.values())
+    used = sum(load.demand + load.bound for load in loads.values())
     use = max(MAX_SLOT_USE, used / slots)
     local_share = _local_share(use, loads.get(region), max_local_share)
     rooms = {
-        name: max(use * load.slots - load.demand, MIN_ROOM * load.slots)
+        name: max(load.room(use) - load.demand, MIN_ROOM * load.slots)
         for name, load in loads.items()
         if name != region and load.slots > 0
     }
@@ -77,4 +85,4 @@
         return 0.0
     if load.demand <= 0:
         return max_local_share
-    return min(max_local_share, use * load.slots / load.demand)
+    return min(max_local_share, load.room(use) / load.demand)
--- a/packages/verbenaworks/src/verbenaworks/steering/region_demand.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/region_demand.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Iterable, Mapping
 
 from verbenaworks.steering.backend_server import BackendServer
+from verbenaworks.steering.region_requests import RegionRequests
 from verbenaworks.steering.region_splits import RegionSplits, ServiceLoad
 from verbenaworks.steering.response_predictor import (
     COLD_START_SLOWDOWN,
@@ -44,14 +45,13 @@
     def update(
         self,
         now_s: float,
-        by_region: Mapping[str, Mapping[str, float]],
+        by_region: Mapping[str, RegionRequests],
         *,
         is_complete: bool,
     ) -> None:
         """Update the shares of all services.
 
-        :param by_region: requests in flight by region of the sender and
-            server id.
+        :param by_region: requests in flight by region of the sender.
         :param is_complete: whether nearly all instances have reported.
         """
         for service, servers in self._table.usable_by_service.items():
@@ -61,16 +61,19 @@
             load = ServiceLoad(
                 slots=self._available_slots(now_s, service),
                 demand={
-                    region: cached_ratio
-                    * sum(in_flight.get(s.server_id, 0.0) for s in servers)
-                    for region, in_flight in by_region.items()
-                },
-                used={
-                    region: cached_ratio * count
-                    for region, count in _count_at(
-                        servers, by_region.values()
-                    ).items()
+                    region: cached_ratio * _count_free(requests, servers)
+                    for region, requests in by_region.items()
                 },
+                bound=_scale(
+                    cached_ratio,
+                    _count_at(servers, [r.bound for r in by_region.values()]),
+                ),
+                used=_scale(
+                    cached_ratio,
+                    _count_at(
+                        servers, [r.in_flight for r in by_region.values()]
+                    ),
+                ),
                 max_local_share=self._cached_share(now_s, service),
             )
             self._splits.update(now_s, service, load, is_complete=is_complete)
@@ -100,6 +103,17 @@
         return min(1.0, MAX_CACHE_USE * max_objects * len(local) / objects)
 
 
+def _count_free(
+    requests: RegionRequests, servers: Iterable[BackendServer]
+) -> float:
+    """Count a region's requests that may run everywhere."""
+    return sum(
+        requests.in_flight.get(server.server_id, 0.0)
+        - requests.bound.get(server.server_id, 0.0)
+        for server in servers
+    )
+
+
 def _count_at(
     servers: Iterable[BackendServer],
     counts: Iterable[Mapping[str, float]],
@@ -111,3 +125,7 @@
         count = sum(c.get(server.server_id, 0.0) for c in counts)
         total[server.region] = total.get(server.region, 0.0) + count
     return total
+
+
+def _scale(factor: float, values: Mapping[str, float]) -> dict[str, float]:
+    return {key: factor * value for key, value in values.items()}
--- a/packages/verbenaworks/src/verbenaworks/steering/region_splits.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/region_splits.py
@@ -32,6 +32,8 @@
 
     :param slots: slots of the available servers.
     :param demand: slots that the requests from a region use, in all regions.
+    :param bound: slots in a region that requests use which may not run
+        everywhere; they are not part of the demand.
     :param used: slots in a region that all requests use.
     :param max_local_share: share of its objects that the local region's
         servers can keep cached.
@@ -39,6 +41,7 @@
 
     slots: Mapping[str, float]
     demand: Mapping[str, float]
+    bound: Mapping[str, float]
     used: Mapping[str, float]
     max_local_share: float = 1.0
 
@@ -48,6 +51,7 @@
     split: RegionSplit
     slots: Mapping[str, float] = field(default_factory=dict)
     demand: dict[str, float] = field(default_factory=dict)
+    bound: dict[str, float] = field(default_factory=dict)
     used: dict[str, float] = field(default_factory=dict)
     has_traffic: bool = False
     updated_s: float = float("-inf")
@@ -63,6 +67,7 @@
         self._region = region
         self._services: dict[str, _ServiceState] = {}
         self._peers: tuple[Shares, ...] = ()
+        self._bound_parts: Mapping[str, float] = {}
 
     def shares(self, service: str) -> Mapping[str, float]:
         """Return the share of a service's requests by region."""
@@ -82,6 +87,15 @@
         """Set the shares of the region's other instances."""
         self._peers = tuple(peers)
 
+    def set_bound_parts(self, parts: Mapping[str, float]) -> None:
+        """Set what part of the requests may run in one region only.
+
+        It is used until requests show it.
+
+        :param parts: parts by region.
+        """
+        self._bound_parts = parts
+
     def update(
         self,
         now_s: float,
@@ -127,22 +141,32 @@
         """Average the demand; false while there is no traffic."""
         if not state.has_traffic:
             slots = sum(load.slots.values())
-            # All regions are assumed to ask for the same number of slots.
-            state.demand = dict.fromkeys(
-                load.slots,
-                INITIAL_SLOT_USE * slots / max(1, len(load.slots)),
-            )
+            self._guess_demand(state, load, INITIAL_SLOT_USE * slots)
             if not state.split.is_settled:
                 state.split.guess(self._wanted(state, load))
-            total = sum(load.demand.values())
+            total = sum(load.demand.values()) + sum(load.bound.values())
             state.has_traffic = total >= MIN_TRAFFIC_USE * max(slots, 1.0)
             return state.has_traffic
         if is_complete:
             weight = 1.0 - math.exp(-elapsed_s / DEMAND_TIME_CONSTANT_S)
             _average(state.demand, load.demand, weight)
+            _average(state.bound, load.bound, weight)
             _average(state.used, load.used, weight)
         return True
 
+    def _guess_demand(
+        self, state: _ServiceState, load: ServiceLoad, used_slots: float
+    ) -> None:
+        """Assume that all regions ask for the same number of slots."""
+        state.bound = {
+            region: used_slots * self._bound_parts.get(region, 0.0)
+            for region in load.slots
+        }
+        free = max(0.0, used_slots - sum(state.bound.values()))
+        state.demand = dict.fromkeys(
+            load.slots, free / max(1, len(load.slots))
+        )
+
     def _wanted(
         self, state: _ServiceState, load: ServiceLoad
     ) -> dict[str, float]:
@@ -150,6 +174,7 @@
             region: RegionLoad(
                 slots=load.slots.get(region, 0.0),
                 demand=state.demand.get(region, 0.0),
+                bound=state.bound.get(region, 0.0),
             )
             for region in {*load.slots, *state.demand}
         }
--- a/packages/verbenaworks/src/verbenaworks/steering/report_summary.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/report_summary.py
@@ -1,9 +1,11 @@
 """What the reports of several instances say together."""
 
 import zlib
+from collections import Counter
 from collections.abc import Iterable, Mapping
 
 from verbenaworks.steering.peer_report import PeerReport
+from verbenaworks.steering.region_requests import RegionRequests
 from verbenaworks.steering.region_splits import Shares
 
 # Shares are reported in thousandths.
@@ -12,45 +14,49 @@
 
 def requests_by_region(
     reports: Iterable[tuple[str, PeerReport]], server_ids: Iterable[str]
-) -> dict[str, dict[str, float]]:
+) -> dict[str, RegionRequests]:
     """Add up the requests in flight by the region of the reporting instance.
 
     :param reports: reports with the region of their sender.
     :param server_ids: all servers; requests at others are left out.
-    :returns: numbers of requests by region and server id.
     """
     ids = {short_hash(server_id): server_id for server_id in server_ids}
-    total: dict[str, dict[str, float]] = {}
+    in_flight: dict[str, Counter[str]] = {}
+    bound: dict[str, Counter[str]] = {}
     for region, report in reports:
-        known = {
-            ids[server_hash]: count
-            for server_hash, count in report.in_flight.items()
-            if server_hash in ids
-        }
-        total[region] = add_counts(total.get(region, {}), known)
-    return total
+        _add(in_flight.setdefault(region, Counter()), report.in_flight, ids)
+        _add(bound.setdefault(region, Counter()), report.bound, ids)
+    return {
+        region: RegionRequests(in_flight=counts, bound=bound[region])
+        for region, counts in in_flight.items()
+    }
+
+
+def add_requests(
+    requests: RegionRequests | None,
+    *,
+    in_flight: Mapping[str, float],
+    bound: Mapping[str, float],
+) -> RegionRequests:
+    """Return a region's requests with those of one more instance."""
+    if requests is None:
+        return RegionRequests(in_flight=in_flight, bound=bound)
+    return RegionRequests(
+        in_flight=_sum(requests.in_flight, in_flight),
+        bound=_sum(requests.bound, bound),
+    )
 
 
 def total_in_flight(
-    regions: Iterable[Mapping[str, float]],
+    regions: Iterable[RegionRequests],
 ) -> dict[str, float]:
     """Add up the requests in flight of several regions, by server id."""
     total: dict[str, float] = {}
-    for counts in regions:
-        total = add_counts(total, counts)
+    for requests in regions:
+        total = _sum(total, requests.in_flight)
     return total
 
 
-def add_counts(
-    first: Mapping[str, float], second: Mapping[str, float]
-) -> dict[str, float]:
-    """Add numbers of requests by server id."""
-    return {
-        key: first.get(key, 0.0) + second.get(key, 0.0)
-        for key in {*first, *second}
-    }
-
-
 def pack_counts(by_server: Mapping[str, int]) -> dict[int, int]:
     """Return numbers of requests by server in the form of a report."""
     return {short_hash(name): count for name, count in by_server.items()}
@@ -93,3 +99,22 @@
 def short_hash(name: str) -> int:
     """Return the number that stands for a name in reports."""
     return zlib.crc32(name.encode("utf-8", "replace"))
+
+
+def _add(
+    counts: Counter[str],
+    by_hash: Mapping[int, int],
+    ids: Mapping[int, str],
+) -> None:
+    for server_hash, count in by_hash.items():
+        if server_hash in ids:
+            counts[ids[server_hash]] += count
+
+
+def _sum(
+    first: Mapping[str, float], second: Mapping[str, float]
+) -> dict[str, float]:
+    return {
+        key: first.get(key, 0.0) + second.get(key, 0.0)
+        for key in {*first, *second}
+    }
--- a/packages/verbenaworks/src/verbenaworks/steering/server_load.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/server_load.py
@@ -36,12 +36,14 @@
     """Load and health of one server, as this instance sees it.
 
     :ivar in_flight: local requests without a response.
+    :ivar bound: those of them that may not run in every region.
     :ivar peers_in_flight: moving average of the requests in flight that other
         instances report.
     """
 
     slots: int
     in_flight: int = 0
+    bound: int = 0
     peers_in_flight: float = 0.0
     _others: float = 0.0
     _others_at_s: float = float("-inf")
--- a/tests/test_region_splits.py
+++ b/tests/test_region_splits.py
@@ -2,6 +2,8 @@
 
 import pytest
 
+from steering_factories import workspace
+from verbenaworks.steering.bound_rates import bound_parts
 from verbenaworks.steering.region_balance import (
     MAX_SLOT_USE,
     RegionLoad,
@@ -27,6 +29,7 @@
     return ServiceLoad(
         slots=slots or SLOTS,
         demand=dict.fromkeys(SLOTS, demand),
+        bound={"north": fields.pop("bound", 0.0)},
         used={region: used * s for region, s in SLOTS.items()},
         **fields,
     )
@@ -113,6 +116,37 @@
     assert shares["north"] == pytest.approx(0.35)
 
 
+def test_requests_with_home_regions_take_their_slots_first() -> None:
+    """Guards against a region that is promised slots that are in use.
+
+    On toilechassis-gslb, a workspace that may run in one region only filled
+    the servers there, and that region's own callers were refused.
+    """
+    loads = {
+        "north": RegionLoad(slots=10.0, demand=5.0, bound=6.0),
+        "south": RegionLoad(slots=30.0, demand=5.0),
+    }
+    assert wanted_shares("north", loads).get("north", 0.0) <= 0.1
+
+
+def test_bound_parts_come_from_the_rates() -> None:
+    """Guards against bound requests that show only once they are refused."""
+    parts = bound_parts(
+        [
+            workspace("a", 30.0, home_regions=frozenset({"north"})),
+            workspace("b", 50.0),
+            workspace("c", 20.0, home_regions=frozenset({"north", "west"})),
+            workspace("d"),
+        ]
+    )
+    assert parts == pytest.approx({"north": 0.4, "west": 0.1})
+    assert bound_parts([]) == {}
+    region = _Region()
+    region.splits.set_bound_parts({"north": 0.4})
+    region.go_on(PERIOD_S, _load(demand=0.0))
+    assert region.shares.get("north", 0.0) <= 0.05
+
+
 def test_share_starts_from_the_number_of_servers() -> None:
     """Guards against a region that must shed most of its first requests."""
     region = _Region()
--- a/tools/steering_model.py
+++ b/tools/steering_model.py
@@ -24,6 +24,7 @@
     PlacementRefused,
     PlacementRequest,
 )
+from verbenaworks.steering.region_requests import RegionRequests
 from verbenaworks.steering.region_splits import Shares
 from verbenaworks.steering.route import RequestKind, Route, RouteDestination
 from verbenaworks.steering.server_table import ServerTable
@@ -504,7 +505,10 @@
         )
         placement.set_region_requests(
             self._now_s,
-            by_region,
+            {
+                region: RegionRequests(in_flight=in_flight, bound={})
+                for region, in_flight in by_region.items()
+            },
             is_complete=len(peers) + 1
             >= MIN_REPORTING_SHARE * len(self._instances),
         )
