Log the limit that a backend server names with its responses

Cause: the log could not tell the hypotheses about LIMIT apart: it named no limit, and refusals' headers were dropped. Change: StatementParser reads Server-Load and Server-Limit, also of refusals; an attempt has 'limit'. No decision is changed.

--- a/packages/verbenad/src/verbenad/attempt_failure.py
+++ b/packages/verbenad/src/verbenad/attempt_failure.py
@@ -1,5 +1,6 @@
 """Why an attempt failed."""
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import Enum
 
@@ -38,6 +39,7 @@
         backend server had probably dropped it while it was idle.
     :param body_error: what is wrong with the caller's body.
     :param retry_after_s: the Retry-After value of the backend server, if any.
+    :param headers: headers of a refusal by the backend server.
     """
 
     kind: FailureKind
@@ -48,6 +50,7 @@
     message: str
     body_error: BodyError | None = None
     retry_after_s: float | None = None
+    headers: Sequence[tuple[str, str]] = ()
 
     @property
     def refused_not_run(self) -> bool:
--- a/packages/verbenad/src/verbenad/field_names.py
+++ b/packages/verbenad/src/verbenad/field_names.py
@@ -22,6 +22,8 @@
         a response to another request is recognized.
     :param load: running requests, waiting requests and slots of the backend
         server.
+    :param limit: requests per second that the backend server takes from all
+        instances together.
     :param adds_via: whether the instance adds a Via header.
     """
 
@@ -35,6 +37,7 @@
     seal: str | None = None
     echoes_request_id: bool = False
     load: str | None = None
+    limit: str | None = None
     adds_via: bool = True
 
     @property
--- a/packages/verbenad/src/verbenad/forwarder.py
+++ b/packages/verbenad/src/verbenad/forwarder.py
@@ -508,6 +508,7 @@
                 may_have_run=False,
                 message="the backend server refused without running it",
                 retry_after_s=_retry_after_s(head),
+                headers=head.headers,
             )
         )
 
--- a/packages/verbenad/src/verbenad/steering/request_record.py
+++ b/packages/verbenad/src/verbenad/steering/request_record.py
@@ -13,6 +13,7 @@
         instance, those of other instances according to their reports, and
         those of all others according to the load that the server reported.
     :ivar reported: load that the server reported with its response.
+    :ivar limit: limit that the server named with its response.
     :ivar place: rank of the server in the object's order.
     :ivar objects_since: other objects that this instance has requested of the
         server since the last request for this one.
@@ -29,6 +30,7 @@
     outcome: str
     took_ms: int
     reported: str
+    limit: str
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/packages/verbenad/src/verbenad/steering/request_runner.py
+++ b/packages/verbenad/src/verbenad/steering/request_runner.py
@@ -9,7 +9,6 @@
 from verbenad.attempt_failure import AttemptFailure, FailureKind
 from verbenad.forward_request import ForwardRequest
 from verbenad.forwarder import Forwarder
-from verbenad.http_syntax import values_of
 from verbenad.protocol_errors import ResponseTruncatedError
 from verbenad.refusal import NOT_RUN, OUTCOME_UNKNOWN
 from verbenad.refusal_error import RefusalError, refusal_error
@@ -21,6 +20,10 @@
 from verbenad.steering.crash_tracker import CrashTracker
 from verbenad.steering.permission_check import PermissionCheck
 from verbenad.steering.request_record import AttemptRecord
+from verbenad.steering.server_statement import (
+    ServerStatement,
+    StatementParser,
+)
 from verbenad.upstream_response import UpstreamResponse
 from verbenaworks.steering.fleet_retry_budget import FleetRetryBudget
 from verbenaworks.steering.placement import Placement
@@ -61,7 +64,7 @@
         of an attempt; the next attempt opens a new connection.
     :ivar failed_connects: attempts for which no connection was available.
     :ivar may_have_run: whether a server may have run the request.
-    :ivar reported_load: load that the last server reported, unparsed.
+    :ivar statement: what the last server said of itself.
     """
 
     tried_servers: frozenset[str] = frozenset()
@@ -72,7 +75,7 @@
     may_have_run: bool = False
     failure: AttemptFailure | None = None
     response: BufferedResponse | None = None
-    reported_load: str = ""
+    statement: ServerStatement = ServerStatement()
 
 
 class RequestRunner:
@@ -104,7 +107,7 @@
         self._connection_limit = connection_limit
         self._cold_requests_per_s = cold_requests_per_s
         self._now_s = now_s
-        self._load_field = (forwarder.settings.names.load or "").lower()
+        self._parser = StatementParser(forwarder.settings.names)
 
     def run(
         self, request: AdmittedRequest, attempts: list[AttemptRecord]
@@ -220,7 +223,8 @@
                     objects_since=placed.objects_since,
                     outcome=outcome,
                     took_ms=int((self._now_s() - started_s) * 1000),
-                    reported=progress.reported_load,
+                    reported=progress.statement.load_text,
+                    limit=progress.statement.limit_text,
                 )
             )
 
@@ -243,9 +247,9 @@
         progress.may_have_run = True
         now_s = self._now_s()
         load = self._placement.load_of(placed.server)
-        progress.reported_load = self._record_reported_load(
-            now_s, placed, response
-        )
+        progress.statement = self._parser.parse(response.headers)
+        if progress.statement.load is not None:
+            load.record_reported_load(now_s, progress.statement.load)
         try:
             with eventlet.Timeout(
                 max(
@@ -304,6 +308,7 @@
         now_s = self._now_s()
         load = self._placement.load_of(placed.server)
         progress.failure = failure
+        progress.statement = self._parser.parse(list(failure.headers))
         if failure.reset_when_idle:
             # Only the pooled connection was stale. The server may be healthy
             # and have the affinity key cached, so it may be tried again.
@@ -358,25 +363,6 @@
             # attempt shows whether the request crashes servers.
             self._crash_tracker.record_crash(request.digest)
 
-    def _record_reported_load(
-        self, now_s: float, placed: Placed, response: UpstreamResponse
-    ) -> str:
-        """Record the load that the server reports with its response.
-
-        :returns: the header field as received, empty if there is none.
-        """
-        if not self._load_field:
-            return ""
-        reported_load = ""
-        for value in values_of(response.headers, self._load_field):
-            reported_load = value
-            parts = value.split(",")
-            if len(parts) == 3 and all(p.strip().isdecimal() for p in parts):
-                self._placement.load_of(placed.server).record_reported_load(
-                    now_s, int(parts[0]) + int(parts[1])
-                )
-        return reported_load
-
     def _forward_request(
         self, request: AdmittedRequest, server_id: str
     ) -> ForwardRequest:
