Share the limits that backend servers name between all instances

Cause: no decision read the limit. Placement, retries, first requests and spare choices each had their own check of a server.

Change: ServerLimits keeps what servers say of their limits, from responses to this instance and, in reports, to others; the newer statement counts. A few instances of the server's region, found by rendezvous hashing, share a limit in token buckets; one whose place may have been taken, because it hears neither the store nor most peers, sends nothing, and one that starts sends two at most until a peer has reported. ServerAdmission applies cold starts and limits, and every choice of a server passes it. What fits no limit goes to another server or is refused at once. Objects that were served elsewhere because of a limit return to their home when it ends. Parts of Placement move to OverloadRefusals and ServerIntroductions, because the file had grown large.

--- a/packages/verbenad/src/verbenad/steering/peer_exchange.py
+++ b/packages/verbenad/src/verbenad/steering/peer_exchange.py
@@ -25,6 +25,7 @@
     requests_by_region,
     total_in_flight,
 )
+from verbenaworks.steering.server_limits import ServerLimits
 from verbenaworks.steering.server_table import ServerTable
 from verbenaworks.steering.workspace_rate_limiter import WorkspaceRateLimiter
 from verbenaworks.wire import decode, encode
@@ -81,6 +82,7 @@
         directory: InstanceDirectory,
         table: ServerTable,
         placement: Placement,
+        limits: ServerLimits,
         rate_limiter: WorkspaceRateLimiter,
         crash_tracker: CrashTracker,
         load: InstanceLoad,
@@ -101,6 +103,7 @@
         self._directory = directory
         self._table = table
         self._placement = placement
+        self._limits = limits
         self._rate_limiter = rate_limiter
         self._crash_tracker = crash_tracker
         self._load = load
@@ -210,6 +213,21 @@
             self._on_members()
             self._send_reports(self._directory.peers)
 
+    def announce_limits(self) -> None:
+        """Tell the serving peers at once what servers say of their limits."""
+        if self.is_active:
+            changes_s = CHANGE_PERIODS * self.remote_report_period_s
+            self._send_reports(
+                self.peers.report_recipients, self._now_s() - changes_s
+            )
+
+    @property
+    def hears_most_peers(self) -> bool:
+        """Whether most of the serving peers have reported lately."""
+        peers = self.peers.report_recipients
+        missing = self._unheard_peers(self._now_s())
+        return not peers or 2 * len(missing) < len(peers)
+
     def announce_now(self) -> None:
         """Send a report and heartbeats to the peers at once."""
         self._send_reports(self.peers.report_recipients)
@@ -308,12 +326,17 @@
                 if changed_since_s > float("-inf")
                 else pack_shares(self._placement.region_shares())
             ),
+            limits=self._limits.packed(now_s, self._table.servers),
         )
 
     def _unreachable_peers(self, now_s: float) -> tuple[str, ...]:
-        """Return the serving peers without a recent report."""
+        """Return the peers to report as missing; none in a small fleet."""
         if self.peers.is_small_fleet:
             return ()
+        return self._unheard_peers(now_s)
+
+    def _unheard_peers(self, now_s: float) -> tuple[str, ...]:
+        """Return the serving peers without a recent report."""
         oldest_s = now_s - REPORT_VALID_PERIODS * self.remote_report_period_s
         return tuple(
             peer.name
@@ -356,6 +379,9 @@
                     peer = self._directory.peer(beat.name)
                     if peer is not None:
                         self._peer_shares.record(now_s, peer, message.shares)
+                        self._limits.record_peer(
+                            now_s, message.limits, self._table.servers
+                        )
                     self._rate_limiter.record_report(
                         now_s, beat.name, beat.incarnation, message.usage
                     )
--- a/packages/verbenad/src/verbenad/steering/request_runner.py
+++ b/packages/verbenad/src/verbenad/steering/request_runner.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 import eventlet
+import logbook
 from result import Err, Ok
 
 from verbenad.attempt_failure import AttemptFailure, FailureKind
@@ -33,6 +34,7 @@
     PlacementRequest,
     RefusalReason,
 )
+from verbenaworks.steering.server_limits import ServerLimits
 from verbenaworks.steering.server_load import ServerLoad
 
 # A backend server responds with its own error when the deadline passes. This
@@ -48,10 +50,15 @@
 # No backend server can respond in less time than this.
 MIN_TIME_LEFT_S = 0.02
 
+MAX_LOGGED_CHARACTERS = 40
+
+_log = logbook.Logger("verbenad.servers")
+
 _REFUSAL_CODES = {
     RefusalReason.NO_SERVER: "no-backend-server",
     RefusalReason.OVERLOADED: "overloaded",
     RefusalReason.COLD_START_LIMIT: "overloaded",
+    RefusalReason.SERVER_LIMIT: "overloaded",
 }
 
 
@@ -95,6 +102,7 @@
         retry_budget: FleetRetryBudget,
         crash_tracker: CrashTracker,
         permission_check: PermissionCheck,
+        limits: ServerLimits,
         connection_limit: Callable[[str], int],
         cold_requests_per_s: Callable[[str], float],
         now_s: Callable[[], float],
@@ -104,6 +112,7 @@
         self._retry_budget = retry_budget
         self._crash_tracker = crash_tracker
         self._permission_check = permission_check
+        self._limits = limits
         self._connection_limit = connection_limit
         self._cold_requests_per_s = cold_requests_per_s
         self._now_s = now_s
@@ -248,8 +257,7 @@
         now_s = self._now_s()
         load = self._placement.load_of(placed.server)
         progress.statement = self._parser.parse(response.headers)
-        if progress.statement.load is not None:
-            load.record_reported_load(now_s, progress.statement.load)
+        self._record_statement(now_s, placed, progress.statement)
         try:
             with eventlet.Timeout(
                 max(
@@ -327,6 +335,7 @@
                 load.record_connection_failure(now_s)
             case FailureKind.REFUSED_NOT_RUN:
                 progress.sent_attempts += 1
+                self._record_statement(now_s, placed, progress.statement)
                 load.record_failure(now_s)
                 if load.record_refusal(now_s):
                     progress.full_servers |= {placed.server.server_id}
@@ -363,6 +372,27 @@
             # attempt shows whether the request crashes servers.
             self._crash_tracker.record_crash(request.digest)
 
+    def _record_statement(
+        self, now_s: float, placed: Placed, statement: ServerStatement
+    ) -> None:
+        """Record what a server says of itself."""
+        server = placed.server
+        if statement.load is not None:
+            self._placement.load_of(server).record_reported_load(
+                now_s, statement.load
+            )
+        if statement.has_unreadable_limit:
+            # A known limit stays, because the server still names one.
+            _log.warning(
+                "limit of a backend server ignored; it is no decimal number",
+                extra={
+                    "server": server.server_id,
+                    "limit": statement.limit_text[:MAX_LOGGED_CHARACTERS],
+                },
+            )
+            return
+        self._limits.record_response(now_s, server, statement.limit_per_s)
+
     def _forward_request(
         self, request: AdmittedRequest, server_id: str
     ) -> ForwardRequest:
--- a/packages/verbenad/src/verbenad/steering/steering_daemon.py
+++ b/packages/verbenad/src/verbenad/steering/steering_daemon.py
@@ -42,6 +42,7 @@
 from verbenad.steering.steering_state import SteeringState
 from verbenad.steering.update_reader import UpdateReader
 from verbenad.upstream_pool import PoolSettings, UpstreamPool
+from verbenaworks.steering.backend_server import BackendServer
 from verbenaworks.steering.bound_rates import bound_parts
 from verbenaworks.steering.cold_start_limiter import ColdStartLimiter
 from verbenaworks.steering.config_freshness import ConfigFreshness
@@ -51,6 +52,8 @@
 from verbenaworks.steering.instance_record import InstanceRecord
 from verbenaworks.steering.item_log import ItemLog
 from verbenaworks.steering.placement import Placement
+from verbenaworks.steering.server_limits import ServerLimits
+from verbenaworks.steering.server_senders import ServerSenders
 from verbenaworks.steering.server_table import ServerTable
 from verbenaworks.steering.service_times import ServiceTimes
 from verbenaworks.steering.steering_config import SteeringConfig
@@ -219,7 +222,8 @@
             capacity=self._local_instance.capacity,
             link_mbps=settings.link_mbps,
         )
-        self._cold_start_limiter = ColdStartLimiter(settings.name)
+        self._senders = ServerSenders(settings.name, settings.region)
+        self._server_limits = ServerLimits(senders=self._senders)
         self._rate_limiter = WorkspaceRateLimiter(
             instance=settings.name,
             incarnation=self._local_instance.incarnation,
@@ -236,7 +240,8 @@
             failure_domain=settings.failure_domain,
             table=self._table,
             times=ServiceTimes(),
-            cold_start_limiter=self._cold_start_limiter,
+            cold_start_limiter=ColdStartLimiter(self._senders),
+            limits=self._server_limits,
             random=self._random,
         )
         self._crash_tracker = CrashTracker(
@@ -300,6 +305,7 @@
             directory=self._directory,
             table=self._table,
             placement=self._placement,
+            limits=self._server_limits,
             rate_limiter=self._rate_limiter,
             crash_tracker=self._crash_tracker,
             load=self._load,
@@ -311,6 +317,10 @@
             on_members=self._on_members,
             now_s=self._now_s,
         )
+        self._server_limits.connect(
+            is_connected=self._is_connected,
+            on_change=self._on_limit,
+        )
         self._pool = UpstreamPool(
             PoolSettings(
                 connect_timeout_s=CONNECT_TIMEOUT_S,
@@ -337,6 +347,7 @@
                 key_field=self._names.fields.key.lower(),
                 now_s=self._now_s,
             ),
+            limits=self._server_limits,
             connection_limit=self._connection_limit,
             cold_requests_per_s=self._cold_requests_per_s,
             now_s=self._now_s,
@@ -421,10 +432,24 @@
         )
         self._on_members()
 
+    def _on_limit(
+        self, server: BackendServer, limit_per_s: float | None
+    ) -> None:
+        self._log.info(
+            "limit of a backend server changed",
+            extra={"server": server.server_id, "limit": limit_per_s},
+        )
+        self._peer_exchange.announce_limits()
+
     def _on_members(self) -> None:
         names = self._peer_exchange.peers.members
-        self._cold_start_limiter.set_instances(
-            names, is_sender=self._peer_exchange.is_active
+        self._senders.set_instances(
+            {
+                peer.name: peer.region
+                for peer in self._directory.peers
+                if peer.name in names
+            },
+            is_sender=self._peer_exchange.is_active,
         )
         self._retry_budget.set_instances(len(names))
         self._rate_limiter.set_report_period(
@@ -436,6 +461,7 @@
     def _clean_up(self) -> None:
         self._pool.close_expired()
         self._placement.forget_removed_servers(self._table.server_ids)
+        self._server_limits.forget(self._now_s())
 
     def _log_region_shares(self) -> None:
         self._region_share_log.record(self._placement.region_shares())
@@ -456,6 +482,13 @@
             and state.freshness.is_valid(self._now_s())
         )
 
+    def _is_connected(self) -> bool:
+        """Whether the others count on this instance."""
+        return (
+            self._state.freshness.is_valid(self._now_s())
+            or self._peer_exchange.hears_most_peers
+        )
+
     def _not_ready_reason(self) -> str | None:
         if self._leaving:
             return "the instance is shutting down"
--- a/packages/verbenaworks/src/verbenaworks/steering/peer_report.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/peer_report.py
@@ -38,6 +38,9 @@
         region, by a short hash of the server.
     :ivar shares: share of requests in thousandths, by short hashes of the
         service and the region; only in reports that are complete.
+    :ivar limits: what servers have said of their limits to the sender: the
+        limit in thousandths per second, or -1 if it has ended, and its age in
+        milliseconds, by a short hash of the server's incarnation.
     """
 
     beat: PeerBeat
@@ -47,3 +50,4 @@
     missing: tuple[str, ...]
     bound: dict[int, int] = {}
     shares: dict[int, dict[int, int]] = {}
+    limits: dict[int, tuple[int, int]] = {}
--- a/packages/verbenaworks/src/verbenaworks/steering/placement.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/placement.py
@@ -20,7 +20,7 @@
 from verbenaworks.steering.candidate_servers import CandidateServers
 from verbenaworks.steering.cold_start_limiter import ColdStartLimiter
 from verbenaworks.steering.overflow_budget import OverflowBudget
-from verbenaworks.steering.overload_detector import OverloadDetector
+from verbenaworks.steering.overload_refusals import OverloadRefusals
 from verbenaworks.steering.placement_result import (
     ChoiceReason,
     Placed,
@@ -32,10 +32,12 @@
 from verbenaworks.steering.region_requests import RegionRequests
 from verbenaworks.steering.region_splits import RegionSplits, Shares
 from verbenaworks.steering.response_predictor import ResponsePredictor
+from verbenaworks.steering.server_admission import ServerAdmission
+from verbenaworks.steering.server_introductions import ServerIntroductions
+from verbenaworks.steering.server_limits import ServerLimits
 from verbenaworks.steering.server_load import ServerLoad
 from verbenaworks.steering.server_table import ServerTable
 from verbenaworks.steering.service_times import TRACKED_RANKS, ServiceTimes
-from verbenaworks.steering.wait_limits import WaitLimits
 
 # The first servers of the rendezvous order, which are always compared.
 PREFERRED_CANDIDATES = 3
@@ -47,8 +49,6 @@
 CROSS_REGION_COST_S = 0.030
 # Share of its slots up to which a server counts as having slots to spare.
 MAX_SPARE_USE = 0.67
-# Shortest pause after a refusal: the time in which a slot becomes free.
-MIN_RETRY_AFTER_S = 0.15
 
 
 class Placement:
@@ -66,18 +66,19 @@
         table: ServerTable,
         times: ServiceTimes,
         cold_start_limiter: ColdStartLimiter,
+        limits: ServerLimits,
         random: Random,
     ) -> None:
         self._region = region
         self._failure_domain = failure_domain
         self._table = table
-        self._times = times
-        self._cold_start_limiter = cold_start_limiter
-        self._random = random
         self._predictor = ResponsePredictor(
-            region=region, failure_domain=failure_domain, times=times
+            region=region,
+            failure_domain=failure_domain,
+            times=times,
+            limits=limits,
         )
-        self._wait_limits = WaitLimits(times)
+        self._refusals = OverloadRefusals(times=times, random=random)
         self._splits = RegionSplits(region)
         self._candidates = CandidateServers(
             failure_domain=failure_domain,
@@ -92,15 +93,22 @@
             times=times,
             predictor=self._predictor,
             recent_objects=self._candidates.count_recent_objects,
+            limits=limits,
             splits=self._splits,
         )
+        self._admission = ServerAdmission(
+            table=table,
+            predictor=self._predictor,
+            cold_start_limiter=cold_start_limiter,
+            limits=limits,
+        )
+        self._introductions = ServerIntroductions(
+            table=table,
+            admission=self._admission,
+            cold_start_limiter=cold_start_limiter,
+            limits=limits,
+        )
         self._overflow = OverflowBudget()
-        self._overloads: dict[str, OverloadDetector] = {}
-        self._serving_since_s: float | None = None
-        # Server incarnations that need no first request from this instance.
-        self._introduced: set[tuple[str, int]] = set()
-        # Table version at which all servers of a service were introduced.
-        self._all_introduced_version: dict[str, int] = {}
 
     def load_of(self, server: BackendServer) -> ServerLoad:
         """Return the load and health of a server, as known here."""
@@ -117,19 +125,16 @@
         :param cold_requests_per_s: requests per second that a server can
             handle during its cold start.
         """
-        if self._serving_since_s is None:
-            self._serving_since_s = now_s
+        self._introductions.record_request(now_s)
         if not request.tried_servers:
             self._overflow.record_request(now_s)
         regions = self._candidates.regions(now_s, request)
         chosen = self._introduce(
             now_s, request, regions, cold_requests_per_s
         ) or self._choose_region(now_s, request, regions, cold_requests_per_s)
-        if isinstance(chosen, PlacementRefused):
-            return chosen
-        if self._table.cold_left_s(now_s, chosen.server.server_id) > 0:
-            self._cold_start_limiter.record_request(
-                now_s, chosen.server.server_id, cold_requests_per_s
+        if isinstance(chosen, Placed):
+            self._admission.record_request(
+                now_s, chosen.server, cold_requests_per_s
             )
         return chosen
 
@@ -149,53 +154,21 @@
         regions: list[str],
         cold_requests_per_s: float,
     ) -> Placed | None:
-        """Choose a server that joined and got no request from here yet.
-
-        Such a server may be the first choice of no affinity key; without a
-        request, its load and health would stay unknown. Each instance that
-        may use a cold server sends it one request, of those that run in the
-        server's region anyway.
-        """
+        """Choose a server that needs a request, none if there is none."""
         if (
-            self._overload(request.service).is_sustained
+            self._refusals.overload(request.service).is_sustained
             or request.tried_servers
             or not regions
         ):
             return None
-        version = self._table.version
-        if self._all_introduced_version.get(request.service) == version:
+        server = self._introductions.choose(
+            now_s, request.service, regions[0], cold_requests_per_s
+        )
+        if server is None:
             return None
-        is_one_left = False
-        for server in self._table.usable(request.service):
-            server_id = server.server_id
-            key = (server_id, server.started_at_ms)
-            if key in self._introduced:
-                continue
-            joined_at_s = self._table.joined_at_s(server_id)
-            if joined_at_s <= (self._serving_since_s or now_s):
-                # Existing servers get requests through the affinity keys.
-                self._introduced.add(key)
-                continue
-            if not self._cold_start_limiter.is_sender(server_id):
-                self._introduced.add(key)
-                continue
-            is_one_left = True
-            if server.region != regions[0]:
-                continue
-            cold = self._table.cold_left_s(now_s, server_id) > 0
-            if cold and not self._cold_start_limiter.allows(
-                now_s, server_id, cold_requests_per_s
-            ):
-                continue
-            self._introduced.add(key)
-            rank = TRACKED_RANKS if request.affinity_key else None
-            placed = self._predictor.predict(
-                now_s, request, server, rank, cold=cold
-            )
-            return replace(placed, reason=ChoiceReason.JOINED)
-        if not is_one_left:
-            self._all_introduced_version[request.service] = version
-        return None
+        rank = TRACKED_RANKS if request.affinity_key else None
+        placed = self._predict(now_s, request, server, rank)
+        return replace(placed, reason=ChoiceReason.JOINED)
 
     def _choose_region(
         self,
@@ -225,22 +198,17 @@
                 cold_requests_per_s,
             )
         if best is None:
-            return PlacementRefused(
-                reason=reason, retry_after_s=MIN_RETRY_AFTER_S
-            )
+            return self._refusals.no_server(reason)
         if best.server.region != regions[0] and self._is_busy(
             request, regions[0]
         ):
             if not self._overflow.allows_one:
-                return PlacementRefused(
-                    reason=RefusalReason.OVERLOADED,
-                    retry_after_s=MIN_RETRY_AFTER_S,
-                )
+                return self._refusals.no_server(RefusalReason.OVERLOADED)
             self._overflow.record_overflow()
-        is_late = best.wait_s > self._wait_limits.max_wait_s(request)
+        is_late = self._refusals.is_late(request, best)
         if not request.tried_servers:
-            self._overload(request.service).observe(now_s, is_late)
-        refused = self._refuse(now_s, request, best)
+            self._refusals.overload(request.service).observe(now_s, is_late)
+        refused = self._refusals.refuse(request, best)
         if not is_late and refused is None:
             return best
         other = self._overflow_server(
@@ -287,36 +255,41 @@
     ) -> tuple[Placed | None, RefusalReason]:
         best: Placed | None = None
         best_cost_s = 0.0
+        limited_home: BackendServer | None = None
         reason = RefusalReason.NO_SERVER
-        overload = self._overload(request.service)
-        max_wait_s = self._wait_limits.max_wait_s(request)
+        overload = self._refusals.overload(request.service)
         for number, (rank, server) in enumerate(candidates):
             if (
                 number >= PREFERRED_CANDIDATES
                 and best is not None
-                and (best.wait_s <= max_wait_s or overload.is_sustained)
+                and (
+                    overload.is_sustained
+                    or not self._refusals.is_late(request, best)
+                )
             ):
                 # Servers further down the order would have to load the key's
                 # data, which takes slots that cached keys need.
                 break
-            cold = self._table.cold_left_s(now_s, server.server_id) > 0
-            if cold and not self._cold_start_limiter.allows(
-                now_s, server.server_id, cold_requests_per_s
-            ):
-                reason = RefusalReason.COLD_START_LIMIT
-                continue
-            placed = self._predictor.predict(
-                now_s, request, server, rank, cold=cold
+            refusal = self._admission.refusal(
+                now_s, server, cold_requests_per_s
             )
+            if refusal is not None:
+                reason = refusal
+                if rank == 0 and refusal is RefusalReason.SERVER_LIMIT:
+                    limited_home = server
+                continue
+            placed = self._predict(now_s, request, server, rank)
             cost_s = self._cost_s(request, placed)
             if best is None or cost_s < best_cost_s:
                 best, best_cost_s = placed, cost_s
+        if best is not None and limited_home is not None:
+            best = replace(best, limited_home=limited_home)
         return best, reason
 
     def _cost_s(self, request: PlacementRequest, placed: Placed) -> float:
         # The longer service time without cached data takes capacity from
         # other requests. It counts more if many requests are late.
-        late_share = self._overload(request.service).late_share
+        late_share = self._refusals.overload(request.service).late_share
         return (
             placed.predicted_s
             + late_share * placed.expected_s
@@ -340,48 +313,13 @@
         other, _ = self._best_in(
             now_s, request, regions[0], cold_requests_per_s
         )
-        if other is None or self._refuse(now_s, request, other) is not None:
+        if other is None or self._refusals.refuse(request, other) is not None:
             return None
         if self._cost_s(request, other) >= self._cost_s(request, best):
             return None
         self._overflow.record_overflow()
         return replace(other, reason=ChoiceReason.OVERFLOW)
 
-    def _refuse(
-        self,
-        now_s: float,
-        request: PlacementRequest,
-        best: Placed,
-    ) -> PlacementRefused | None:
-        """Return a refusal if not even the best server is good enough."""
-        overload = self._overload(request.service)
-        service_time_s = best.expected_s
-        if not best.cached:
-            # A server caches the key's data only if it finishes in time.
-            service_time_s = self._times.uncached_s(
-                request.route.name,
-                request.service,
-                request.route.latency_objective_s,
-            )
-        misses_deadline = (
-            best.wait_s > 0
-            and best.wait_s + service_time_s > request.time_left_s
-        )
-        is_excess = (
-            overload.is_sustained
-            and best.wait_s
-            > self._wait_limits.strict_max_wait_s(request, best.server)
-        )
-        if not misses_deadline and not is_excess:
-            return None
-        over_s = best.wait_s - self._wait_limits.max_wait_s(request)
-        return PlacementRefused(
-            reason=RefusalReason.OVERLOADED,
-            retry_after_s=max(MIN_RETRY_AFTER_S, over_s)
-            * self._random.uniform(1.0, 2.0),
-            predicted_s=best.predicted_s,
-        )
-
     def _spare_server(
         self,
         now_s: float,
@@ -413,22 +351,31 @@
             load = self.load_of(server).load(now_s)
             if load + 1 > MAX_SPARE_USE * server.slots:
                 continue
-            if self._table.cold_left_s(now_s, server.server_id) > 0:
+            if self._admission.is_cold(
+                now_s, server
+            ) or self._admission.refusal(now_s, server, 0.0):
                 continue
-            placed = self._predictor.predict(
-                now_s, request, server, rank, cold=False
-            )
+            placed = self._predict(now_s, request, server, rank)
             if placed.predicted_s <= request.time_left_s:
                 # The first one in the order, so that the requests that follow
                 # find the data there.
                 return replace(placed, reason=ChoiceReason.SPARE)
         return None
 
-    def _overload(self, service: str) -> OverloadDetector:
-        overload = self._overloads.get(service)
-        if overload is None:
-            overload = self._overloads[service] = OverloadDetector()
-        return overload
+    def _predict(
+        self,
+        now_s: float,
+        request: PlacementRequest,
+        server: BackendServer,
+        rank: int | None,
+    ) -> Placed:
+        return self._predictor.predict(
+            now_s,
+            request,
+            server,
+            rank,
+            cold=self._admission.is_cold(now_s, server),
+        )
 
     def request_started(
         self, server: BackendServer, *, is_bound: bool = False
--- a/packages/verbenaworks/src/verbenaworks/steering/placement_result.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/placement_result.py
@@ -13,6 +13,7 @@
     NO_SERVER = auto()
     OVERLOADED = auto()
     COLD_START_LIMIT = auto()
+    SERVER_LIMIT = auto()
 
 
 class ChoiceReason(StrEnum):
@@ -23,7 +24,8 @@
     :cvar SHORTER_WAIT: another server is predicted to respond sooner.
     :cvar OVERFLOW: the same, in another region than the request's own.
     :cvar SPARE: an idle server instead of a refusal.
-    :cvar JOINED: the first request to a server that has just joined.
+    :cvar JOINED: the first request to a server that has just joined, or one
+        that shows whether a server's limit still holds.
     """
 
     PREFERRED = auto()
@@ -68,6 +70,8 @@
         this one recently.
     :ivar rank: rank of the server in the object's order; none without an
         affinity key.
+    :ivar limited_home: the object's home, if it would be the first choice but
+        takes no more requests for now.
     """
 
     server: BackendServer
@@ -79,6 +83,7 @@
     load: float
     objects_since: int | None = None
     reason: ChoiceReason = ChoiceReason.PREFERRED
+    limited_home: BackendServer | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/packages/verbenaworks/src/verbenaworks/steering/region_demand.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/region_demand.py
@@ -10,6 +10,7 @@
     COLD_START_SLOWDOWN,
     ResponsePredictor,
 )
+from verbenaworks.steering.server_limits import ServerLimits
 from verbenaworks.steering.server_table import ServerTable
 from verbenaworks.steering.service_times import ServiceTimes
 
@@ -33,6 +34,7 @@
         times: ServiceTimes,
         predictor: ResponsePredictor,
         recent_objects: Callable[[float, str], int],
+        limits: ServerLimits,
         splits: RegionSplits,
     ) -> None:
         self._region = region
@@ -40,6 +42,7 @@
         self._times = times
         self._predictor = predictor
         self._recent_objects = recent_objects
+        self._limits = limits
         self._splits = splits
 
     def update(
@@ -86,11 +89,17 @@
         }
 
     def _slots(self, now_s: float, server: BackendServer) -> float:
+        """Return the slots of a server that can be used now."""
         if self._predictor.load_of(server).is_down(now_s):
             return 0.0
+        slots = float(server.slots)
         if self._table.cold_left_s(now_s, server.server_id) > 0:
-            return server.slots / COLD_START_SLOWDOWN
-        return server.slots
+            slots /= COLD_START_SLOWDOWN
+        limit_per_s = self._limits.limit_per_s(now_s, server)
+        if limit_per_s is not None:
+            used_s = self._times.latest_cached_s(server.service)
+            slots = min(slots, limit_per_s * used_s)
+        return slots
 
     def _cached_share(self, now_s: float, service: str) -> float:
         """Return the share of the objects that the region keeps cached."""
--- a/packages/verbenaworks/src/verbenaworks/steering/response_predictor.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/response_predictor.py
@@ -8,6 +8,7 @@
     Placed,
     PlacementRequest,
 )
+from verbenaworks.steering.server_limits import ServerLimits
 from verbenaworks.steering.server_load import ServerLoad
 from verbenaworks.steering.service_times import ServiceTimes
 
@@ -28,15 +29,22 @@
 
     :param region: region of the instance.
     :param failure_domain: failure domain of the instance.
+    :param limits: limits that servers name.
     :ivar loads: load and health by server id.
     """
 
     def __init__(
-        self, *, region: str, failure_domain: str, times: ServiceTimes
+        self,
+        *,
+        region: str,
+        failure_domain: str,
+        times: ServiceTimes,
+        limits: ServerLimits,
     ) -> None:
         self._region = region
         self._failure_domain = failure_domain
         self._times = times
+        self._limits = limits
         self.loads: dict[str, ServerLoad] = {}
         self._cache_capacities: dict[str, CacheCapacity] = {}
 
@@ -76,7 +84,7 @@
         key = (route.name, request.service, route.latency_objective_s)
         objects_since = None
         if rank is not None:
-            objects_since = load.objects_since(object_key(request).text)
+            objects_since = self._objects_since(now_s, request, load)
         cached = (
             objects_since is not None
             and objects_since < self.cache_capacity(request.service).objects
@@ -125,7 +133,7 @@
         at_server_s = max(0.001, took_s - rtt_s)
         load.record_success(now_s, took_s / max(0.001, placed.predicted_s))
         if request.affinity_key:
-            load.record_object(object_key(request).text)
+            load.record_object(object_key(request).text, placed.limited_home)
         self._times.observe_mean(
             request.route.name,
             request.service,
@@ -143,6 +151,16 @@
             )
             self._learn_cache_capacity(now_s, request, placed, at_server_s)
 
+    def _objects_since(
+        self, now_s: float, request: PlacementRequest, load: ServerLoad
+    ) -> int | None:
+        text = object_key(request).text
+        home = load.limited_home(text)
+        if home and self._limits.limit_per_s(now_s, home) is None:
+            # The object returns to its home, whose limit has ended.
+            return None
+        return load.objects_since(text)
+
     def _learn_cache_capacity(
         self,
         now_s: float,
--- a/packages/verbenaworks/src/verbenaworks/steering/server_load.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/server_load.py
@@ -3,6 +3,8 @@
 import math
 from dataclasses import dataclass, field
 
+from verbenaworks.steering.backend_server import BackendServer
+
 # Time constant of the moving average of the load that other instances report.
 # Reports are older than a service time: without the average, all instances
 # would send to the servers that looked free, and then all avoid them.
@@ -55,7 +57,9 @@
     _updated_s: float = 0.0
     _down_until_s: float = float("-inf")
     _down_count: int = 0
-    _recent_objects: dict[str, None] = field(default_factory=dict)
+    _recent_objects: dict[str, BackendServer | None] = field(
+        default_factory=dict
+    )
 
     def load(self, now_s: float) -> float:
         """Return the requests that run or wait at the server."""
@@ -191,13 +195,23 @@
                 return count
         return None
 
-    def record_object(self, object_text: str) -> None:
-        """Record that the server has responded to a request for an object."""
+    def record_object(
+        self, object_text: str, limited_home: BackendServer | None = None
+    ) -> None:
+        """Record that the server has responded to a request for an object.
+
+        :param limited_home: the object's home, if this server takes its place
+            while it has a limit.
+        """
         self._recent_objects.pop(object_text, None)
-        self._recent_objects[object_text] = None
+        self._recent_objects[object_text] = limited_home
         if len(self._recent_objects) > MAX_RECENT_OBJECTS:
             del self._recent_objects[next(iter(self._recent_objects))]
 
+    def limited_home(self, object_text: str) -> BackendServer | None:
+        """Return the home whose place this server takes for an object."""
+        return self._recent_objects.get(object_text)
+
     def _decay_health(self, now_s: float) -> None:
         elapsed_s = now_s - self._updated_s
         if elapsed_s <= 0:
--- a/packages/verbenaworks/src/verbenaworks/steering/server_table.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/server_table.py
@@ -171,6 +171,11 @@
             entry.server.region for entry in self._entries.values()
         )
 
+    @property
+    def servers(self) -> tuple[BackendServer, ...]:
+        """All servers, usable or not."""
+        return tuple(entry.server for entry in self._entries.values())
+
     @property
     def server_ids(self) -> tuple[str, ...]:
         """Ids of all servers, usable or not."""
--- a/packages/verbenaworks/src/verbenaworks/steering/service_times.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/service_times.py
@@ -60,6 +60,11 @@
         times = self._latest.get(service)
         return min(1.0, times.cached_s / times.mean_s) if times else 1.0
 
+    def latest_cached_s(self, service: str) -> float:
+        """Return the time with cached data on the service's latest route."""
+        times = self._latest.get(service)
+        return times.cached_s if times else 0.0
+
     def uncached_s(
         self, route: str, service: str, latency_objective_s: float
     ) -> float:
--- a/tests/steering_factories.py
+++ b/tests/steering_factories.py
@@ -8,6 +8,8 @@
 from verbenaworks.steering.instance_record import InstanceRecord
 from verbenaworks.steering.placement import Placement
 from verbenaworks.steering.route import RequestKind, Route, RouteDestination
+from verbenaworks.steering.server_limits import ServerLimits
+from verbenaworks.steering.server_senders import ServerSenders
 from verbenaworks.steering.server_table import ServerTable
 from verbenaworks.steering.service_times import ServiceTimes
 from verbenaworks.steering.workspace_spec import WorkspaceSpec
@@ -76,13 +78,17 @@
     )
 
 
-def placement(table: ServerTable, seed: int = 1) -> Placement:
+def placement(
+    table: ServerTable, seed: int = 1, limits: ServerLimits | None = None
+) -> Placement:
     """Return the placement of an instance in ``north-a``."""
+    senders = ServerSenders("one", "north")
     return Placement(
         region="north",
         failure_domain="north-a",
         table=table,
         times=ServiceTimes(),
-        cold_start_limiter=ColdStartLimiter("one"),
+        cold_start_limiter=ColdStartLimiter(senders),
+        limits=limits or ServerLimits(senders=senders),
         random=Random(seed),
     )
--- a/tests/test_fleet_allowances.py
+++ b/tests/test_fleet_allowances.py
@@ -1,29 +1,38 @@
 """Limits that hold for the whole fleet without messages."""
 
+from collections.abc import Iterable
+
 import pytest
 
+from steering_factories import server
 from verbenaworks.steering.cold_start_limiter import ColdStartLimiter
 from verbenaworks.steering.config_freshness import ConfigFreshness
 from verbenaworks.steering.fleet_retry_budget import FleetRetryBudget
+from verbenaworks.steering.server_senders import ServerSenders
 
 COLD_REQUESTS_PER_S = 7.6
 # Most requests to a cold server in one second that the users allow.
 MAX_COLD_REQUESTS = COLD_REQUESTS_PER_S * 1.5 + 5
+SERVER = server("s")
+
+
+def _limiter(name: str, instances: Iterable[str]) -> ColdStartLimiter:
+    senders = ServerSenders(name, SERVER.region)
+    senders.set_instances(dict.fromkeys(instances, SERVER.region))
+    return ColdStartLimiter(senders)
 
 
 @pytest.mark.parametrize("count", [1, 2, 11, 70])
 def test_cold_server_gets_what_it_can_handle(count: int) -> None:
     """Guards against a fleet whose requests together crash a cold server."""
     names = [f"i{n}" for n in range(count)]
-    fleet = [ColdStartLimiter(name) for name in names]
-    for limiter in fleet:
-        limiter.set_instances(names)
+    fleet = [_limiter(name, names) for name in names]
     sent: list[float] = []
     for step in range(600):
         now_s = step / 100
         for limiter in fleet:
-            while limiter.allows(now_s, "s", COLD_REQUESTS_PER_S):
-                limiter.record_request(now_s, "s", COLD_REQUESTS_PER_S)
+            while limiter.allows(now_s, SERVER, COLD_REQUESTS_PER_S):
+                limiter.record_request(now_s, SERVER, COLD_REQUESTS_PER_S)
                 sent.append(now_s)
     for start in range(500):
         begin_s = start / 100
@@ -36,15 +45,15 @@
 def test_limit_of_a_cold_server_holds_with_differing_member_lists() -> None:
     """Guards against crashing a cold server while member lists differ."""
     names = [f"i{n}" for n in range(11)]
-    fleet = [ColdStartLimiter(name) for name in names]
-    for number, limiter in enumerate(fleet):
-        missing = names[number % 3]
-        limiter.set_instances(n for n in names if n != missing)
+    fleet = [
+        _limiter(name, [n for n in names if n != names[number % 3]])
+        for number, name in enumerate(names)
+    ]
     sent = 0
     for step in range(100):
         for limiter in fleet:
-            if limiter.allows(step / 100, "s", COLD_REQUESTS_PER_S):
-                limiter.record_request(step / 100, "s", COLD_REQUESTS_PER_S)
+            if limiter.allows(step / 100, SERVER, COLD_REQUESTS_PER_S):
+                limiter.record_request(step / 100, SERVER, COLD_REQUESTS_PER_S)
                 sent += 1
     assert sent <= MAX_COLD_REQUESTS
 
--- a/tools/steering_model.py
+++ b/tools/steering_model.py
@@ -27,6 +27,8 @@
 from verbenaworks.steering.region_requests import RegionRequests
 from verbenaworks.steering.region_splits import Shares
 from verbenaworks.steering.route import RequestKind, Route, RouteDestination
+from verbenaworks.steering.server_limits import ServerLimits
+from verbenaworks.steering.server_senders import ServerSenders
 from verbenaworks.steering.server_table import ServerTable
 from verbenaworks.steering.service_times import ServiceTimes
 
@@ -333,12 +335,14 @@
         )
 
     def _make_placement(self, number: int, region: str) -> Placement:
+        senders = ServerSenders(f"i{number}", region)
         return Placement(
             region=region,
             failure_domain=f"{region}-a",
             table=self._table,
             times=ServiceTimes(),
-            cold_start_limiter=ColdStartLimiter(f"i{number}"),
+            cold_start_limiter=ColdStartLimiter(senders),
+            limits=ServerLimits(senders=senders),
             random=Random(self._random.randrange(2**32)),
         )
 
