--- a/tests/test_limit_sharing.py
+++ b/tests/test_limit_sharing.py
@@ -1,8 +1,8 @@
 """Limits that servers name, as several instances share them."""
 
 import pytest
-from steering_factories import placement, route, server
 
+from steering_factories import placement, route, server
 from verbenaworks.steering.placement_result import (
     Placed,
     PlacementRefused,
