Keep the era of the store with each revision

Callers got answers by an old configuration for seconds after a newer one was acknowledged: the store had come back from a copy and gave out again the revisions that instances and relays knew.

Cause: a revision alone was taken for a place in the store's history. An instance that was cut off during the restore asked for the changes after a revision that now stood for other ones and got none; an item log kept its largest revision, so that relays withheld what was new; a lease was renewed although its number had been granted to another client.

Change: StorePosition is an era and a revision. A relay of an older era is skipped. Leases carry their era: one of another era has expired, and the instance registers again at once.

--- a/packages/verbenad/src/verbenad/steering/platform_client.py
+++ b/packages/verbenad/src/verbenad/steering/platform_client.py
@@ -1,11 +1,16 @@
 """Interface of the platform's store, as an entry instance needs it."""
 
+from dataclasses import dataclass
 from typing import Protocol
 
 from verbenaworks.errors import VerbenaError
 from verbenaworks.steering.changes import Change
 from verbenaworks.steering.instance_record import InstanceRecord
-from verbenaworks.steering.store_item import ItemBatch, StoreItem
+from verbenaworks.steering.store_item import (
+    ItemBatch,
+    StoreItem,
+    StorePosition,
+)
 from verbenaworks.steering.usage_checkpoint import UsageCheckpoint
 
 
@@ -30,24 +35,38 @@
 
 
 class HistoryDiscardedError(VerbenaError):
-    """The store has discarded the changes after a revision."""
+    """The store does not have the changes after a position.
+
+    It has discarded them, or lost them when it was restored from a copy.
+    """
 
     code = "history-gone"
 
-    def __init__(self, revision: int) -> None:
+    def __init__(self, position: StorePosition) -> None:
         super().__init__(
-            f"the changes after revision {revision} were discarded",
-            "read all items again",
+            f"the changes after {position} are gone", "read all items again"
         )
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Lease:
+    """A lease of the store.
+
+    :param era: era in which it was granted. In another era its number may be
+        the lease of another client.
+    """
+
+    lease_id: int
+    era: int
+
+
 class LeaseExpiredError(VerbenaError):
-    """A lease has expired, and the items that depend on it are gone."""
+    """A lease has expired or was lost, and its items are gone."""
 
     code = "lease-ended"
 
-    def __init__(self, lease: int) -> None:
-        super().__init__(f"lease {lease} has expired", "register again")
+    def __init__(self, lease: Lease) -> None:
+        super().__init__(f"{lease} has expired", "register again")
 
 
 class PlatformClient(Protocol):
@@ -60,27 +79,27 @@
     def snapshot(self) -> ItemBatch:
         """Return all items."""
 
-    def watch(self, revision: int, wait_s: float) -> ItemBatch:
-        """Return the changes after a revision.
+    def watch(self, position: StorePosition, wait_s: float) -> ItemBatch:
+        """Return the changes after a position.
 
         :param wait_s: how long the store waits for the first change.
-        :raises HistoryDiscardedError: if the store has discarded them.
+        :raises HistoryDiscardedError: if the store does not have them.
         """
 
     def decode_item(self, item: StoreItem) -> Change | None:
         """Decode an item to a change; return None if it is not relevant."""
 
-    def register(self, record: InstanceRecord, ttl_s: float) -> int:
+    def register(self, record: InstanceRecord, ttl_s: float) -> Lease:
         """Register an instance and return its lease."""
 
-    def renew_lease(self, lease: int) -> None:
+    def renew_lease(self, lease: Lease) -> None:
         """Renew a lease.
 
         :raises LeaseExpiredError: if it has expired.
         """
 
     def write_checkpoint(
-        self, workspace: str, checkpoint: UsageCheckpoint, lease: int
+        self, workspace: str, checkpoint: UsageCheckpoint, lease: Lease
     ) -> None:
         """Write a workspace's usage checkpoint, which expires with the lease.
 
@@ -90,5 +109,5 @@
     def remove_checkpoint(self, workspace: str) -> None:
         """Remove the usage checkpoint of a workspace."""
 
-    def revoke_lease(self, lease: int) -> None:
+    def revoke_lease(self, lease: Lease) -> None:
         """End a lease and the registration with it."""
--- a/packages/verbenad/src/verbenad/steering/platform_sync.py
+++ b/packages/verbenad/src/verbenad/steering/platform_sync.py
@@ -5,9 +5,11 @@
 
 import eventlet
 import logbook
+from eventlet.event import Event
 
 from verbenad.steering.platform_client import (
     HistoryDiscardedError,
+    Lease,
     LeaseExpiredError,
     PlatformClient,
     PlatformUnavailableError,
@@ -20,6 +22,7 @@
 from verbenaworks.steering.changes import ChangeBatch
 from verbenaworks.steering.instance_record import InstanceRecord
 from verbenaworks.steering.item_log import ItemLog
+from verbenaworks.steering.store_item import ItemBatch, StorePosition
 from verbenaworks.steering.usage_checkpoint import UsageCheckpoint
 
 # Delay before the next read, so that changes which follow shortly after one
@@ -72,8 +75,10 @@
         self._lease_s = lease_s
         self._now_s = now_s
         self._random = random
-        self._revision: int | None = None
-        self._lease: int | None = None
+        self._position: StorePosition | None = None
+        self._reads_all = True
+        self._lease: Lease | None = None
+        self._lease_lost = Event()
         self._deregistered = False
         self._store_reachable = True
         self._backoff_s = MIN_BACKOFF_S
@@ -115,10 +120,14 @@
         while True:
             try:
                 age_s = self._state.freshness.age_s(self._now_s())
-                update = self._update_reader.read(self._revision, age_s)
+                update = self._update_reader.read(
+                    None if self._reads_all else self._position, age_s
+                )
             except HistoryDiscardedError as error:
                 _log.warning(str(error))
-                self._revision = None
+                self._reads_all = True
+                # The instances must not all read all items at the same time.
+                eventlet.sleep(self._random.uniform(0.0, MIN_BACKOFF_S))
                 continue
             except RelayUnavailableError:
                 # The reader has logged it and will choose another source.
@@ -146,6 +155,7 @@
             _log.info("store reachable again")
             self._record_store_recovery(self._now_s())
         batch = update.batch
+        self._record_era(batch)
         changes = (self._platform.decode_item(item) for item in batch.items)
         self._state.apply(
             ChangeBatch(
@@ -153,12 +163,34 @@
                 complete=batch.complete,
             )
         )
-        self._revision = max(self._revision or 0, batch.revision)
         self._item_log.apply(self._now_s(), batch)
+        self._position = self._item_log.position
+        self._reads_all = False
         self._state.freshness.confirm(update.confirmed_at_s)
         if batch.items:
             self._relay_server.notify_waiters()
 
+    def _record_era(self, batch: ItemBatch) -> None:
+        """Act on a restore of the store since the last update."""
+        known = self._position
+        if known is None or known.era == batch.era:
+            return
+        _log.warning(
+            "store restored from a copy",
+            extra={
+                "era": batch.era,
+                "era_before": known.era,
+                "revision": batch.revision,
+                "revision_before": known.revision,
+            },
+        )
+        self._record_store_recovery(self._now_s())
+        lease = self._lease
+        if lease is not None and lease.era != batch.era:
+            self._lease = None
+            lost, self._lease_lost = self._lease_lost, Event()
+            lost.send(None)
+
     def _record_store_recovery(self, at_s: float) -> None:
         """Record that the store became available again after an outage."""
         self._store_reachable = True
@@ -189,7 +221,7 @@
             except LeaseExpiredError as error:
                 _log.warning(str(error))
                 self._lease = None
-                continue
+                delay_s = self._random.uniform(0.5, 1.0) * MIN_BACKOFF_S
             except PlatformUnavailableError as error:
                 _log.warning(
                     "registration not renewed",
@@ -199,7 +231,8 @@
             except Exception:
                 _log.exception("registration failed")
                 delay_s = MAX_BACKOFF_S
-            eventlet.sleep(delay_s)
+            with eventlet.Timeout(delay_s, False):
+                self._lease_lost.wait()
 
     def _register(self) -> None:
         lease = self._platform.register(self._local_instance, self._lease_s)
@@ -207,9 +240,11 @@
             self._revoke_lease(lease)
             return
         self._lease = lease
-        _log.info("registered", extra={"lease": lease})
+        _log.info(
+            "registered", extra={"lease": lease.lease_id, "era": lease.era}
+        )
 
-    def _revoke_lease(self, lease: int) -> None:
+    def _revoke_lease(self, lease: Lease) -> None:
         try:
             self._platform.revoke_lease(lease)
         except (PlatformUnavailableError, LeaseExpiredError) as error:
--- a/packages/verbenad/src/verbenad/steering/relay_client.py
+++ b/packages/verbenad/src/verbenad/steering/relay_client.py
@@ -13,7 +13,7 @@
 from verbenad.upstream_connection import keepalive_options
 from verbenaworks.errors import WireError
 from verbenaworks.steering.instance_record import InstanceRecord
-from verbenaworks.steering.store_item import ItemBatch
+from verbenaworks.steering.store_item import ItemBatch, StorePosition
 from verbenaworks.wire import decode
 
 CONNECT_TIMEOUT_S = 0.3
@@ -47,14 +47,17 @@
             ],
         )
 
-    def read(self, revision: int, wait_s: float) -> StoreUpdate:
-        """Return the changes after a revision.
+    def read(self, position: StorePosition, wait_s: float) -> StoreUpdate:
+        """Return the changes after a position.
 
         :param wait_s: how long the relay waits for the first change.
         :raises RelayUnavailableError: if the relay gives no valid response.
         """
         started_s = self._now_s()
-        url = f"{UPDATES_PATH}?after={revision}&wait_ms={int(wait_s * 1000)}"
+        url = (
+            f"{UPDATES_PATH}?era={position.era}&after={position.revision}"
+            f"&wait_ms={int(wait_s * 1000)}"
+        )
         try:
             response = self._pool.urlopen(
                 "GET",
@@ -101,6 +104,7 @@
                 items=message.items,
                 revision=message.revision,
                 complete=message.complete,
+                era=message.era,
             ),
             confirmed_at_s=sent_at_s - message.proof_age_ms / 1000,
             store_recovered_at_s=store_recovered_at_s,
--- a/packages/verbenad/src/verbenad/steering/relay_messages.py
+++ b/packages/verbenad/src/verbenad/steering/relay_messages.py
@@ -18,6 +18,7 @@
     :ivar held_ms: how long the relay waited for a change.
     :ivar back_age_ms: how long ago the store recovered from an outage; None
         if there was no recent outage.
+    :ivar era: era of the store that the revision belongs to.
     """
 
     items: tuple[StoreItem, ...]
@@ -26,3 +27,4 @@
     proof_age_ms: int
     held_ms: int
     back_age_ms: int | None
+    era: int = 0
--- a/packages/verbenad/src/verbenad/steering/relay_server.py
+++ b/packages/verbenad/src/verbenad/steering/relay_server.py
@@ -11,6 +11,7 @@
 from verbenad.steering.relay_messages import RelayedNews
 from verbenaworks.steering.config_freshness import ConfigFreshness
 from verbenaworks.steering.item_log import ItemLog
+from verbenaworks.steering.store_item import StorePosition
 from verbenaworks.wire import encode
 
 UPDATES_PATH = "/news"
@@ -60,7 +61,9 @@
         received_at_s = self._now_s()
         query = parse_qs(environ["QUERY_STRING"])
         try:
-            after_revision = int(query["after"][0])
+            after = StorePosition(
+                era=int(query["era"][0]), revision=int(query["after"][0])
+            )
             wait_ms = min(MAX_WAIT_MS, int(query["wait_ms"][0]))
         except (KeyError, ValueError):
             return _respond_error(
@@ -70,15 +73,16 @@
             return _respond_error(
                 start_response, "404 Not Found", b"no such page\n"
             )
-        if self._item_log.revision is None:
+        self._wait(after, wait_ms / 1000)
+        position = self._item_log.position
+        if position is None or position.era < after.era:
             return _respond_error(
                 start_response,
                 "503 Service Unavailable",
-                b"no news yet\n",
+                b"no news of this era yet\n",
             )
-        self._wait(after_revision, wait_ms / 1000)
         data = zlib.compress(
-            encode(self._make_update(after_revision, received_at_s)), 1
+            encode(self._make_update(after, received_at_s)), 1
         )
         start_response(
             "200 OK",
@@ -89,9 +93,11 @@
         )
         return [data]
 
-    def _wait(self, after_revision: int, wait_s: float) -> None:
+    def _wait(self, after: StorePosition, wait_s: float) -> None:
         end_s = self._now_s() + wait_s
-        while (self._item_log.revision or 0) <= after_revision:
+        while (position := self._item_log.position) and position <= after:
+            if position.era < after.era:
+                return
             left_s = end_s - self._now_s()
             if left_s <= 0:
                 return
@@ -99,9 +105,9 @@
                 self._change_event.wait()
 
     def _make_update(
-        self, after_revision: int, received_at_s: float
+        self, after: StorePosition, received_at_s: float
     ) -> RelayedNews:
-        batch = self._item_log.changes_since(after_revision)
+        batch = self._item_log.changes_since(after)
         now_s = self._now_s()
         back_age_ms = None
         if self._store_recovered_at_s is not None:
@@ -116,6 +122,7 @@
             proof_age_ms=int(age_s * 1000) + 1,
             held_ms=int((now_s - received_at_s) * 1000),
             back_age_ms=back_age_ms,
+            era=batch.era,
         )
 
 
--- a/packages/verbenad/src/verbenad/steering/update_reader.py
+++ b/packages/verbenad/src/verbenad/steering/update_reader.py
@@ -14,6 +14,7 @@
 from verbenad.steering.store_update import StoreUpdate
 from verbenaworks.steering.instance_record import InstanceRecord
 from verbenaworks.steering.relay_choice import choose_relays, relay_order
+from verbenaworks.steering.store_item import StorePosition
 
 # A watch confirms that nothing has changed only when it returns. If the last
 # one returned early, its confirmation is already old, so the next one waits
@@ -73,23 +74,23 @@
         return bool(self._relays)
 
     def read(
-        self, revision: int | None, confirmation_age_s: float
+        self, position: StorePosition | None, confirmation_age_s: float
     ) -> StoreUpdate:
         """Return the next update.
 
-        :param revision: revision up to which items are known; None to read
+        :param position: position up to which items are known; None to read
             all items.
         :param confirmation_age_s: age of the last confirmation that nothing
             newer existed.
         :raises PlatformUnavailableError: if the store did not respond.
         :raises RelayUnavailableError: if the relay did not respond.
-        :raises HistoryDiscardedError: if the store has discarded the changes
-            after the revision.
+        :raises HistoryDiscardedError: if the store does not have the changes
+            after the position.
         """
-        relay = None if revision is None else self._choose_relay()
-        if revision is None or relay is None:
-            return self._read_store(revision, confirmation_age_s)
-        return self._read_relay(relay, revision)
+        relay = None if position is None else self._choose_relay()
+        if position is None or relay is None:
+            return self._read_store(position, confirmation_age_s)
+        return self._read_relay(relay, position)
 
     def _choose_relay(self) -> InstanceRecord | None:
         """Return the relay to ask, or None to ask the store."""
@@ -102,32 +103,36 @@
         return min(self._relays, key=lambda r: self._relay_retry_at_s[r.name])
 
     def _read_store(
-        self, revision: int | None, confirmation_age_s: float
+        self, position: StorePosition | None, confirmation_age_s: float
     ) -> StoreUpdate:
         started_s = self._now_s()
         wait_s = max(MIN_WATCH_WAIT_S, MAX_WATCH_WAIT_S - confirmation_age_s)
         try:
-            if revision is None:
+            if position is None:
                 batch = self._platform.snapshot()
             else:
-                batch = self._platform.watch(revision, wait_s)
+                batch = self._platform.watch(position, wait_s)
         except PlatformUnavailableError:
             delay_s = self._random.uniform(*STORE_RETRY_DELAY_RANGE_S)
             self._store_retry_at_s = self._now_s() + delay_s
             raise
         confirmed_at_s = started_s
         if (
-            revision is not None
+            position is not None
             and not batch.items
             and self._now_s() - started_s >= wait_s
         ):
             confirmed_at_s += wait_s
         return StoreUpdate(batch=batch, confirmed_at_s=confirmed_at_s)
 
-    def _read_relay(self, relay: InstanceRecord, revision: int) -> StoreUpdate:
+    def _read_relay(
+        self, relay: InstanceRecord, position: StorePosition
+    ) -> StoreUpdate:
         client = self._client_for(relay)
         try:
-            update = client.read(revision, RELAY_WATCH_WAIT_S)
+            update = client.read(position, RELAY_WATCH_WAIT_S)
+            if update.batch.era < position.era:
+                raise RelayUnavailableError("it is in an older era")
         except RelayUnavailableError as error:
             self._skip_relay(relay, error.message)
             raise
--- a/packages/verbenaworks/src/verbenaworks/steering/item_log.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/item_log.py
@@ -1,6 +1,10 @@
 """The store's items as one instance knows them, for relaying to others."""
 
-from verbenaworks.steering.store_item import ItemBatch, StoreItem
+from verbenaworks.steering.store_item import (
+    ItemBatch,
+    StoreItem,
+    StorePosition,
+)
 
 # Removals are kept for this long; an instance that is further behind gets all
 # items.
@@ -8,16 +12,31 @@
 
 
 class ItemLog:
-    """Latest state of each item, with its revision."""
+    """Latest state of each item, with its revision.
+
+    :ivar position: position of the store that it has reached; none before the
+        first read.
+    """
 
     def __init__(self) -> None:
-        self.revision: int | None = None
+        self.position: StorePosition | None = None
         self._oldest_revision = 0
         self._items: dict[str, StoreItem] = {}
         self._removed: list[tuple[float, StoreItem]] = []
 
     def apply(self, now_s: float, batch: ItemBatch) -> None:
-        """Apply items that were read from the store or from a relay."""
+        """Apply items that were read from the store or from a relay.
+
+        :raises ValueError: if they follow on another era than the known one.
+        """
+        position = self.position
+        if batch.complete or position is None:
+            position = batch.position
+        elif batch.era != position.era:
+            raise ValueError(
+                f"changes of era {batch.era} do not follow on {position};"
+                " read all items"
+            )
         if batch.complete:
             self._items = {item.key: item for item in batch.items}
             self._removed.clear()
@@ -29,27 +48,36 @@
             self._items[item.key] = item
             if item.value is None:
                 self._removed.append((now_s, item))
-        self.revision = max(self.revision or 0, batch.revision)
+        self.position = max(position, batch.position)
         self._prune(now_s)
 
-    def changes_since(self, revision: int) -> ItemBatch:
-        """Return the changes after a revision, or all items if it is too old.
+    def changes_since(self, position: StorePosition) -> ItemBatch:
+        """Return the changes after a position.
+
+        These are all items if the position is too old, or of another era.
 
         :raises ValueError: if nothing was read yet.
         """
-        if self.revision is None:
+        known = self.position
+        if known is None:
             raise ValueError("no items are known yet")
-        complete = revision < self._oldest_revision
+        complete = (
+            position.era != known.era
+            or position.revision < self._oldest_revision
+        )
         items = [
             item
             for item in self._items.values()
-            if item.revision > revision or complete
+            if item.revision > position.revision or complete
         ]
         if complete:
             items = [item for item in items if item.value is not None]
         items.sort(key=lambda item: item.revision)
         return ItemBatch(
-            items=tuple(items), revision=self.revision, complete=complete
+            items=tuple(items),
+            revision=known.revision,
+            complete=complete,
+            era=known.era,
         )
 
     def _prune(self, now_s: float) -> None:
--- a/packages/verbenaworks/src/verbenaworks/steering/store_item.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/store_item.py
@@ -17,9 +17,21 @@
     revision: int
 
 
+@dataclass(frozen=True, kw_only=True, slots=True, order=True)
+class StorePosition:
+    """A place in the history of the store.
+
+    :param era: rises each time that the store is restored from a copy. It then
+        gives out again the revisions after the copy, for other changes.
+    """
+
+    era: int
+    revision: int
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ItemBatch:
-    """Items that were changed up to a revision of the store.
+    """Items that were changed up to a position in the store's history.
 
     :param complete: whether these are all items of the store, so that no other
         items exist.
@@ -28,3 +40,9 @@
     items: tuple[StoreItem, ...]
     revision: int
     complete: bool = False
+    era: int = 0
+
+    @property
+    def position(self) -> StorePosition:
+        """Position that the batch leads to."""
+        return StorePosition(era=self.era, revision=self.revision)
