Hold back what a restored copy of the store lacks

Callers reached servers of an evacuated failure domain: the store had come back from a copy without the evacuation, and a complete read took it back until the operator wrote it again.

Cause: a complete read was taken for the present in every case. A copy is the past: it lacks what was written since, and shows what was removed since.

Configurations and reports of servers are still taken by their own order, so that an instance that was cut off learns what the copy has.

--- a/packages/verbenad/src/verbenad/steering/platform_sync.py
+++ b/packages/verbenad/src/verbenad/steering/platform_sync.py
@@ -155,12 +155,15 @@
             _log.info("store reachable again")
             self._record_store_recovery(self._now_s())
         batch = update.batch
-        self._record_era(batch)
+        restored = self._is_restored(batch)
+        if restored:
+            self._record_restore(batch)
         changes = (self._platform.decode_item(item) for item in batch.items)
         self._state.apply(
             ChangeBatch(
                 changes=tuple(c for c in changes if c is not None),
                 complete=batch.complete,
+                restored=restored,
             )
         )
         self._item_log.apply(self._now_s(), batch)
@@ -170,18 +173,16 @@
         if batch.items:
             self._relay_server.notify_waiters()
 
-    def _record_era(self, batch: ItemBatch) -> None:
-        """Act on a restore of the store since the last update."""
-        known = self._position
-        if known is None or known.era == batch.era:
-            return
+    def _is_restored(self, batch: ItemBatch) -> bool:
+        """Whether the store was restored from a copy since the last update."""
+        return self._position is not None and self._position.era != batch.era
+
+    def _record_restore(self, batch: ItemBatch) -> None:
         _log.warning(
             "store restored from a copy",
             extra={
-                "era": batch.era,
-                "era_before": known.era,
-                "revision": batch.revision,
-                "revision_before": known.revision,
+                "position": str(batch.position),
+                "position_before": str(self._position),
             },
         )
         self._record_store_recovery(self._now_s())
--- a/packages/verbenad/src/verbenad/steering/steering_state.py
+++ b/packages/verbenad/src/verbenad/steering/steering_state.py
@@ -17,6 +17,10 @@
     UsageCheckpointChanged,
 )
 from verbenaworks.steering.config_freshness import ConfigFreshness
+from verbenaworks.steering.held_changes import (
+    EVACUATION_HOLD_S,
+    HeldChanges,
+)
 from verbenaworks.steering.instance_directory import InstanceDirectory
 from verbenaworks.steering.instance_record import InstanceRecord
 from verbenaworks.steering.server_table import ServerTable
@@ -66,6 +70,8 @@
         self._local_instance = local_instance
         self._call_later = call_later
         self._scheduled_expiry_s: float | None = None
+        self._held = HeldChanges()
+        self._copy_until_s = float("-inf")
 
     def record_store_recovery(self, at_s: float) -> None:
         """Record when the store became available again after an outage."""
@@ -75,17 +81,51 @@
     def apply(self, batch: ChangeBatch) -> None:
         """Apply changes that were read from the store."""
         names = self.directory.names
+        now_s = self._now_s()
+        if batch.restored:
+            self._copy_until_s = now_s + EVACUATION_HOLD_S
+        # A complete read does not tell what was written after the restore.
+        is_copy = batch.complete and now_s < self._copy_until_s
         for change in batch.changes:
+            if is_copy and self._must_hold(change):
+                self._hold(now_s, change)
+                continue
+            self._held.supersede(change)
             self._apply_change(change)
         if batch.complete:
-            self._remove_unlisted(batch.changes)
+            self._remove_unlisted(batch.changes, is_copy=is_copy)
         if self.directory.names != names:
             self._on_registrations()
         self._schedule_expiry()
 
+    def _must_hold(self, change: Change) -> bool:
+        """Whether a change in a copy may be older than what is in force.
+
+        Configurations and reports of servers tell which one is newer.
+        """
+        match change:
+            case DomainEvacuationChanged(failure_domain=domain):
+                return domain not in self.table.evacuated
+            case InstanceRegistered(record=record):
+                return self.directory.peer(record.name) != record
+            case UsageCheckpointChanged():
+                return True
+        return False
+
+    def _hold(self, now_s: float, change: Change) -> None:
+        self._held.hold(now_s, change)
+        _log.info(
+            "change in a restored copy held back",
+            extra={"change": type(change).__name__},
+        )
+
     def _schedule_expiry(self) -> None:
         """Schedule the removal of the entries that expire next."""
-        expiries_s = [self.table.next_expiry_s, self.directory.next_expiry_s]
+        expiries_s = [
+            self.table.next_expiry_s,
+            self.directory.next_expiry_s,
+            self._held.next_due_s,
+        ]
         next_expiry_s = min(
             (d for d in expiries_s if d is not None), default=None
         )
@@ -98,6 +138,8 @@
         self._scheduled_expiry_s = None
         now_s = self._now_s()
         names = self.directory.names
+        for change in self._held.take_due(now_s):
+            self._apply_change(change)
         self.table.expire(now_s)
         self.directory.expire(now_s)
         if self.directory.names != names:
@@ -173,7 +215,9 @@
         )
         self._on_config(config)
 
-    def _remove_unlisted(self, changes: Iterable[Change]) -> None:
+    def _remove_unlisted(
+        self, changes: Iterable[Change], *, is_copy: bool
+    ) -> None:
         now_s = self._now_s()
         servers, instances, domains = set(), set(), set()
         for change in changes:
@@ -187,4 +231,11 @@
         self.table.remove_unlisted(now_s, servers)
         self.directory.remove_unlisted(now_s, instances)
         for domain in self.table.evacuated - domains:
-            self.table.set_evacuated(domain, False)
+            ended = DomainEvacuationChanged(
+                failure_domain=domain, evacuated=False
+            )
+            if is_copy:
+                self._hold(now_s, ended)
+            else:
+                self._held.supersede(ended)
+                self._apply_change(ended)
--- a/packages/verbenaworks/src/verbenaworks/steering/changes.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/changes.py
@@ -98,7 +98,10 @@
     """Changes that were read together from the platform's store.
 
     :param complete: whether these are all items, so that no other items exist.
+    :param restored: whether the store was restored from a copy since the batch
+        before.
     """
 
     changes: tuple[Change, ...]
     complete: bool = False
+    restored: bool = False
