Let instances tell each other the version of their configuration

A withdrawn key worked again, and an older configuration was in force, at an instance that had started on a restored copy of the store, or had been cut off from the store before it was restored. It took what the copy had and confirmed it, until the operator wrote the newer document again.

Cause: freshness meant that the store was in touch, not that nothing newer had been acknowledged. After a restore the store may know less than the instances.

Change: heartbeats name the version in force; ConfigExchange asks an instance that has a newer one for its document, after a restore at once and otherwise after a second, so that an instance that has lost only the store follows too. After a restore, and at a start beside instances that have lived through one, confirmations count for no key until most of the others have told their version, for 2 s at most. Registrations name the era in which the process started, so that new ones in a copy are known at once.

--- a/packages/verbenad/src/verbenad/steering/peer_exchange.py
+++ b/packages/verbenad/src/verbenad/steering/peer_exchange.py
@@ -71,6 +71,9 @@
     :param is_usable: returns whether this instance can serve requests with
         keys.
     :param is_leaving: returns whether this instance is shutting down.
+    :param config_version: returns the version of the configuration in force.
+    :param on_config_version: called with the name of another instance and the
+        version that it has in force.
     :param on_members: called after the set of peers that share limits with
         this instance changed.
     """
@@ -89,6 +92,8 @@
         traffic: PeerTraffic,
         is_usable: Callable[[], bool],
         is_leaving: Callable[[], bool],
+        config_version: Callable[[], int],
+        on_config_version: Callable[[str, int], None],
         on_members: Callable[[], None],
         now_s: Callable[[], float],
     ) -> None:
@@ -110,6 +115,8 @@
         self._traffic = traffic
         self._is_usable = is_usable
         self._is_leaving = is_leaving
+        self._config_version = config_version
+        self._on_config_version = on_config_version
         self._on_members = on_members
         self._now_s = now_s
         self._last_sent_number = 0
@@ -308,6 +315,7 @@
             leaving=self._is_leaving(),
             active=self.is_active,
             load=round(self._load.used_capacity(self._now_s()), 3),
+            config_version=self._config_version(),
         )
 
     def _make_report(
@@ -415,6 +423,7 @@
         if not is_registered:
             return False
         self._last_received_numbers[beat.name] = number
+        self._on_config_version(beat.name, beat.config_version)
         members = self.peers.members
         is_new = self.peers.record_report(
             beat.name, active=beat.active, missing=missing
--- a/packages/verbenad/src/verbenad/steering/platform_client.py
+++ b/packages/verbenad/src/verbenad/steering/platform_client.py
@@ -6,6 +6,7 @@
 from verbenaworks.errors import VerbenaError
 from verbenaworks.steering.changes import Change
 from verbenaworks.steering.instance_record import InstanceRecord
+from verbenaworks.steering.steering_config import SteeringConfig
 from verbenaworks.steering.store_item import (
     ItemBatch,
     StoreItem,
@@ -89,6 +90,12 @@
     def decode_item(self, item: StoreItem) -> Change | None:
         """Decode an item to a change; return None if it is not relevant."""
 
+    def decode_config(self, document: bytes) -> SteeringConfig:
+        """Decode the operator's document.
+
+        :raises ValueError: if it is malformed.
+        """
+
     def register(self, record: InstanceRecord, ttl_s: float) -> Lease:
         """Register an instance and return its lease."""
 
--- a/packages/verbenad/src/verbenad/steering/platform_sync.py
+++ b/packages/verbenad/src/verbenad/steering/platform_sync.py
@@ -1,6 +1,7 @@
 """Follows changes of the platform's store and keeps an instance registered."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+from dataclasses import replace
 from random import Random
 
 import eventlet
@@ -19,7 +20,11 @@
 from verbenad.steering.steering_state import SteeringState
 from verbenad.steering.store_update import StoreUpdate
 from verbenad.steering.update_reader import UpdateReader
-from verbenaworks.steering.changes import ChangeBatch
+from verbenaworks.steering.changes import (
+    Change,
+    ChangeBatch,
+    InstanceRegistered,
+)
 from verbenaworks.steering.instance_record import InstanceRecord
 from verbenaworks.steering.item_log import ItemLog
 from verbenaworks.steering.store_item import ItemBatch, StorePosition
@@ -51,6 +56,8 @@
     :param lease_s: time to live of the registration. It is longer than the
         time for which an instance without contact to the store accepts keys,
         so that its share of the rates is not reassigned before that.
+    :param on_restored: called before a read is applied if the store was
+        restored from a copy in the time of some instance.
     """
 
     def __init__(
@@ -63,6 +70,7 @@
         state: SteeringState,
         local_instance: InstanceRecord,
         lease_s: float,
+        on_restored: Callable[[], None],
         now_s: Callable[[], float],
         random: Random,
     ) -> None:
@@ -73,6 +81,7 @@
         self._state = state
         self._local_instance = local_instance
         self._lease_s = lease_s
+        self._on_restored = on_restored
         self._now_s = now_s
         self._random = random
         self._position: StorePosition | None = None
@@ -158,12 +167,16 @@
         restored = self._is_restored(batch)
         if restored:
             self._record_restore(batch)
-        changes = (self._platform.decode_item(item) for item in batch.items)
+        decoded = (self._platform.decode_item(item) for item in batch.items)
+        changes = tuple(change for change in decoded if change is not None)
+        if restored or self._starts_after_restore(changes, batch.era):
+            self._on_restored()
         self._state.apply(
             ChangeBatch(
-                changes=tuple(c for c in changes if c is not None),
+                changes=changes,
                 complete=batch.complete,
                 restored=restored,
+                era=batch.era,
             )
         )
         self._item_log.apply(self._now_s(), batch)
@@ -177,6 +190,20 @@
         """Whether the store was restored from a copy since the last update."""
         return self._position is not None and self._position.era != batch.era
 
+    def _starts_after_restore(
+        self, changes: Iterable[Change], era: int
+    ) -> bool:
+        """Whether others, which started before a restore, may know more."""
+        if self._position is not None:
+            return False
+        self._local_instance = replace(self._local_instance, store_era=era)
+        return any(
+            isinstance(change, InstanceRegistered)
+            and change.record.name != self._local_instance.name
+            and change.record.store_era < era
+            for change in changes
+        )
+
     def _record_restore(self, batch: ItemBatch) -> None:
         _log.warning(
             "store restored from a copy",
--- a/packages/verbenad/src/verbenad/steering/relay_client.py
+++ b/packages/verbenad/src/verbenad/steering/relay_client.py
@@ -8,7 +8,7 @@
 
 from verbenad.steering.platform_client import RelayUnavailableError
 from verbenad.steering.relay_messages import RelayedNews
-from verbenad.steering.relay_server import UPDATES_PATH
+from verbenad.steering.relay_server import CONFIG_PATH, UPDATES_PATH
 from verbenad.steering.store_update import StoreUpdate
 from verbenad.upstream_connection import keepalive_options
 from verbenaworks.errors import WireError
@@ -20,6 +20,8 @@
 # Added to the requested wait: a round trip between regions and one turn of the
 # relay's event loop.
 RESPONSE_MARGIN_S = 0.4
+# A document may be large and the link between regions slow.
+CONFIG_TIMEOUT_S = 1.5
 # A connection on which the relay acknowledges nothing for this long is dead.
 PEER_TIMEOUT_S = 1.5
 
@@ -58,12 +60,29 @@
             f"{UPDATES_PATH}?era={position.era}&after={position.revision}"
             f"&wait_ms={int(wait_s * 1000)}"
         )
+        data = self._get(url, wait_s + RESPONSE_MARGIN_S)
+        return self._decode_update(data, started_s)
+
+    def read_config(self) -> bytes:
+        """Return the operator's document that is in force at the relay.
+
+        :raises RelayUnavailableError: if the relay gives no valid response.
+        """
+        data = self._get(CONFIG_PATH, CONFIG_TIMEOUT_S)
+        try:
+            return zlib.decompress(data)
+        except zlib.error as error:
+            raise RelayUnavailableError(
+                f"relay {self.relay.name} sent an unreadable document: {error}"
+            ) from error
+
+    def _get(self, url: str, timeout_s: float) -> bytes:
         try:
             response = self._pool.urlopen(
                 "GET",
                 url,
                 timeout=urllib3.Timeout(
-                    connect=CONNECT_TIMEOUT_S, read=wait_s + RESPONSE_MARGIN_S
+                    connect=CONNECT_TIMEOUT_S, read=timeout_s
                 ),
             )
             data = response.data
@@ -75,7 +94,7 @@
             raise RelayUnavailableError(
                 f"relay {self.relay.name} returned status {response.status}"
             )
-        return self._decode_update(data, started_s)
+        return data
 
     def close(self) -> None:
         """Close the connection."""
--- a/packages/verbenad/src/verbenad/steering/relay_server.py
+++ b/packages/verbenad/src/verbenad/steering/relay_server.py
@@ -15,6 +15,7 @@
 from verbenaworks.wire import encode
 
 UPDATES_PATH = "/news"
+CONFIG_PATH = "/config"
 # Longest time for which an instance may ask the relay to wait for a change.
 MAX_WAIT_MS = 5000
 # An older confirmation is reported with this age.
@@ -30,6 +31,8 @@
 
     :param item_log: the items as this instance knows them.
     :param freshness: age of the last confirmation that they are current.
+    :param document: returns the operator's document in force; empty if there
+        is none.
     """
 
     def __init__(
@@ -37,10 +40,12 @@
         *,
         item_log: ItemLog,
         freshness: ConfigFreshness,
+        document: Callable[[], bytes],
         now_s: Callable[[], float],
     ) -> None:
         self._item_log = item_log
         self._freshness = freshness
+        self._document = document
         self._now_s = now_s
         self._change_event = Event()
         self._store_recovered_at_s: float | None = None
@@ -57,8 +62,10 @@
     def __call__(
         self, environ: dict[str, Any], start_response: StartResponse
     ) -> Iterable[bytes]:
-        """Respond to one request for changes."""
+        """Respond to one request for changes or for the configuration."""
         received_at_s = self._now_s()
+        if environ["RAW_PATH_INFO"] == CONFIG_PATH:
+            return _respond(start_response, zlib.compress(self._document(), 1))
         query = parse_qs(environ["QUERY_STRING"])
         try:
             after = StorePosition(
@@ -84,14 +91,7 @@
         data = zlib.compress(
             encode(self._make_update(after, received_at_s)), 1
         )
-        start_response(
-            "200 OK",
-            [
-                ("Content-Type", "application/octet-stream"),
-                ("Content-Length", str(len(data))),
-            ],
-        )
-        return [data]
+        return _respond(start_response, data)
 
     def _wait(self, after: StorePosition, wait_s: float) -> None:
         end_s = self._now_s() + wait_s
@@ -126,6 +126,17 @@
         )
 
 
+def _respond(start_response: StartResponse, data: bytes) -> Iterable[bytes]:
+    start_response(
+        "200 OK",
+        [
+            ("Content-Type", "application/octet-stream"),
+            ("Content-Length", str(len(data))),
+        ],
+    )
+    return [data]
+
+
 def _respond_error(
     start_response: StartResponse, status: str, body: bytes
 ) -> Iterable[bytes]:
--- a/packages/verbenad/src/verbenad/steering/steering_daemon.py
+++ b/packages/verbenad/src/verbenad/steering/steering_daemon.py
@@ -19,6 +19,7 @@
 from verbenad.metrics import Metrics
 from verbenad.request_body import BodyLimits
 from verbenad.request_head import HeadLimits
+from verbenad.steering.config_exchange import ConfigExchange
 from verbenad.steering.crash_tracker import CrashTracker
 from verbenad.steering.instance_gauges import declare_gauges
 from verbenad.steering.peer_exchange import MIN_REPORT_PERIOD_S, PeerExchange
@@ -274,6 +275,7 @@
         relay_server = RelayServer(
             item_log=item_log,
             freshness=self._state.freshness,
+            document=lambda: self._state.document,
             now_s=self._now_s,
         )
         host, port_number = parse_address(
@@ -297,6 +299,7 @@
             state=self._state,
             local_instance=self._local_instance,
             lease_s=self._state.freshness.max_age_s + LEASE_MARGIN_S,
+            on_restored=lambda: self._config_exchange.hold(),
             now_s=self._now_s,
             random=self._random,
         )
@@ -314,9 +317,24 @@
             ),
             is_usable=self._is_usable,
             is_leaving=lambda: self._leaving,
+            config_version=lambda: self._config_exchange.version,
+            on_config_version=lambda name, version: (
+                self._config_exchange.record_peer(name, version)
+            ),
             on_members=self._on_members,
             now_s=self._now_s,
         )
+        self._config_exchange = ConfigExchange(
+            state=self._state,
+            platform=platform,
+            directory=self._directory,
+            peers=lambda: [
+                peer.name
+                for peer in self._peer_exchange.peers.report_recipients
+            ],
+            now_s=self._now_s,
+            call_later=self._timers.after,
+        )
         self._server_limits.connect(
             is_connected=self._is_connected,
             on_change=self._on_limit,
--- a/packages/verbenad/src/verbenad/steering/steering_state.py
+++ b/packages/verbenad/src/verbenad/steering/steering_state.py
@@ -62,6 +62,7 @@
         self.directory = directory
         self.freshness = freshness
         self.config: SteeringConfig | None = None
+        self.document = b""
         self._now_s = now_s
         self._on_config = on_config
         self._on_registrations = on_registrations
@@ -87,7 +88,7 @@
         # A complete read does not tell what was written after the restore.
         is_copy = batch.complete and now_s < self._copy_until_s
         for change in batch.changes:
-            if is_copy and self._must_hold(change):
+            if is_copy and self._must_hold(change, batch.era):
                 self._hold(now_s, change)
                 continue
             self._held.supersede(change)
@@ -98,7 +99,7 @@
             self._on_registrations()
         self._schedule_expiry()
 
-    def _must_hold(self, change: Change) -> bool:
+    def _must_hold(self, change: Change, batch_era: int) -> bool:
         """Whether a change in a copy may be older than what is in force.
 
         Configurations and reports of servers tell which one is newer.
@@ -107,7 +108,11 @@
             case DomainEvacuationChanged(failure_domain=domain):
                 return domain not in self.table.evacuated
             case InstanceRegistered(record=record):
-                return self.directory.peer(record.name) != record
+                # A process that started after the restore is no old one.
+                return (
+                    record.store_era < batch_era
+                    and self.directory.peer(record.name) != record
+                )
             case UsageCheckpointChanged():
                 return True
         return False
@@ -149,8 +154,8 @@
     def _apply_change(self, change: Change) -> None:
         now_s = self._now_s()
         match change:
-            case ConfigPublished(config=config):
-                self._apply_config(config)
+            case ConfigPublished(config=config, document=document):
+                self.apply_config(config, document)
             case ServerReported(server=server):
                 accepted = self.table.report(now_s, server)
                 _log.info(
@@ -200,11 +205,16 @@
                 if server_id:
                     self.table.remove(now_s, server_id)
 
-    def _apply_config(self, config: SteeringConfig) -> None:
+    def apply_config(self, config: SteeringConfig, document: bytes) -> None:
+        """Put a configuration in force, unless it is older.
+
+        :param document: the operator's document that it was decoded from.
+        """
         current = self.config
         if current is not None and config.version <= current.version:
             return
         self.config = config
+        self.document = document
         _log.info(
             "configuration in force",
             extra={
--- a/packages/verbenaworks/src/verbenaworks/steering/changes.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/changes.py
@@ -10,9 +10,13 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ConfigPublished:
-    """The operator published a document."""
+    """The operator published a document.
+
+    :param document: the document as it was written.
+    """
 
     config: SteeringConfig
+    document: bytes = b""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -100,8 +104,10 @@
     :param complete: whether these are all items, so that no other items exist.
     :param restored: whether the store was restored from a copy since the batch
         before.
+    :param era: era of the store.
     """
 
     changes: tuple[Change, ...]
     complete: bool = False
     restored: bool = False
+    era: int = 0
--- a/packages/verbenaworks/src/verbenaworks/steering/config_freshness.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/config_freshness.py
@@ -10,6 +10,9 @@
 class ConfigFreshness:
     """Age of the last confirmation that the configuration is current.
 
+    While confirmations are held, they count for the age but not for keys: the
+    store may be an older copy of itself.
+
     Times come from a clock that also runs while the machine is suspended.
 
     :param revoke_s: time within which a revoked key must stop working.
@@ -17,6 +20,8 @@
 
     def __init__(self, revoke_s: float) -> None:
         self._confirmed_at_s: float | None = None
+        self._accepted_at_s: float | None = None
+        self._is_held = False
         self.set_revocation_time(revoke_s)
 
     def set_revocation_time(self, revoke_s: float) -> None:
@@ -30,6 +35,17 @@
         latest_s = self._confirmed_at_s
         if latest_s is None or at_s > latest_s:
             self._confirmed_at_s = at_s
+        if not self._is_held:
+            self._accepted_at_s = self._confirmed_at_s
+
+    def hold(self) -> None:
+        """Accept keys no longer than the confirmations so far permit."""
+        self._is_held = True
+
+    def release(self) -> None:
+        """Accept keys as the confirmations permit."""
+        self._is_held = False
+        self._accepted_at_s = self._confirmed_at_s
 
     def age_s(self, now_s: float) -> float:
         """Return the age of the last confirmation; infinite without one."""
@@ -40,10 +56,10 @@
     @property
     def valid_until_s(self) -> float:
         """Time until which keys may be accepted without a confirmation."""
-        if self._confirmed_at_s is None:
+        if self._accepted_at_s is None:
             return float("-inf")
-        return self._confirmed_at_s + self.max_age_s
+        return self._accepted_at_s + self.max_age_s
 
     def is_valid(self, now_s: float) -> bool:
         """Whether keys may be accepted now."""
-        return self.age_s(now_s) <= self.max_age_s
+        return now_s <= self.valid_until_s
--- a/packages/verbenaworks/src/verbenaworks/steering/instance_record.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/instance_record.py
@@ -1,6 +1,6 @@
 """Registration of an instance."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -12,6 +12,7 @@
     :param caller_address: where callers connect.
     :param peer_address: where other instances send datagrams.
     :param capacity: processor share, relative to other instances.
+    :param store_era: era of the store in which the process started.
     """
 
     name: str
@@ -21,3 +22,4 @@
     caller_address: str
     peer_address: str
     capacity: float
+    store_era: int = field(default=0, compare=False)
--- a/packages/verbenaworks/src/verbenaworks/steering/peer_report.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/peer_report.py
@@ -15,6 +15,7 @@
     :ivar leaving: whether it is shutting down.
     :ivar active: whether it serves requests.
     :ivar load: capacity that its requests use.
+    :ivar config_version: version of its configuration; 0 if it has none.
     """
 
     name: str
@@ -24,6 +25,7 @@
     leaving: bool
     active: bool
     load: float
+    config_version: int = 0
 
 
 @wire_message
--- a/tests/test_restored_state.py
+++ b/tests/test_restored_state.py
@@ -1,6 +1,7 @@
 """State of an instance after the store was restored from a copy."""
 
 from collections.abc import Callable
+from dataclasses import replace
 
 from steering_factories import instance, server
 from verbenad.steering.steering_state import SteeringState
@@ -18,6 +19,7 @@
     REGISTRATION_HOLD_S,
 )
 from verbenaworks.steering.instance_directory import InstanceDirectory
+from verbenaworks.steering.peer_configs import PeerConfigs
 from verbenaworks.steering.server_table import ServerTable
 from verbenaworks.steering.steering_config import SteeringConfig
 
@@ -48,7 +50,12 @@
         if restored:
             self.state.record_store_recovery(self.now_s)
         self.state.apply(
-            ChangeBatch(changes=changes, complete=True, restored=restored)
+            ChangeBatch(
+                changes=changes,
+                complete=True,
+                restored=restored,
+                era=int(restored),
+            )
         )
 
     def watch(self, *changes: Change) -> None:
@@ -169,14 +176,42 @@
     world = _World()
     world.read()
     own = instance("own")
-    older = type(own)(
-        name=own.name,
-        incarnation=own.incarnation - 1,
-        region=own.region,
-        failure_domain=own.failure_domain,
-        caller_address=own.caller_address,
-        peer_address=own.peer_address,
-        capacity=own.capacity,
-    )
+    older = replace(own, incarnation=own.incarnation - 1)
     world.read(InstanceRegistered(record=older), restored=True)
     assert world.restarts == 0
+
+
+def test_instance_that_starts_after_the_restore_is_known_at_once() -> None:
+    """Guards against new instances that are ignored for seconds."""
+    world = _World()
+    world.read()
+    record = replace(instance("new"), store_era=1)
+    world.read(InstanceRegistered(record=record), restored=True)
+    assert "new" in world.state.directory.names
+
+
+def test_keys_wait_for_the_other_instances_after_a_restore() -> None:
+    """Guards against a confirmation of what a copy holds."""
+    freshness = ConfigFreshness(5.0)
+    freshness.confirm(10.0)
+    freshness.hold()
+    freshness.confirm(14.0)
+    assert freshness.age_s(14.0) == 0.0
+    assert not freshness.is_valid(14.0)
+    freshness.release()
+    assert freshness.is_valid(14.0)
+
+
+def test_most_instances_must_have_told_their_versions() -> None:
+    """Guards against keys that are released by one uninformed instance."""
+    configs = PeerConfigs()
+    names = ["a", "b", "c"]
+    configs.record(0.0, "c", 9)
+    configs.record(2.0, "a", 7)
+    assert not configs.has_heard_most(1.0, names)
+    configs.record(2.1, "b", 8)
+    assert configs.has_heard_most(1.0, names)
+    assert configs.newest(3.0) == 9
+    assert configs.holders(3.0, 7) == ["c", "b"]
+    # An instance that has ended no longer counts.
+    assert configs.newest(6.0) == 8
