Survive odd entries of other writers in the store

Operators of other systems saw processes that ended again and again, or stopped following the list of targets, because of one odd entry. It could happen here: an entry with 100,000 nested lists raised RecursionError, which nothing caught, and ended the green thread that follows the store.

Applying an update is inside the loop's handler too, and an unexpected error leads to a complete read.

--- a/packages/verbenad/src/verbenad/steering/platform_sync.py
+++ b/packages/verbenad/src/verbenad/steering/platform_sync.py
@@ -132,6 +132,7 @@
                 update = self._update_reader.read(
                     None if self._reads_all else self._position, age_s
                 )
+                self._apply_update(update)
             except HistoryDiscardedError as error:
                 _log.warning(str(error))
                 self._reads_all = True
@@ -148,10 +149,10 @@
                 continue
             except Exception:
                 # The thread must not end. The known state stays in use.
-                _log.exception("reading updates failed")
+                _log.exception("following updates failed")
+                self._reads_all = True
                 self._back_off()
                 continue
-            self._apply_update(update)
             if update.batch.items:
                 eventlet.sleep(UPDATE_BATCH_DELAY_S)
 
