Match early responses to the request that they answer

A caller could be told 'not run, try again' for an upload that its server ran: a faulty server wrote an earlier refusal once more on a kept connection while the body of the next request was being sent.

Cause: a response that arrives before the end of the body was taken without a look at its request id; only the final response was matched.

Change: both read through _read_own_head, which skips the responses to other requests. It concerns bodies that are too large to be held, so it reads on until the body is sent.

--- a/packages/verbenad/src/verbenad/forwarder.py
+++ b/packages/verbenad/src/verbenad/forwarder.py
@@ -274,16 +274,16 @@
         body, otherwise None.
         """
         stream = connection.stream
-        interim_responses = 0
+        other_responses = 0
         while True:
             if stream.has_input():
-                head = self._read_head(connection, self._time_left_s())
-                if head.status >= 200:
+                head = self._read_own_head(connection, self._time_left_s())
+                if head is not None:
                     return head
-                interim_responses += 1
-                if interim_responses > _MAX_INTERIM_RESPONSES:
+                other_responses += 1
+                if other_responses > _MAX_INTERIM_RESPONSES:
                     raise MalformedResponseError(
-                        "too many interim responses came first"
+                        "too many interim or unrelated responses came first"
                     )
                 continue
             try:
@@ -306,23 +306,34 @@
     def _read_head_after_reset(
         self, connection: UpstreamConnection
     ) -> ResponseHead:
-        head = self._read_head(
-            connection, min(_EARLY_RESPONSE_TIMEOUT_S, self._time_left_s())
-        )
+        for _ in range(_MAX_INTERIM_RESPONSES):
+            head = self._read_own_head(
+                connection,
+                min(_EARLY_RESPONSE_TIMEOUT_S, self._time_left_s()),
+            )
+            if head is not None:
+                return head
+        raise ConnectionResetError("reset before a response")
+
+    def _read_own_head(
+        self, connection: UpstreamConnection, first_byte_timeout_s: float
+    ) -> ResponseHead | None:
+        """Read the next head; None unless it is the response's own."""
+        head = self._read_head(connection, first_byte_timeout_s)
         if head.status < 200:
-            raise ConnectionResetError
-        return head
+            return None
+        if self._matches_request(connection, head):
+            return head
+        self._skip_response(connection, head)
+        return None
 
     def _read_final_head(self, connection: UpstreamConnection) -> ResponseHead:
         for _ in range(_MAX_INTERIM_RESPONSES):
-            head = self._read_head(
+            head = self._read_own_head(
                 connection, self._next_byte_timeout_s(connection)
             )
-            if head.status < 200:
-                continue
-            if self._matches_request(connection, head):
+            if head is not None:
                 return head
-            self._skip_response(connection, head)
         raise MalformedResponseError(
             "too many interim or unrelated responses came first"
         )
