Refuse what cannot finish before a planned stop

An order that came late in the grace period of a planned stop was passed on, and its connection ended without an answer at the end of the period.

Cause: new requests were taken for two fifths of the grace period whatever time they might need; an order with a timeout of 3 s does not fit the rest.

Change: ShutdownPlan holds the times of a shutdown. A request that may not be repeated is refused at once, not run, if its deadline lies behind the time at which running requests are cut off; others if even their latency objective does.

--- a/packages/verbenad/src/verbenad/steering/steering_daemon.py
+++ b/packages/verbenad/src/verbenad/steering/steering_daemon.py
@@ -35,6 +35,7 @@
 from verbenad.steering.relay_server import RelayServer
 from verbenad.steering.request_log import RequestLog
 from verbenad.steering.request_runner import RequestRunner
+from verbenad.steering.shutdown_plan import ShutdownPlan
 from verbenad.steering.steering_gateway import SteeringGateway
 from verbenad.steering.steering_settings import (
     SteeringSettings,
@@ -76,11 +77,6 @@
 # The lease of the registration lasts this much longer than keys are accepted
 # without contact to the store.
 LEASE_MARGIN_S = 0.5
-# Shares of the shutdown time. New requests are served until the first one, so
-# that callers can look up other instances, and refused after it. Running
-# requests may finish until the second one.
-SERVE_NEW_SHARE = 0.4
-FINISH_RUNNING_SHARE = 0.93
 # Share of the longest permitted time that callers may cache lookup responses.
 LOOKUP_TTL_SHARE = 0.4
 # File descriptors that are not available for callers' connections: files, the
@@ -126,7 +122,7 @@
         self._timers = LoopTimers()
         self._random = Random(secrets.randbits(64))
         self._leaving = False
-        self._refuses_new = False
+        self._shutdown = ShutdownPlan()
         self._line_writer = LineWriter(sys.stdout.fileno())
         JsonLinesHandler(
             self._line_writer, level=logbook.INFO
@@ -192,8 +188,9 @@
 
         :returns: whether all running requests were finished.
         """
-        total_s = self._settings.bounds.shutdown_s
-        started_s = self._now_s()
+        self._shutdown = ShutdownPlan.starting_at(
+            self._now_s(), self._settings.bounds.shutdown_s
+        )
         self._log.info(
             "stopping",
             extra={"running": len(self._caller_http_server.running)},
@@ -202,9 +199,8 @@
         self._platform_sync.deregister()
         self._peer_exchange.announce_now()
         self._caller_http_server.drain()
-        eventlet.sleep(SERVE_NEW_SHARE * total_s)
-        self._refuses_new = True
-        left_s = FINISH_RUNNING_SHARE * total_s - (self._now_s() - started_s)
+        eventlet.sleep(max(0.0, self._shutdown.refuse_from_s - self._now_s()))
+        left_s = self._shutdown.finish_by_s - self._now_s()
         finished = self._caller_http_server.close(max(0.1, left_s))
         self._log.info("stopped", extra={"finished": finished})
         self._line_writer.flush()
@@ -380,7 +376,7 @@
             admit_to_rate=self._peer_exchange.admission.admit,
             runner=runner,
             crash_tracker=self._crash_tracker,
-            refuses_new=lambda: self._refuses_new,
+            shutdown=lambda: self._shutdown,
             record_arrival=self._peer_exchange.record_request,
             record_body=self._peer_exchange.record_body,
             log_request=self._request_log.record,
--- a/packages/verbenad/src/verbenad/steering/steering_gateway.py
+++ b/packages/verbenad/src/verbenad/steering/steering_gateway.py
@@ -25,6 +25,7 @@
     RequestRunner,
 )
 from verbenad.steering.request_trace import RequestTrace
+from verbenad.steering.shutdown_plan import ShutdownPlan
 from verbenad.steering.steering_state import SteeringState
 from verbenaworks.steering.route import Route
 from verbenaworks.steering.steering_config import SteeringConfig
@@ -52,8 +53,7 @@
     :param affinity_cookie: name of the cookie that carries the affinity key.
     :param admit_to_rate: returns whether a request of a workspace fits into
         the workspace's rate, and counts it if so.
-    :param refuses_new: returns whether the instance is about to stop and
-        refuses new requests.
+    :param shutdown: returns when the instance stops to take requests.
     :param record_arrival: counts a request as load of this instance.
     :param record_body: counts the bytes of a body as load of this instance.
     :param log_request: writes the log line of a request.
@@ -69,7 +69,7 @@
         admit_to_rate: Callable[[str], bool],
         runner: RequestRunner,
         crash_tracker: CrashTracker,
-        refuses_new: Callable[[], bool],
+        shutdown: Callable[[], ShutdownPlan],
         record_arrival: Callable[[], None],
         record_body: Callable[[int], None],
         log_request: Callable[[RequestRecord], None],
@@ -87,7 +87,7 @@
         self._admit_to_rate = admit_to_rate
         self._runner = runner
         self._crash_tracker = crash_tracker
-        self._refuses_new = refuses_new
+        self._shutdown = shutdown
         self._record_arrival = record_arrival
         self._record_body = record_body
         self._log_request = log_request
@@ -139,7 +139,7 @@
                 request_id,
                 retry_after_s=STALE_RETRY_AFTER_S,
             )
-        if self._refuses_new():
+        if not self._shutdown().takes_new(trace.started_s):
             raise refusal_error("leaving", request_id, retry_after_s=0.1)
         is_fresh = self._state.freshness.is_valid(trace.started_s)
         path = head.target.partition("?")[0]
@@ -156,6 +156,11 @@
         workspace = self._authenticate(
             config, route, head, request_id, is_fresh
         )
+        trace.deadline_s = trace.started_s + self._timeout_s(route, head)
+        if not self._shutdown().can_finish(
+            route, trace.started_s, trace.deadline_s
+        ):
+            raise refusal_error("leaving", request_id, retry_after_s=0.1)
         if workspace is not None:
             self._enforce_rate(workspace.name, trace)
         return self._make_request(
@@ -220,7 +225,6 @@
         self._record_body(len(body.prefix))
         trace.service = self._choose_service(route)
         trace.affinity_key = self._affinity_key(route, head)
-        trace.deadline_s = trace.started_s + self._timeout_s(route, head)
         return AdmittedRequest(
             request_id=trace.request_id,
             route=route,
