Renew the limits of servers in an overload too

A limited server got no request for 5 s: test_limit_binds_retries failed once, in a run of platform/tests beside four busy processes (asserts at least one request; 0 seen).

Cause: the request that shows whether a limit still holds was left out while the service was overloaded, like the first requests to servers that join. With two of four servers limited and one that refuses, the overload lasts as long as the limit, and nobody learns of its end.

Change: only first requests to servers that join wait for the end of an overload.

Measured: test_limited_server_is_asked_in_an_overload replays it without a clock; it failed (no request to the limited server in 10 s) and passes.

--- a/packages/verbenaworks/src/verbenaworks/steering/placement.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/placement.py
@@ -155,14 +155,16 @@
         cold_requests_per_s: float,
     ) -> Placed | None:
         """Choose a server that needs a request, none if there is none."""
-        if (
-            self._refusals.overload(request.service).is_sustained
-            or request.tried_servers
-            or not regions
-        ):
+        if request.tried_servers or not regions:
             return None
         server = self._introductions.choose(
-            now_s, request.service, regions[0], cold_requests_per_s
+            now_s,
+            request.service,
+            regions[0],
+            cold_requests_per_s,
+            is_overloaded=self._refusals.overload(
+                request.service
+            ).is_sustained,
         )
         if server is None:
             return None
--- a/packages/verbenaworks/src/verbenaworks/steering/server_introductions.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/server_introductions.py
@@ -45,14 +45,23 @@
         service: str,
         region: str,
         cold_requests_per_s: float,
+        *,
+        is_overloaded: bool,
     ) -> BackendServer | None:
         """Return a server of the region that needs a request, if there is one.
 
         Requests that run in other regions are no reason to leave them.
+
+        :param is_overloaded: whether requests are refused. Then servers that
+            joined get theirs through the load; a limit is still renewed,
+            because its end is what the overload waits for.
         """
-        return self._joined(
+        joined = None
+        if not is_overloaded:
+            joined = self._joined(now_s, service, region, cold_requests_per_s)
+        return joined or self._limited(
             now_s, service, region, cold_requests_per_s
-        ) or self._limited(now_s, service, region, cold_requests_per_s)
+        )
 
     def _joined(
         self,
--- a/tests/test_limit_sharing.py
+++ b/tests/test_limit_sharing.py
@@ -153,6 +153,29 @@
     assert chosen.retry_after_s > 0
 
 
+def test_limited_server_is_asked_in_an_overload() -> None:
+    """Guards against a limit that nobody renews while others are overloaded.
+
+    On a busy machine, a limited server got no request for 5 s.
+    """
+    table = ServerTable()
+    limits = ServerLimits(senders=ServerSenders("one", "north"))
+    limited, other = server("a"), server("b")
+    for entry in (limited, other):
+        table.report(0.0, entry)
+    choice = placement(table, limits=limits)
+    limits.record_response(0.0, limited, 2.6)
+    chosen = []
+    for step in range(100):
+        now_s = step / 10
+        choice.load_of(limited).record_reported_load(now_s, 40)
+        choice.load_of(other).record_reported_load(now_s, 12)
+        placed = choice.choose(now_s, _placement_request(), 1.0)
+        if isinstance(placed, Placed):
+            chosen.append(placed.server.server_id)
+    assert "a" in chosen
+
+
 def test_object_returns_to_its_home_after_the_limit() -> None:
     """Guards against a server that stays idle after its trouble is over."""
     table = ServerTable()
