Stop requests to servers that leave or want a pause

Callers were sent to servers that had said that they leave, or that had refused and named a time for which they want nothing.

Cause: nothing read Server-Leaving, and a server's Retry-After only reached the caller.

Change: both are read with the limit into one statement. A leaving server is out of the table's choice until its process has ended, whatever the store says, also from a restored copy; the other instances learn of it with their reports. ServerAdmission applies pauses beside limits and cold starts, so that no path has a check of its own. If all servers of a service want a pause, the request is refused at once and told when the first one ends; a server's own Retry-After is no longer copied. Changes are logged and counted once. The daemon and Placement are divided further (lookups, limits of a service, costs, spare servers).

Bytes: four a report for each server that has said so in the last 10 s.

--- a/packages/verbenad/src/verbenad/attempt_failure.py
+++ b/packages/verbenad/src/verbenad/attempt_failure.py
@@ -39,6 +39,7 @@
         backend server had probably dropped it while it was idle.
     :param body_error: what is wrong with the caller's body.
     :param retry_after_s: the Retry-After value of the backend server, if any.
+    :param status: status of a refusal by the backend server; 0 without one.
     :param headers: headers of a refusal by the backend server.
     """
 
@@ -50,6 +51,7 @@
     message: str
     body_error: BodyError | None = None
     retry_after_s: float | None = None
+    status: int = 0
     headers: Sequence[tuple[str, str]] = ()
 
     @property
--- a/packages/verbenad/src/verbenad/field_names.py
+++ b/packages/verbenad/src/verbenad/field_names.py
@@ -24,6 +24,7 @@
         server.
     :param limit: requests per second that the backend server takes from all
         instances together.
+    :param leaving: the value 1 means that the backend server is leaving.
     :param adds_via: whether the instance adds a Via header.
     """
 
@@ -38,6 +39,7 @@
     echoes_request_id: bool = False
     load: str | None = None
     limit: str | None = None
+    leaving: str | None = None
     adds_via: bool = True
 
     @property
--- a/packages/verbenad/src/verbenad/forwarder.py
+++ b/packages/verbenad/src/verbenad/forwarder.py
@@ -519,6 +519,7 @@
                 may_have_run=False,
                 message="the backend server refused without running it",
                 retry_after_s=_retry_after_s(head),
+                status=head.status,
                 headers=head.headers,
             )
         )
--- /dev/null
+++ b/packages/verbenad/src/verbenad/steering/notifying_stream.py
@@ -0,0 +1,25 @@
+"""A stream that tells when it ends."""
+
+from collections.abc import Callable, Iterable, Iterator
+
+
+class NotifyingStream:
+    """Streams a long body and calls ``on_end`` once when it is closed."""
+
+    def __init__(
+        self, pieces: Iterable[bytes], on_end: Callable[[], None]
+    ) -> None:
+        self._pieces = pieces
+        self._on_end: Callable[[], None] | None = on_end
+
+    def __iter__(self) -> Iterator[bytes]:
+        return iter(self._pieces)
+
+    def close(self) -> None:
+        """End the stream."""
+        close = getattr(self._pieces, "close", None)
+        if close is not None:
+            close()
+        on_end, self._on_end = self._on_end, None
+        if on_end is not None:
+            on_end()
--- a/packages/verbenad/src/verbenad/steering/peer_exchange.py
+++ b/packages/verbenad/src/verbenad/steering/peer_exchange.py
@@ -1,7 +1,7 @@
 """Exchanges load reports and heartbeats between instances, in datagrams."""
 
 import socket
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 import eventlet
 import logbook
@@ -20,6 +20,7 @@
 from verbenaworks.steering.rate_messages import RateAnswer, RateNotice
 from verbenaworks.steering.report_summary import (
     add_requests,
+    incarnation_hash,
     pack_counts,
     pack_shares,
     requests_by_region,
@@ -57,6 +58,8 @@
 # The demand of the regions is known if this share of the instances has
 # reported.
 MIN_REPORTING_SHARE = 0.75
+# The other instances are told for this long that a server is leaving.
+REPORT_LEAVING_S = 10.0
 MAX_DATAGRAM_BYTES = 65000
 
 _log = logbook.Logger("verbenad.peers")
@@ -220,8 +223,8 @@
             self._on_members()
             self._send_reports(self._directory.peers)
 
-    def announce_limits(self) -> None:
-        """Tell the serving peers at once what servers say of their limits."""
+    def announce_servers(self) -> None:
+        """Tell the serving peers at once what servers say of themselves."""
         if self.is_active:
             changes_s = CHANGE_PERIODS * self.remote_report_period_s
             self._send_reports(
@@ -335,6 +338,12 @@
                 else pack_shares(self._placement.region_shares())
             ),
             limits=self._limits.packed(now_s, self._table.servers),
+            leaving=tuple(
+                incarnation_hash(server)
+                for server in self._table.leaving_since(
+                    now_s - REPORT_LEAVING_S
+                )
+            ),
         )
 
     def _unreachable_peers(self, now_s: float) -> tuple[str, ...]:
@@ -390,6 +399,7 @@
                         self._limits.record_peer(
                             now_s, message.limits, self._table.servers
                         )
+                        self._record_leaving(now_s, message.leaving)
                     self._rate_limiter.record_report(
                         now_s, beat.name, beat.incarnation, message.usage
                     )
@@ -401,6 +411,13 @@
             case RateAnswer():
                 self.admission.handle_reply(message)
 
+    def _record_leaving(self, now_s: float, hashes: Collection[int]) -> None:
+        if not hashes:
+            return
+        for server in self._table.servers:
+            if incarnation_hash(server) in hashes:
+                self._table.record_leaving(now_s, server)
+
     def _handle_heartbeat(
         self, beat: PeerBeat, missing: Iterable[str]
     ) -> bool:
--- a/packages/verbenad/src/verbenad/steering/request_runner.py
+++ b/packages/verbenad/src/verbenad/steering/request_runner.py
@@ -1,10 +1,9 @@
 """Sends a request to backend servers and retries failed attempts."""
 
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import eventlet
-import logbook
 from result import Err, Ok
 
 from verbenad.attempt_failure import AttemptFailure, FailureKind
@@ -19,12 +18,14 @@
     buffer_response,
 )
 from verbenad.steering.crash_tracker import CrashTracker
+from verbenad.steering.notifying_stream import NotifyingStream
 from verbenad.steering.permission_check import PermissionCheck
 from verbenad.steering.request_record import AttemptRecord
 from verbenad.steering.server_statement import (
     ServerStatement,
     StatementParser,
 )
+from verbenad.steering.statement_recorder import StatementRecorder
 from verbenad.upstream_response import UpstreamResponse
 from verbenaworks.steering.fleet_retry_budget import FleetRetryBudget
 from verbenaworks.steering.placement import Placement
@@ -34,7 +35,6 @@
     PlacementRequest,
     RefusalReason,
 )
-from verbenaworks.steering.server_limits import ServerLimits
 from verbenaworks.steering.server_load import ServerLoad
 
 # A backend server responds with its own error when the deadline passes. This
@@ -50,15 +50,12 @@
 # No backend server can respond in less time than this.
 MIN_TIME_LEFT_S = 0.02
 
-MAX_LOGGED_CHARACTERS = 40
-
-_log = logbook.Logger("verbenad.servers")
-
 _REFUSAL_CODES = {
     RefusalReason.NO_SERVER: "no-backend-server",
     RefusalReason.OVERLOADED: "overloaded",
     RefusalReason.COLD_START_LIMIT: "overloaded",
     RefusalReason.SERVER_LIMIT: "overloaded",
+    RefusalReason.SERVER_PAUSED: "overloaded",
 }
 
 
@@ -102,7 +99,7 @@
         retry_budget: FleetRetryBudget,
         crash_tracker: CrashTracker,
         permission_check: PermissionCheck,
-        limits: ServerLimits,
+        recorder: StatementRecorder,
         connection_limit: Callable[[str], int],
         cold_requests_per_s: Callable[[str], float],
         now_s: Callable[[], float],
@@ -112,7 +109,7 @@
         self._retry_budget = retry_budget
         self._crash_tracker = crash_tracker
         self._permission_check = permission_check
-        self._limits = limits
+        self._recorder = recorder
         self._connection_limit = connection_limit
         self._cold_requests_per_s = cold_requests_per_s
         self._now_s = now_s
@@ -256,8 +253,10 @@
         progress.may_have_run = True
         now_s = self._now_s()
         load = self._placement.load_of(placed.server)
-        progress.statement = self._parser.parse(response.headers)
-        self._record_statement(now_s, placed, progress.statement)
+        progress.statement = self._parser.parse(
+            response.headers, response.status
+        )
+        self._recorder.record(now_s, placed.server, progress.statement)
         try:
             with eventlet.Timeout(
                 max(
@@ -316,7 +315,9 @@
         now_s = self._now_s()
         load = self._placement.load_of(placed.server)
         progress.failure = failure
-        progress.statement = self._parser.parse(list(failure.headers))
+        progress.statement = self._parser.parse(
+            list(failure.headers), failure.status
+        )
         if failure.reset_when_idle:
             # Only the pooled connection was stale. The server may be healthy
             # and have the affinity key cached, so it may be tried again.
@@ -335,7 +336,7 @@
                 load.record_connection_failure(now_s)
             case FailureKind.REFUSED_NOT_RUN:
                 progress.sent_attempts += 1
-                self._record_statement(now_s, placed, progress.statement)
+                self._recorder.record(now_s, placed.server, progress.statement)
                 load.record_failure(now_s)
                 if load.record_refusal(now_s):
                     progress.full_servers |= {placed.server.server_id}
@@ -372,27 +373,6 @@
             # attempt shows whether the request crashes servers.
             self._crash_tracker.record_crash(request.digest)
 
-    def _record_statement(
-        self, now_s: float, placed: Placed, statement: ServerStatement
-    ) -> None:
-        """Record what a server says of itself."""
-        server = placed.server
-        if statement.load is not None:
-            self._placement.load_of(server).record_reported_load(
-                now_s, statement.load
-            )
-        if statement.has_unreadable_limit:
-            # A known limit stays, because the server still names one.
-            _log.warning(
-                "limit of a backend server ignored; it is no decimal number",
-                extra={
-                    "server": server.server_id,
-                    "limit": statement.limit_text[:MAX_LOGGED_CHARACTERS],
-                },
-            )
-            return
-        self._limits.record_response(now_s, server, statement.limit_per_s)
-
     def _forward_request(
         self, request: AdmittedRequest, server_id: str
     ) -> ForwardRequest:
@@ -461,47 +441,31 @@
         """
         if progress.response is not None:
             return progress.response
-        raise _make_refusal(request, progress, refused)
-
+        raise self._refusal(request, progress, refused)
 
-class NotifyingStream:
-    """Streams a long body and calls ``on_end`` once when it is closed."""
-
-    def __init__(
-        self, pieces: Iterable[bytes], on_end: Callable[[], None]
-    ) -> None:
-        self._pieces = pieces
-        self._on_end: Callable[[], None] | None = on_end
-
-    def __iter__(self) -> Iterator[bytes]:
-        return iter(self._pieces)
-
-    def close(self) -> None:
-        """End the stream."""
-        close = getattr(self._pieces, "close", None)
-        if close is not None:
-            close()
-        on_end, self._on_end = self._on_end, None
-        if on_end is not None:
-            on_end()
-
-
-def _make_refusal(
-    request: AdmittedRequest,
-    progress: _Progress,
-    refused: PlacementRefused | None,
-) -> RefusalError:
-    failure = progress.failure
-    code = "no-backend-server"
-    retry_after_s: float | None = None
-    if failure is not None:
-        code = failure.code
-        retry_after_s = failure.retry_after_s
-    elif refused is not None:
-        code = _REFUSAL_CODES[refused.reason]
-    if refused is not None:
-        retry_after_s = refused.retry_after_s
-    run = OUTCOME_UNKNOWN if progress.may_have_run else NOT_RUN
-    return refusal_error(
-        code, request.request_id, run=run, retry_after_s=retry_after_s
-    )
+    def _refusal(
+        self,
+        request: AdmittedRequest,
+        progress: _Progress,
+        refused: PlacementRefused | None,
+    ) -> RefusalError:
+        failure = progress.failure
+        retry_after_s = refused.retry_after_s if refused else None
+        if failure is not None and failure.refused_not_run:
+            # Servers that were tried are left out of the choice, so that it
+            # does not know when one of them takes requests again.
+            earliest = self._placement.refuse_service(
+                self._now_s(),
+                request.service,
+                self._cold_requests_per_s(request.service),
+            )
+            retry_after_s = max(retry_after_s or 0.0, earliest.retry_after_s)
+        code = "no-backend-server"
+        if failure is not None:
+            code = failure.code
+        elif refused is not None:
+            code = _REFUSAL_CODES[refused.reason]
+        run = OUTCOME_UNKNOWN if progress.may_have_run else NOT_RUN
+        return refusal_error(
+            code, request.request_id, run=run, retry_after_s=retry_after_s
+        )
--- a/packages/verbenad/src/verbenad/steering/steering_daemon.py
+++ b/packages/verbenad/src/verbenad/steering/steering_daemon.py
@@ -3,13 +3,11 @@
 import secrets
 import sys
 import time
-from dataclasses import dataclass
 from random import Random
 
 import eventlet
 import logbook
 
-from verbenad.field_names import FieldNames
 from verbenad.forwarder import Forwarder, ForwarderSettings
 from verbenad.http_server import HttpServer
 from verbenad.http_server_limits import HttpServerLimits
@@ -17,8 +15,8 @@
 from verbenad.line_writer import LineWriter
 from verbenad.loop_timers import LoopTimers
 from verbenad.metrics import Metrics
-from verbenad.request_body import BodyLimits
-from verbenad.request_head import HeadLimits
+from verbenad.steering.caller_http_limits import caller_http_limits
+from verbenad.steering.caller_lookup import CallerLookup
 from verbenad.steering.config_exchange import ConfigExchange
 from verbenad.steering.crash_tracker import CrashTracker
 from verbenad.steering.instance_gauges import declare_gauges
@@ -26,16 +24,18 @@
 from verbenad.steering.peer_traffic import PeerTraffic
 from verbenad.steering.permission_check import PermissionCheck
 from verbenad.steering.platform_client import PlatformClient
-from verbenad.steering.platform_endpoints import (
-    EndpointNames,
-    PlatformEndpoints,
-)
+from verbenad.steering.platform_endpoints import PlatformEndpoints
+from verbenad.steering.platform_names import PlatformNames
 from verbenad.steering.platform_sync import PlatformSync
 from verbenad.steering.region_share_log import RegionShareLog
 from verbenad.steering.relay_server import RelayServer
 from verbenad.steering.request_log import RequestLog
 from verbenad.steering.request_runner import RequestRunner
+from verbenad.steering.server_notices import ServerNotices
+from verbenad.steering.server_pool import open_server_pool
+from verbenad.steering.service_limits import ServiceLimits
 from verbenad.steering.shutdown_plan import ShutdownPlan
+from verbenad.steering.statement_recorder import StatementRecorder
 from verbenad.steering.steering_gateway import SteeringGateway
 from verbenad.steering.steering_settings import (
     SteeringSettings,
@@ -43,8 +43,6 @@
 )
 from verbenad.steering.steering_state import SteeringState
 from verbenad.steering.update_reader import UpdateReader
-from verbenad.upstream_pool import PoolSettings, UpstreamPool
-from verbenaworks.steering.backend_server import BackendServer
 from verbenaworks.steering.bound_rates import bound_parts
 from verbenaworks.steering.cold_start_limiter import ColdStartLimiter
 from verbenaworks.steering.config_freshness import ConfigFreshness
@@ -55,6 +53,7 @@
 from verbenaworks.steering.item_log import ItemLog
 from verbenaworks.steering.placement import Placement
 from verbenaworks.steering.server_limits import ServerLimits
+from verbenaworks.steering.server_pauses import ServerPauses
 from verbenaworks.steering.server_senders import ServerSenders
 from verbenaworks.steering.server_table import ServerTable
 from verbenaworks.steering.service_times import ServiceTimes
@@ -65,41 +64,13 @@
 LOG_FLUSH_PERIOD_S = 0.5
 CHECKPOINT_PERIOD_S = 1.0
 SHARE_LOG_PERIOD_S = 1.0
-# Timeouts of connections to backend servers. Connecting may take several
-# round trips between regions.
-CONNECT_TIMEOUT_S = 0.3
-# A connection on which the server acknowledges nothing for this long is dead.
-PEER_TIMEOUT_S = 1.5
-IDLE_TIMEOUT_S = 5.0
-# Backend servers may drop idle connections after some tenths of a second. A
-# non-idempotent request that is sent on such a connection is lost.
-NON_IDEMPOTENT_MAX_IDLE_S = 0.25
 # The lease of the registration lasts this much longer than keys are accepted
 # without contact to the store.
 LEASE_MARGIN_S = 0.5
 # Share of the longest permitted time that callers may cache lookup responses.
 LOOKUP_TTL_SHARE = 0.4
-# File descriptors that are not available for callers' connections: files, the
-# store, peers and backend servers.
-RESERVED_DESCRIPTORS = 900
-MIN_CALLER_CONNECTIONS = 100
 MAX_ENDPOINT_CONNECTIONS = 200
 MAX_RELAY_CONNECTIONS = 200
-# Each instance may open this many connections to one server, even if its
-# share of the connection limit is smaller.
-MIN_SERVER_CONNECTIONS = 4
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class PlatformNames:
-    """Names of the platform's header fields, endpoints and cookies.
-
-    :param affinity_cookie: cookie that carries the affinity key of a request.
-    """
-
-    fields: FieldNames
-    endpoints: EndpointNames
-    affinity_cookie: str
 
 
 class SteeringDaemon:
@@ -221,6 +192,11 @@
         )
         self._senders = ServerSenders(settings.name, settings.region)
         self._server_limits = ServerLimits(senders=self._senders)
+        self._server_pauses = ServerPauses(
+            on_pause=lambda server, left_s: self._notices.paused(
+                server, left_s
+            )
+        )
         self._rate_limiter = WorkspaceRateLimiter(
             instance=settings.name,
             incarnation=self._local_instance.incarnation,
@@ -239,6 +215,7 @@
             times=ServiceTimes(),
             cold_start_limiter=ColdStartLimiter(self._senders),
             limits=self._server_limits,
+            pauses=self._server_pauses,
             random=self._random,
         )
         self._crash_tracker = CrashTracker(
@@ -331,18 +308,18 @@
             now_s=self._now_s,
             call_later=self._timers.after,
         )
+        self._notices = ServerNotices(
+            metrics=self._metrics,
+            announce=self._peer_exchange.announce_servers,
+            call_later=self._timers.after,
+        )
         self._server_limits.connect(
             is_connected=self._is_connected,
-            on_change=self._on_limit,
-        )
-        self._pool = UpstreamPool(
-            PoolSettings(
-                connect_timeout_s=CONNECT_TIMEOUT_S,
-                idle_timeout_s=IDLE_TIMEOUT_S,
-                non_idempotent_max_idle_s=NON_IDEMPOTENT_MAX_IDLE_S,
-                peer_timeout_s=PEER_TIMEOUT_S,
-            ),
-            now_s=self._now_s,
+            on_change=self._notices.limit_changed,
+        )
+        self._pool = open_server_pool(self._now_s)
+        service_limits = ServiceLimits(
+            state=self._state, directory=self._directory
         )
         runner = RequestRunner(
             placement=self._placement,
@@ -361,9 +338,15 @@
                 key_field=self._names.fields.key.lower(),
                 now_s=self._now_s,
             ),
-            limits=self._server_limits,
-            connection_limit=self._connection_limit,
-            cold_requests_per_s=self._cold_requests_per_s,
+            recorder=StatementRecorder(
+                load_of=self._placement.load_of,
+                table=self._table,
+                limits=self._server_limits,
+                pauses=self._server_pauses,
+                on_leaving=self._notices.leaving,
+            ),
+            connection_limit=service_limits.connections,
+            cold_requests_per_s=service_limits.cold_requests_per_s,
             now_s=self._now_s,
         )
         self._region_share_log = RegionShareLog()
@@ -390,7 +373,7 @@
             gateway,
             host=host,
             port=port_number,
-            limits=self._caller_limits(None),
+            limits=caller_http_limits(None, settings.max_descriptors),
             pipelined=True,
         )
 
@@ -406,7 +389,14 @@
         )
         endpoints = PlatformEndpoints(
             names=self._names.endpoints,
-            lookup=self._lookup,
+            lookup=CallerLookup(
+                state=self._state,
+                directory=self._directory,
+                load=self._load,
+                is_usable=self._is_usable,
+                is_leaving=lambda: self._leaving,
+                now_s=self._now_s,
+            ).addresses,
             lookup_ttl_s=LOOKUP_TTL_SHARE * settings.bounds.lookup_ttl_s,
             not_ready_reason=self._not_ready_reason,
             metrics=self._metrics.render,
@@ -435,7 +425,9 @@
         self._placement.set_bound_parts(
             bound_parts(config.workspaces.values())
         )
-        self._caller_http_server.limits = self._caller_limits(config)
+        self._caller_http_server.limits = caller_http_limits(
+            config, self._settings.max_descriptors
+        )
 
     def _on_registrations(self) -> None:
         self._peer_exchange.set_registered(self._directory.peers)
@@ -446,15 +438,6 @@
         )
         self._on_members()
 
-    def _on_limit(
-        self, server: BackendServer, limit_per_s: float | None
-    ) -> None:
-        self._log.info(
-            "limit of a backend server changed",
-            extra={"server": server.server_id, "limit": limit_per_s},
-        )
-        self._peer_exchange.announce_limits()
-
     def _on_members(self) -> None:
         names = self._peer_exchange.peers.members
         self._senders.set_instances(
@@ -476,6 +459,7 @@
         self._pool.close_expired()
         self._placement.forget_removed_servers(self._table.server_ids)
         self._server_limits.forget(self._now_s())
+        self._server_pauses.forget(self._now_s())
 
     def _log_region_shares(self) -> None:
         self._region_share_log.record(self._placement.region_shares())
@@ -509,53 +493,3 @@
         if self._state.config is None:
             return "no configuration is known yet"
         return None
-
-    def _lookup(self, host: str, region: str) -> list[str] | None:
-        config = self._state.config
-        if config is None:
-            return None
-        home_regions: frozenset[str] = frozenset()
-        for route in config.routes_of(host):
-            home_regions |= route.home_regions
-        return self._directory.addresses(
-            self._now_s(),
-            region=region,
-            home_regions=home_regions,
-            own_usable=self._is_usable(),
-            own_leaving=self._leaving,
-            own_load=self._load.used_capacity(self._now_s()),
-        )
-
-    def _connection_limit(self, service: str) -> int:
-        config = self._state.config
-        spec = config.services.get(service) if config else None
-        if spec is None:
-            return MIN_SERVER_CONNECTIONS
-        share = spec.connection_limit // len(self._directory.names)
-        return max(MIN_SERVER_CONNECTIONS, share)
-
-    def _cold_requests_per_s(self, service: str) -> float:
-        config = self._state.config
-        spec = config.services.get(service) if config else None
-        return spec.cold_requests_per_s if spec else 1.0
-
-    def _caller_limits(
-        self, config: SteeringConfig | None
-    ) -> HttpServerLimits:
-        connections = max(
-            MIN_CALLER_CONNECTIONS,
-            self._settings.max_descriptors - RESERVED_DESCRIPTORS,
-        )
-        if config is None:
-            return HttpServerLimits(max_connections=connections)
-        limits = config.limits
-        return HttpServerLimits(
-            max_connections=connections,
-            idle_timeout_s=limits.idle_timeout_s,
-            head_timeout_s=limits.header_timeout_s,
-            head=HeadLimits(
-                line_bytes=limits.max_header_bytes,
-                block_bytes=limits.max_header_bytes,
-            ),
-            body=BodyLimits(body_bytes=limits.max_body_bytes),
-        )
--- a/packages/verbenaworks/src/verbenaworks/steering/backend_server.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/backend_server.py
@@ -28,6 +28,11 @@
     sequence: int
     started_at_ms: int = 0
 
+    @property
+    def incarnation(self) -> tuple[str, int]:
+        """Key of one run of the server process."""
+        return (self.server_id, self.started_at_ms)
+
     @property
     def report_version(self) -> tuple[int, int]:
         """Sort key of the reports of one server."""
--- a/packages/verbenaworks/src/verbenaworks/steering/overload_refusals.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/overload_refusals.py
@@ -9,14 +9,15 @@
     PlacementRequest,
     RefusalReason,
 )
+from verbenaworks.steering.server_admission import (
+    MIN_RETRY_AFTER_S,
+    ServerRefusal,
+)
 from verbenaworks.steering.service_times import ServiceTimes
 from verbenaworks.steering.wait_limits import WaitLimits
 
-# Shortest pause after a refusal: the time in which a slot becomes free.
-MIN_RETRY_AFTER_S = 0.15
-# Pause if servers have named limits: a limit stays for a while, but another
-# server may have room for the request.
-LIMIT_RETRY_AFTER_S = 0.5
+# Callers that are refused together return spread over this share of the time.
+RETURN_SPREAD = 0.1
 
 
 class OverloadRefusals:
@@ -70,9 +71,20 @@
             predicted_s=best.predicted_s,
         )
 
-    def no_server(self, reason: RefusalReason) -> PlacementRefused:
-        """Return a refusal because no server can take the request."""
-        retry_after_s = MIN_RETRY_AFTER_S
-        if reason is RefusalReason.SERVER_LIMIT:
-            retry_after_s = LIMIT_RETRY_AFTER_S * self._random.uniform(1, 2)
-        return PlacementRefused(reason=reason, retry_after_s=retry_after_s)
+    def no_server(self, refusal: ServerRefusal) -> PlacementRefused:
+        """Return a refusal because no server can take the request.
+
+        :param refusal: refusal of the server that can take one first.
+        """
+        match refusal.reason:
+            case RefusalReason.SERVER_LIMIT:
+                spread = 1.0
+            case RefusalReason.SERVER_PAUSED:
+                spread = RETURN_SPREAD
+            case _:
+                spread = 0.0
+        return PlacementRefused(
+            reason=refusal.reason,
+            retry_after_s=refusal.retry_after_s
+            * self._random.uniform(1.0, 1.0 + spread),
+        )
--- a/packages/verbenaworks/src/verbenaworks/steering/peer_report.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/peer_report.py
@@ -43,6 +43,8 @@
     :ivar limits: what servers have said of their limits to the sender: the
         limit in thousandths per second, or -1 if it has ended, and its age in
         milliseconds, by a short hash of the server's incarnation.
+    :ivar leaving: short hashes of the incarnations that have said lately that
+        they are leaving.
     """
 
     beat: PeerBeat
@@ -53,3 +55,4 @@
     bound: dict[int, int] = {}
     shares: dict[int, dict[int, int]] = {}
     limits: dict[int, tuple[int, int]] = {}
+    leaving: tuple[int, ...] = ()
--- a/packages/verbenaworks/src/verbenaworks/steering/placement.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/placement.py
@@ -21,6 +21,7 @@
 from verbenaworks.steering.cold_start_limiter import ColdStartLimiter
 from verbenaworks.steering.overflow_budget import OverflowBudget
 from verbenaworks.steering.overload_refusals import OverloadRefusals
+from verbenaworks.steering.placement_cost import PlacementCost
 from verbenaworks.steering.placement_result import (
     ChoiceReason,
     Placed,
@@ -32,23 +33,23 @@
 from verbenaworks.steering.region_requests import RegionRequests
 from verbenaworks.steering.region_splits import RegionSplits, Shares
 from verbenaworks.steering.response_predictor import ResponsePredictor
-from verbenaworks.steering.server_admission import ServerAdmission
+from verbenaworks.steering.server_admission import (
+    ServerAdmission,
+    ServerRefusal,
+)
 from verbenaworks.steering.server_introductions import ServerIntroductions
 from verbenaworks.steering.server_limits import ServerLimits
 from verbenaworks.steering.server_load import ServerLoad
+from verbenaworks.steering.server_pauses import ServerPauses
 from verbenaworks.steering.server_table import ServerTable
 from verbenaworks.steering.service_times import TRACKED_RANKS, ServiceTimes
+from verbenaworks.steering.spare_servers import SpareServers
 
 # The first servers of the rendezvous order, which are always compared.
 PREFERRED_CANDIDATES = 3
-# Rate used to convert body sizes into a cost for crossing failure domains. The
-# links are faster, but the body takes bandwidth from other requests.
-CROSS_DOMAIN_BYTES_PER_S = 150_000
-# Cost of crossing regions besides the time that it takes: the links between
-# them carry the requests of all instances.
-CROSS_REGION_COST_S = 0.030
-# Share of its slots up to which a server counts as having slots to spare.
-MAX_SPARE_USE = 0.67
+# Refusals of a server that last longer than those of a cold start.
+_LASTING_REASONS = (RefusalReason.SERVER_LIMIT, RefusalReason.SERVER_PAUSED)
+_NO_SERVER = ServerRefusal(reason=RefusalReason.NO_SERVER)
 
 
 class Placement:
@@ -67,18 +68,26 @@
         times: ServiceTimes,
         cold_start_limiter: ColdStartLimiter,
         limits: ServerLimits,
+        pauses: ServerPauses,
         random: Random,
     ) -> None:
-        self._region = region
-        self._failure_domain = failure_domain
         self._table = table
         self._predictor = ResponsePredictor(
             region=region,
             failure_domain=failure_domain,
             times=times,
-            limits=limits,
+            is_restricted=self._is_restricted,
         )
+        self._limits = limits
+        self._pauses = pauses
         self._refusals = OverloadRefusals(times=times, random=random)
+        self._costs = PlacementCost(
+            region=region,
+            failure_domain=failure_domain,
+            late_share=lambda service: (
+                self._refusals.overload(service).late_share
+            ),
+        )
         self._splits = RegionSplits(region)
         self._candidates = CandidateServers(
             failure_domain=failure_domain,
@@ -101,6 +110,7 @@
             predictor=self._predictor,
             cold_start_limiter=cold_start_limiter,
             limits=limits,
+            pauses=pauses,
         )
         self._introductions = ServerIntroductions(
             table=table,
@@ -108,6 +118,11 @@
             cold_start_limiter=cold_start_limiter,
             limits=limits,
         )
+        self._spare = SpareServers(
+            candidates=self._candidates,
+            admission=self._admission,
+            predictor=self._predictor,
+        )
         self._overflow = OverflowBudget()
 
     def load_of(self, server: BackendServer) -> ServerLoad:
@@ -138,6 +153,27 @@
             )
         return chosen
 
+    def refuse_service(
+        self, now_s: float, service: str, cold_requests_per_s: float
+    ) -> PlacementRefused:
+        """Return a refusal that names when a server takes requests again."""
+        refusals = [
+            self._admission.refusal(now_s, server, cold_requests_per_s)
+            for server in self._table.usable(service)
+        ]
+        first = _NO_SERVER
+        if None not in refusals:
+            for refusal in filter(None, refusals):
+                first = _sooner(first, refusal)
+        return self._refusals.no_server(first)
+
+    def _is_restricted(self, now_s: float, server: BackendServer) -> bool:
+        """Whether a server takes fewer requests than its slots allow."""
+        return (
+            self._limits.limit_per_s(now_s, server) is not None
+            or self._pauses.left_s(now_s, server) > 0
+        )
+
     def _shares(self, now_s: float, service: str) -> Mapping[str, float]:
         """Return the share of a service's requests by region."""
         shares = self._splits.shares(service)
@@ -184,7 +220,7 @@
         If it would be late there, it may run in another region within the
         overflow budget.
         """
-        reason = RefusalReason.NO_SERVER
+        refusal = _NO_SERVER
         best: Placed | None = None
         left = list(regions)
         while left and best is None:
@@ -192,6 +228,7 @@
             best, reason = self._best_in(
                 now_s, request, region, cold_requests_per_s
             )
+            refusal = _sooner(refusal, reason)
         if best is None:
             best, reason = self._best_of(
                 now_s,
@@ -199,13 +236,16 @@
                 self._candidates.that_are_down(request),
                 cold_requests_per_s,
             )
+            refusal = _sooner(refusal, reason)
         if best is None:
-            return self._refusals.no_server(reason)
+            return self._refusals.no_server(refusal)
         if best.server.region != regions[0] and self._is_busy(
             request, regions[0]
         ):
             if not self._overflow.allows_one:
-                return self._refusals.no_server(RefusalReason.OVERLOADED)
+                return self._refusals.no_server(
+                    ServerRefusal(reason=RefusalReason.OVERLOADED)
+                )
             self._overflow.record_overflow()
         is_late = self._refusals.is_late(request, best)
         if not request.tried_servers:
@@ -236,10 +276,10 @@
         request: PlacementRequest,
         region: str,
         cold_requests_per_s: float,
-    ) -> tuple[Placed | None, RefusalReason]:
+    ) -> tuple[Placed | None, ServerRefusal]:
         """Return a region's server with the least cost; none if it has none.
 
-        The reason tells why there is none.
+        The refusal tells why there is none.
         """
         return self._best_of(
             now_s,
@@ -254,11 +294,11 @@
         request: PlacementRequest,
         candidates: Iterable[tuple[int | None, BackendServer]],
         cold_requests_per_s: float,
-    ) -> tuple[Placed | None, RefusalReason]:
+    ) -> tuple[Placed | None, ServerRefusal]:
         best: Placed | None = None
         best_cost_s = 0.0
-        limited_home: BackendServer | None = None
-        reason = RefusalReason.NO_SERVER
+        restricted_home: BackendServer | None = None
+        first_refusal = _NO_SERVER
         overload = self._refusals.overload(request.service)
         for number, (rank, server) in enumerate(candidates):
             if (
@@ -276,27 +316,17 @@
                 now_s, server, cold_requests_per_s
             )
             if refusal is not None:
-                reason = refusal
-                if rank == 0 and refusal is RefusalReason.SERVER_LIMIT:
-                    limited_home = server
+                first_refusal = _sooner(first_refusal, refusal)
+                if rank == 0 and refusal.reason in _LASTING_REASONS:
+                    restricted_home = server
                 continue
             placed = self._predict(now_s, request, server, rank)
-            cost_s = self._cost_s(request, placed)
+            cost_s = self._costs.cost_s(request, placed)
             if best is None or cost_s < best_cost_s:
                 best, best_cost_s = placed, cost_s
-        if best is not None and limited_home is not None:
-            best = replace(best, limited_home=limited_home)
-        return best, reason
-
-    def _cost_s(self, request: PlacementRequest, placed: Placed) -> float:
-        # The longer service time without cached data takes capacity from
-        # other requests. It counts more if many requests are late.
-        late_share = self._refusals.overload(request.service).late_share
-        return (
-            placed.predicted_s
-            + late_share * placed.expected_s
-            + self._crossing_cost_s(request, placed.server)
-        )
+        if best is not None and restricted_home is not None:
+            best = replace(best, restricted_home=restricted_home)
+        return best, first_refusal
 
     def _overflow_server(
         self,
@@ -317,7 +347,9 @@
         )
         if other is None or self._refusals.refuse(request, other) is not None:
             return None
-        if self._cost_s(request, other) >= self._cost_s(request, best):
+        if self._costs.cost_s(request, other) >= self._costs.cost_s(
+            request, best
+        ):
             return None
         self._overflow.record_overflow()
         return replace(other, reason=ChoiceReason.OVERFLOW)
@@ -335,35 +367,16 @@
         There the response is late, but the data is cached for the next one.
         """
         region = best.server.region
-        spare = self._spare_in(now_s, request, region)
+        spare = self._spare.choose(now_s, request, region)
         if spare is not None or not self._overflow.allows_one:
             return spare
         for other in regions:
-            spare = self._spare_in(now_s, request, other)
+            spare = self._spare.choose(now_s, request, other)
             if spare is not None:
                 self._overflow.record_overflow()
                 return spare
         return None
 
-    def _spare_in(
-        self, now_s: float, request: PlacementRequest, region: str
-    ) -> Placed | None:
-        candidates = self._candidates.in_region(now_s, request, region)
-        for rank, server in candidates:
-            load = self.load_of(server).load(now_s)
-            if load + 1 > MAX_SPARE_USE * server.slots:
-                continue
-            if self._admission.is_cold(
-                now_s, server
-            ) or self._admission.refusal(now_s, server, 0.0):
-                continue
-            placed = self._predict(now_s, request, server, rank)
-            if placed.predicted_s <= request.time_left_s:
-                # The first one in the order, so that the requests that follow
-                # find the data there.
-                return replace(placed, reason=ChoiceReason.SPARE)
-        return None
-
     def _predict(
         self,
         now_s: float,
@@ -474,13 +487,11 @@
             if server_id not in existing_ids and not load.in_flight:
                 del self._predictor.loads[server_id]
 
-    def _crossing_cost_s(
-        self, request: PlacementRequest, server: BackendServer
-    ) -> float:
-        """Return the cost of sending the request to another domain."""
-        if server.failure_domain == self._failure_domain:
-            return 0.0
-        cost_s = request.body_bytes / CROSS_DOMAIN_BYTES_PER_S
-        if server.region != self._region:
-            cost_s += CROSS_REGION_COST_S
-        return cost_s
+
+def _sooner(first: ServerRefusal, second: ServerRefusal) -> ServerRefusal:
+    """Return the refusal that ends first; having no server is none."""
+    if first.reason is RefusalReason.NO_SERVER:
+        return second
+    if second.reason is RefusalReason.NO_SERVER:
+        return first
+    return min(first, second, key=lambda refusal: refusal.retry_after_s)
--- a/packages/verbenaworks/src/verbenaworks/steering/placement_result.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/placement_result.py
@@ -14,6 +14,7 @@
     OVERLOADED = auto()
     COLD_START_LIMIT = auto()
     SERVER_LIMIT = auto()
+    SERVER_PAUSED = auto()
 
 
 class ChoiceReason(StrEnum):
@@ -70,8 +71,8 @@
         this one recently.
     :ivar rank: rank of the server in the object's order; none without an
         affinity key.
-    :ivar limited_home: the object's home, if it would be the first choice but
-        takes no more requests for now.
+    :ivar restricted_home: the object's home, if it would be the first choice
+        but has a limit or a pause.
     """
 
     server: BackendServer
@@ -83,7 +84,7 @@
     load: float
     objects_since: int | None = None
     reason: ChoiceReason = ChoiceReason.PREFERRED
-    limited_home: BackendServer | None = None
+    restricted_home: BackendServer | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/packages/verbenaworks/src/verbenaworks/steering/report_summary.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/report_summary.py
@@ -4,6 +4,7 @@
 from collections import Counter
 from collections.abc import Iterable, Mapping
 
+from verbenaworks.steering.backend_server import BackendServer
 from verbenaworks.steering.peer_report import PeerReport
 from verbenaworks.steering.region_requests import RegionRequests
 from verbenaworks.steering.region_splits import Shares
@@ -101,6 +102,11 @@
     return zlib.crc32(name.encode("utf-8", "replace"))
 
 
+def incarnation_hash(server: BackendServer) -> int:
+    """Return the number that stands for a server's incarnation in reports."""
+    return short_hash(f"{server.server_id}/{server.started_at_ms}")
+
+
 def _add(
     counts: Counter[str],
     by_hash: Mapping[int, int],
--- a/packages/verbenaworks/src/verbenaworks/steering/response_predictor.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/response_predictor.py
@@ -1,5 +1,7 @@
 """Prediction of response times, and what it is learned from."""
 
+from collections.abc import Callable
+
 from verbenaworks.steering.backend_server import BackendServer
 from verbenaworks.steering.cache_capacity import CacheCapacity
 from verbenaworks.steering.candidate_servers import object_key
@@ -8,7 +10,6 @@
     Placed,
     PlacementRequest,
 )
-from verbenaworks.steering.server_limits import ServerLimits
 from verbenaworks.steering.server_load import ServerLoad
 from verbenaworks.steering.service_times import ServiceTimes
 
@@ -29,7 +30,7 @@
 
     :param region: region of the instance.
     :param failure_domain: failure domain of the instance.
-    :param limits: limits that servers name.
+    :param is_restricted: returns whether a server has a limit or a pause.
     :ivar loads: load and health by server id.
     """
 
@@ -39,12 +40,12 @@
         region: str,
         failure_domain: str,
         times: ServiceTimes,
-        limits: ServerLimits,
+        is_restricted: Callable[[float, BackendServer], bool],
     ) -> None:
         self._region = region
         self._failure_domain = failure_domain
         self._times = times
-        self._limits = limits
+        self._is_restricted = is_restricted
         self.loads: dict[str, ServerLoad] = {}
         self._cache_capacities: dict[str, CacheCapacity] = {}
 
@@ -133,7 +134,9 @@
         at_server_s = max(0.001, took_s - rtt_s)
         load.record_success(now_s, took_s / max(0.001, placed.predicted_s))
         if request.affinity_key:
-            load.record_object(object_key(request).text, placed.limited_home)
+            load.record_object(
+                object_key(request).text, placed.restricted_home
+            )
         self._times.observe_mean(
             request.route.name,
             request.service,
@@ -155,9 +158,9 @@
         self, now_s: float, request: PlacementRequest, load: ServerLoad
     ) -> int | None:
         text = object_key(request).text
-        home = load.limited_home(text)
-        if home and self._limits.limit_per_s(now_s, home) is None:
-            # The object returns to its home, whose limit has ended.
+        home = load.restricted_home(text)
+        if home and not self._is_restricted(now_s, home):
+            # The object returns to its home, whose limit or pause has ended.
             return None
         return load.objects_since(text)
 
--- a/packages/verbenaworks/src/verbenaworks/steering/server_introductions.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/server_introductions.py
@@ -75,7 +75,7 @@
             return None
         is_one_left = False
         for server in self._table.usable(service):
-            key = (server.server_id, server.started_at_ms)
+            key = server.incarnation
             if key in self._introduced:
                 continue
             if not self._needs_introduction(now_s, server):
--- a/packages/verbenaworks/src/verbenaworks/steering/server_limits.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/server_limits.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 
 from verbenaworks.steering.backend_server import BackendServer
-from verbenaworks.steering.report_summary import short_hash
+from verbenaworks.steering.report_summary import incarnation_hash
 from verbenaworks.steering.server_senders import ServerSenders
 
 # Share of a limit that is used. The rest makes up for instances that do not
@@ -149,7 +149,7 @@
         known = self._statement(now_s, server)
         if known is None and limit_per_s is None:
             return
-        self._statements[_key(server)] = LimitStatement(
+        self._statements[server.incarnation] = LimitStatement(
             limit_per_s=limit_per_s, stated_at_s=now_s, is_own=True
         )
         if _is_announced(known.limit_per_s if known else None, limit_per_s):
@@ -169,7 +169,7 @@
         if not packed:
             return
         for server in servers:
-            entry = packed.get(_hash(server))
+            entry = packed.get(incarnation_hash(server))
             if entry is None:
                 continue
             units, age_ms = entry
@@ -178,9 +178,9 @@
                 stated_at_s=now_s - age_ms / 1000,
                 is_own=False,
             )
-            known = self._statements.get(_key(server))
+            known = self._statements.get(server.incarnation)
             if known is None or known.stated_at_s < statement.stated_at_s:
-                self._statements[_key(server)] = statement
+                self._statements[server.incarnation] = statement
 
     def packed(
         self, now_s: float, servers: Iterable[BackendServer]
@@ -200,7 +200,7 @@
             if statement.limit_per_s is not None:
                 units = round(statement.limit_per_s * LIMIT_UNITS)
             age_ms = round(1000 * (now_s - statement.stated_at_s))
-            packed[_hash(server)] = (units, age_ms)
+            packed[incarnation_hash(server)] = (units, age_ms)
         return packed
 
     def forget(self, now_s: float) -> None:
@@ -215,7 +215,7 @@
     def _statement(
         self, now_s: float, server: BackendServer
     ) -> LimitStatement | None:
-        statement = self._statements.get(_key(server))
+        statement = self._statements.get(server.incarnation)
         if statement is None or now_s - statement.stated_at_s > LAPSE_S:
             return None
         return statement
@@ -247,11 +247,3 @@
     if before is None or now is None:
         return before is not now
     return abs(now - before) > MIN_ANNOUNCED_CHANGE * max(before, now)
-
-
-def _key(server: BackendServer) -> tuple[str, int]:
-    return (server.server_id, server.started_at_ms)
-
-
-def _hash(server: BackendServer) -> int:
-    return short_hash(f"{server.server_id}/{server.started_at_ms}")
--- a/packages/verbenaworks/src/verbenaworks/steering/server_load.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/server_load.py
@@ -196,19 +196,19 @@
         return None
 
     def record_object(
-        self, object_text: str, limited_home: BackendServer | None = None
+        self, object_text: str, restricted_home: BackendServer | None = None
     ) -> None:
         """Record that the server has responded to a request for an object.
 
-        :param limited_home: the object's home, if this server takes its place
-            while it has a limit.
+        :param restricted_home: the object's home, if this server takes its
+            place while it has a limit or a pause.
         """
         self._recent_objects.pop(object_text, None)
-        self._recent_objects[object_text] = limited_home
+        self._recent_objects[object_text] = restricted_home
         if len(self._recent_objects) > MAX_RECENT_OBJECTS:
             del self._recent_objects[next(iter(self._recent_objects))]
 
-    def limited_home(self, object_text: str) -> BackendServer | None:
+    def restricted_home(self, object_text: str) -> BackendServer | None:
         """Return the home whose place this server takes for an object."""
         return self._recent_objects.get(object_text)
 
--- a/packages/verbenaworks/src/verbenaworks/steering/server_table.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/server_table.py
@@ -32,6 +32,8 @@
         self._entries: dict[str, _TableEntry] = {}
         self._removed: dict[str, tuple[BackendServer, float]] = {}
         self._evacuated: set[str] = set()
+        # Incarnations that have said that they are leaving, and when.
+        self._leaving: dict[tuple[str, int], float] = {}
         self._usable: dict[str, tuple[BackendServer, ...]] | None = None
         self._by_region: dict[str, dict[str, tuple[BackendServer, ...]]] = {}
         self._store_recovered_at_s = float("-inf")
@@ -99,6 +101,34 @@
         ]
         return min(removals_s, default=None)
 
+    def record_leaving(self, now_s: float, server: BackendServer) -> bool:
+        """Record that a server says that it is leaving; false if known.
+
+        Unlike its reports this cannot be outdated, so it holds until the
+        process of the server has ended, whatever the store says.
+        """
+        if server.incarnation in self._leaving:
+            return False
+        self._forget_leaving(now_s)
+        self._leaving[server.incarnation] = now_s
+        self._invalidate()
+        return True
+
+    def leaving_since(self, oldest_s: float) -> list[BackendServer]:
+        """Return the servers that have said so since a time."""
+        return [
+            entry.server
+            for entry in self._entries.values()
+            if self._leaving.get(entry.server.incarnation, oldest_s) > oldest_s
+        ]
+
+    def _forget_leaving(self, now_s: float) -> None:
+        existing = {e.server.incarnation for e in self._entries.values()}
+        oldest_s = now_s - REMOVED_RETENTION_S
+        for incarnation, at_s in list(self._leaving.items()):
+            if at_s < oldest_s and incarnation not in existing:
+                del self._leaving[incarnation]
+
     def set_evacuated(self, failure_domain: str, evacuated: bool) -> None:
         """Stop or resume the use of a failure domain."""
         if evacuated:
@@ -123,7 +153,7 @@
             by_service: dict[str, list[BackendServer]] = {}
             for _, entry in sorted(self._entries.items()):
                 server = entry.server
-                if server.draining:
+                if server.draining or server.incarnation in self._leaving:
                     continue
                 if server.failure_domain in self._evacuated:
                     continue
--- a/tests/steering_factories.py
+++ b/tests/steering_factories.py
@@ -9,6 +9,7 @@
 from verbenaworks.steering.placement import Placement
 from verbenaworks.steering.route import RequestKind, Route, RouteDestination
 from verbenaworks.steering.server_limits import ServerLimits
+from verbenaworks.steering.server_pauses import ServerPauses
 from verbenaworks.steering.server_senders import ServerSenders
 from verbenaworks.steering.server_table import ServerTable
 from verbenaworks.steering.service_times import ServiceTimes
@@ -79,7 +80,10 @@
 
 
 def placement(
-    table: ServerTable, seed: int = 1, limits: ServerLimits | None = None
+    table: ServerTable,
+    seed: int = 1,
+    limits: ServerLimits | None = None,
+    pauses: ServerPauses | None = None,
 ) -> Placement:
     """Return the placement of an instance in ``north-a``."""
     senders = ServerSenders("one", "north")
@@ -90,5 +94,6 @@
         times=ServiceTimes(),
         cold_start_limiter=ColdStartLimiter(senders),
         limits=limits or ServerLimits(senders=senders),
+        pauses=pauses or ServerPauses(),
         random=Random(seed),
     )
--- a/tests/test_server_statement.py
+++ b/tests/test_server_statement.py
@@ -5,7 +5,11 @@
 from verbenad.field_names import FieldNames
 from verbenad.steering.server_statement import ServerStatement, StatementParser
 
-PARSER = StatementParser(FieldNames(load="Server-Load", limit="Server-Limit"))
+PARSER = StatementParser(
+    FieldNames(
+        load="Server-Load", limit="Server-Limit", leaving="Server-Leaving"
+    )
+)
 
 
 def test_load_and_limit_are_read() -> None:
@@ -28,3 +32,35 @@
     assert statement.limit_per_s is None
     assert statement.load is None
     assert statement.has_unreadable_limit == bool(text)
+
+
+@pytest.mark.parametrize(
+    ("text", "pause_s"),
+    [
+        ("3", 3.0),
+        ("0.25", 0.25),
+        ("0", 0.0),
+        ("9" * 40, float("9" * 40)),
+        ("-3", None),
+        ("1e3", None),
+        ("Sat, 05 Dec 2026 08:00:00 GMT", None),
+        ("9" * 41, None),
+    ],
+)
+def test_pause_of_a_refusal_is_read(text: str, pause_s: float | None) -> None:
+    """Guards against an error, or a pause that nobody has asked for."""
+    statement = PARSER.parse([("Retry-After", text)], 503)
+    assert statement.pause_s == pause_s
+    assert statement.has_unreadable_pause == (pause_s is None)
+    # Other answers tell the caller when to return, not the instance.
+    assert PARSER.parse([("Retry-After", text)], 200).pause_s is None
+    assert PARSER.parse([("Retry-After", text)], 429).pause_s is None
+
+
+@pytest.mark.parametrize(
+    ("text", "leaving"),
+    [("1", True), ("0", False), ("yes", False), ("", False)],
+)
+def test_leaving_is_read(text: str, leaving: bool) -> None:
+    """Guards against a server that is taken out of use by mistake."""
+    assert PARSER.parse([("server-leaving", text)]).leaving == leaving
--- a/tools/steering_model.py
+++ b/tools/steering_model.py
@@ -28,6 +28,7 @@
 from verbenaworks.steering.region_splits import Shares
 from verbenaworks.steering.route import RequestKind, Route, RouteDestination
 from verbenaworks.steering.server_limits import ServerLimits
+from verbenaworks.steering.server_pauses import ServerPauses
 from verbenaworks.steering.server_senders import ServerSenders
 from verbenaworks.steering.server_table import ServerTable
 from verbenaworks.steering.service_times import ServiceTimes
@@ -343,6 +344,7 @@
             times=ServiceTimes(),
             cold_start_limiter=ColdStartLimiter(senders),
             limits=ServerLimits(senders=senders),
+            pauses=ServerPauses(),
             random=Random(self._random.randrange(2**32)),
         )
 
