Log why no server could take a request

A refusal with the code overloaded did not tell a pause or a limit from a long wait, so that a request's id led nowhere.

Change: the log line's detail names the reason and when a server takes requests again. A registration whose lease was granted in the era before is made again at once. Servers and pauses are looked up only if there are any notices.

Measured: test_all_servers_in_a_pause_refuse_at_once checks the detail; the 24 tests of test_server_pauses, test_restored_store and test_server_notices pass.

--- a/packages/verbenad/src/verbenad/refusal_error.py
+++ b/packages/verbenad/src/verbenad/refusal_error.py
@@ -4,11 +4,15 @@
 
 
 class RefusalError(Exception):
-    """Carries a refusal to the code that sends it to the caller."""
+    """Carries a refusal to the code that sends it to the caller.
 
-    def __init__(self, refusal: Refusal) -> None:
+    :ivar detail: figures behind the refusal, for the log.
+    """
+
+    def __init__(self, refusal: Refusal, detail: str = "") -> None:
         super().__init__(refusal.message)
         self.refusal = refusal
+        self.detail = detail
 
 
 def refusal_error(
@@ -18,8 +22,12 @@
     run: RunStatus = NOT_RUN,
     retry_after_s: float | None = None,
     message: str | None = None,
+    detail: str = "",
 ) -> RefusalError:
-    """Return the exception for a refusal with ``code``."""
+    """Return the exception for a refusal with ``code``.
+
+    :param detail: figures behind the refusal, for the log.
+    """
     return RefusalError(
         make_refusal(
             code,
@@ -27,5 +35,6 @@
             request_id=request_id,
             retry_after_s=retry_after_s,
             message=message,
-        )
+        ),
+        detail,
     )
--- a/packages/verbenad/src/verbenad/steering/platform_sync.py
+++ b/packages/verbenad/src/verbenad/steering/platform_sync.py
@@ -268,6 +268,9 @@
         if self._deregistered:
             self._revoke_lease(lease)
             return
+        if self._position is not None and lease.era < self._position.era:
+            # The store was restored during the call.
+            raise LeaseExpiredError(lease)
         self._lease = lease
         _log.info(
             "registered", extra={"lease": lease.lease_id, "era": lease.era}
--- a/packages/verbenad/src/verbenad/steering/request_runner.py
+++ b/packages/verbenad/src/verbenad/steering/request_runner.py
@@ -467,5 +467,14 @@
             code = _REFUSAL_CODES[refused.reason]
         run = OUTCOME_UNKNOWN if progress.may_have_run else NOT_RUN
         return refusal_error(
-            code, request.request_id, run=run, retry_after_s=retry_after_s
+            code,
+            request.request_id,
+            run=run,
+            retry_after_s=retry_after_s,
+            detail=(
+                f"{refused.reason.name.lower()}, next in"
+                f" {refused.retry_after_s:.2f} s"
+                if refused
+                else ""
+            ),
         )
--- a/packages/verbenad/src/verbenad/steering/steering_gateway.py
+++ b/packages/verbenad/src/verbenad/steering/steering_gateway.py
@@ -107,6 +107,7 @@
             request = self._admit(environ, head, trace)
             response = self._run(request, trace)
         except RefusalError as exc:
+            trace.detail = trace.detail or exc.detail
             return self._refuse(exc.refusal, start_response, trace)
         except BodyError as error:
             refusal = make_refusal(
--- a/packages/verbenaworks/src/verbenaworks/steering/server_pauses.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/server_pauses.py
@@ -57,6 +57,8 @@
 
         :param in_flight: requests of this instance at the server.
         """
+        if not self._ends_s:
+            return True
         end_s = self._ends_s.get(server.incarnation)
         if end_s is None:
             return True
--- a/packages/verbenaworks/src/verbenaworks/steering/server_table.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/server_table.py
@@ -116,6 +116,8 @@
 
     def leaving_since(self, oldest_s: float) -> list[BackendServer]:
         """Return the servers that have said so since a time."""
+        if not self._leaving:
+            return []
         return [
             entry.server
             for entry in self._entries.values()
