--- a/tests/test_region_shift.py
+++ b/tests/test_region_shift.py
@@ -7,13 +7,8 @@
 
 from collections.abc import Callable
 
-from steering_model import (
-    ModelRegion,
-    ModelSize,
-    SteeringModel,
-    burst,
-    constant,
-)
+from steering_model import SteeringModel, burst, constant
+from steering_model_types import ModelRegion, ModelSize
 
 MAX_MOVED_SHARE = 0.15
 WINDOW_S = 2.0
--- a/tests/test_steering_model.py
+++ b/tests/test_steering_model.py
@@ -5,12 +5,13 @@
 import pytest
 
 from steering_model import (
-    ModelResult,
-    ModelSize,
+    PAUSE_PERIOD_S,
     SteeringModel,
     burst,
     constant,
+    pause_in_turn,
 )
+from steering_model_types import ModelResult, ModelSize
 
 CAPACITY_PER_S = ModelSize().capacity_per_s
 LENGTH_S = 12.0
@@ -69,3 +70,36 @@
         WARM_FROM_S, LENGTH_S
     )
     assert late_per_s <= 0.4 * CAPACITY_PER_S / 16
+
+
+@pytest.mark.parametrize("load", [0.3, 0.5])
+def test_pauses_of_a_third_of_the_servers_are_kept(load: float) -> None:
+    """Guards against requests that go to servers which want a pause.
+
+    Each third of the servers asks for a pause in turn.
+    """
+    kept, ignored = (
+        SteeringModel(
+            per_s=constant(load * CAPACITY_PER_S), heeds_pauses=heeds_pauses
+        )
+        for heeds_pauses in (True, False)
+    )
+    for model in (kept, ignored):
+        pause_in_turn(model, LENGTH_S)
+        model.run(LENGTH_S)
+    # At most one request in flight of each instance at each server.
+    pauses = (LENGTH_S - PAUSE_PERIOD_S) / PAUSE_PERIOD_S
+    servers, instances = 16, 10
+    assert kept.result.sent_in_pauses <= pauses * instances * (servers / 3 + 1)
+    assert kept.result.sent_in_pauses < 0.5 * ignored.result.sent_in_pauses
+
+
+def test_leaving_server_gets_nothing_and_nothing_is_lost() -> None:
+    """Guards against load that stays with a server which leaves."""
+    model = SteeringModel(per_s=constant(0.5 * CAPACITY_PER_S))
+    for number in range(4):
+        model.at(6.0, lambda n=number: model.announce_leaving(n))
+    result = model.run(LENGTH_S)
+    assert result.useful_per_s(8.0, LENGTH_S) >= 0.9 * result.useful_per_s(
+        4.0, 6.0
+    )
--- a/tools/steering_model.py
+++ b/tools/steering_model.py
@@ -12,10 +12,16 @@
 import heapq
 import itertools
 from collections import Counter, OrderedDict, defaultdict, deque
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field, replace
 from random import Random
 
+from steering_model_types import (
+    CACHED_SERVICE_TIME_S,
+    ModelResult,
+    ModelRun,
+    ModelSize,
+)
 from verbenaworks.steering.backend_server import BackendServer
 from verbenaworks.steering.cold_start_limiter import ColdStartLimiter
 from verbenaworks.steering.placement import Placement
@@ -48,7 +54,6 @@
     sticky=True,
     home_regions=frozenset(),
 )
-CACHED_SERVICE_TIME_S = 0.2
 UNCACHED_SERVICE_TIME_S = 0.64
 REPORT_PERIOD_S = 0.4
 # Instances use the reports of the last periods, as the daemon does.
@@ -61,115 +66,20 @@
 COLD_SLOWDOWN = 2.0
 # Time between two looks at the load pattern while there are no requests.
 IDLE_CHECK_PERIOD_S = 0.05
+# Length of the pauses that servers ask for, and time between two of them.
+PAUSE_S = 2.0
+PAUSE_PERIOD_S = 2
 NO_HOME_REGIONS: frozenset[str] = frozenset()
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class ModelRegion:
-    """One region of a modelled deployment."""
-
-    name: str
-    instances: int
-    servers: int
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class ModelSize:
-    """Sizes of a modelled deployment.
-
-    The defaults are the sizes of the users' deployment.
-
-    :ivar slots: requests that a server runs at the same time.
-    :ivar affinity_keys: number of distinct affinity keys of the requests.
-    :ivar max_cached_keys: affinity keys that fit in the cache of a server.
-    """
-
-    regions: tuple[ModelRegion, ...] = (
-        ModelRegion(name="r", instances=10, servers=16),
-    )
-    slots: int = 6
-    affinity_keys: int = 47
-    max_cached_keys: int = 37
-
-    @property
-    def capacity_per_s(self) -> float:
-        """Requests per second that all servers run with warm caches."""
-        servers = sum(region.servers for region in self.regions)
-        return servers * self.slots / CACHED_SERVICE_TIME_S
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class ModelRun:
-    """One request that ran.
-
-    :ivar from_region: region of its caller.
-    :ivar in_region: region of the server.
-    """
-
-    arrived_s: float
-    from_region: str
-    in_region: str
-
-
-@dataclass(kw_only=True, slots=True)
-class ModelResult:
-    """Counts of requests by their outcome.
-
-    :ivar requests: requests that arrived.
-    :ivar useful: requests answered within the latency objective.
-    :ivar late: requests answered after the objective but before the timeout.
-    :ivar refused: requests refused by placement or by a full server queue.
-    :ivar failed: requests that timed out.
-    :ivar useful_at_s: end times of the useful requests.
-    :ivar runs: requests that ran, in the order of their ends.
-    """
-
-    requests: int = 0
-    useful: int = 0
-    late: int = 0
-    refused: int = 0
-    failed: int = 0
-    useful_at_s: list[float] = field(default_factory=list)
-    runs: list[ModelRun] = field(default_factory=list)
-
-    @property
-    def useful_share(self) -> float:
-        """Share of requests answered within the latency objective."""
-        return self.useful / max(1, self.requests)
-
-    def useful_per_s(self, from_s: float, to_s: float) -> float:
-        """Return the rate of useful responses between two times."""
-        count = sum(from_s <= at_s < to_s for at_s in self.useful_at_s)
-        return count / (to_s - from_s)
-
-    def moved_share(self, region: str, at_s: float, window_s: float) -> float:
-        """Return the share of a region's requests that changed their region.
-
-        :param at_s: end of the first and start of the second window.
-        """
-        before: Counter[str] = Counter()
-        after: Counter[str] = Counter()
-        for run in self.runs:
-            if run.from_region != region:
-                continue
-            if at_s - window_s <= run.arrived_s < at_s:
-                before[run.in_region] += 1
-            elif at_s <= run.arrived_s < at_s + window_s:
-                after[run.in_region] += 1
-        if not before or not after:
-            return 0.0
-        return sum(
-            max(0.0, after[r] / after.total() - before[r] / before.total())
-            for r in after
-        )
-
-
 @dataclass(kw_only=True, slots=True)
 class _Server:
     server: BackendServer
     max_cached_keys: int
     service_time_factor: float = 1.0
     cold_until_s: float = 0.0
+    # It refuses all requests until then, and says so.
+    paused_until_s: float = 0.0
     running: int = 0
     waiting: deque["_Request"] = field(default_factory=deque)
     cached_keys: OrderedDict[str, None] = field(default_factory=OrderedDict)
@@ -197,6 +107,7 @@
 class _Instance:
     region: str
     placement: Placement
+    pauses: ServerPauses
     is_cut_off: bool = False
     # In-flight requests in its last report, by server.
     report: dict[str, int] = field(default_factory=dict)
@@ -224,6 +135,7 @@
         callers of a region at a given time; by default, all regions are equal.
     :param slow_server: whether one server takes five times as long.
     :param baseline: whether to use the baseline instead of placement.
+    :param heeds_pauses: whether instances keep the pauses of servers.
     """
 
     def __init__(
@@ -235,12 +147,14 @@
         seed: int = 1,
         baseline: bool = False,
         slow_server: bool = False,
+        heeds_pauses: bool = True,
     ) -> None:
         self.size = size or ModelSize()
         self.result = ModelResult()
         self._per_s = per_s
         self._share_of = share_of or (lambda region, at_s: 1.0)
         self._baseline = baseline
+        self._heeds_pauses = heeds_pauses
         self._random = Random(seed)
         self._now_s = 0.0
         self._events: list[tuple[float, int, Callable[[], None]]] = []
@@ -288,6 +202,17 @@
         )
         self._table.remove(self._now_s, server.server_id)
 
+    def pause_servers(self, numbers: Iterable[int], pause_s: float) -> None:
+        """Let servers refuse all requests for a time, and say so."""
+        for number in numbers:
+            server = self._servers[f"s{number}"]
+            server.paused_until_s = self._now_s + pause_s
+
+    def announce_leaving(self, number: int) -> None:
+        """Let a server say in its answers that it is leaving."""
+        server = self._servers[f"s{number}"].server
+        self._table.record_leaving(self._now_s, server)
+
     def make_cold(self, region: str, count: int) -> None:
         """Let some servers of a region start again with empty caches."""
         servers = self._table.usable(SERVICE)
@@ -307,7 +232,10 @@
     def restart_instance(self, number: int) -> None:
         """Replace an instance by one that knows nothing."""
         instance = self._instances[number]
-        instance.placement = self._make_placement(number, instance.region)
+        instance.pauses = ServerPauses()
+        instance.placement = self._make_placement(
+            number, instance.region, instance.pauses
+        )
         instance.report = {}
 
     def set_cut_off(self, number: int, is_cut_off: bool) -> None:
@@ -329,13 +257,18 @@
 
     def _add_instance(self, region: str) -> None:
         number = len(self._instances)
+        pauses = ServerPauses()
         self._instances.append(
             _Instance(
-                region=region, placement=self._make_placement(number, region)
+                region=region,
+                placement=self._make_placement(number, region, pauses),
+                pauses=pauses,
             )
         )
 
-    def _make_placement(self, number: int, region: str) -> Placement:
+    def _make_placement(
+        self, number: int, region: str, pauses: ServerPauses
+    ) -> Placement:
         senders = ServerSenders(f"i{number}", region)
         return Placement(
             region=region,
@@ -344,7 +277,7 @@
             times=ServiceTimes(),
             cold_start_limiter=ColdStartLimiter(senders),
             limits=ServerLimits(senders=senders),
-            pauses=ServerPauses(),
+            pauses=pauses,
             random=Random(self._random.randrange(2**32)),
         )
 
@@ -371,20 +304,51 @@
             time_left_s=ROUTE.timeout_s,
             home_regions=NO_HOME_REGIONS,
         )
+        self._place(instance, placement_request)
+
+    def _place(
+        self, instance: _Instance, placement_request: PlacementRequest
+    ) -> None:
         placed = self._choose(instance.placement, placement_request)
         if isinstance(placed, PlacementRefused):
             self.result.refused += 1
             return
-        request = _Request(
-            instance=instance,
-            placement=instance.placement,
-            affinity_key=affinity_key,
-            arrived_s=self._now_s,
-            placement_request=placement_request,
-            placed=placed,
-            server=self._servers[placed.server.server_id],
+        server = self._servers[placed.server.server_id]
+        if self._now_s < server.paused_until_s:
+            self._handle_pause(instance, placement_request, server)
+            return
+        self._send(
+            _Request(
+                instance=instance,
+                placement=instance.placement,
+                affinity_key=placement_request.affinity_key,
+                arrived_s=self._now_s,
+                placement_request=placement_request,
+                placed=placed,
+                server=server,
+            )
         )
-        self._send(request)
+
+    def _handle_pause(
+        self,
+        instance: _Instance,
+        placement_request: PlacementRequest,
+        server: _Server,
+    ) -> None:
+        """Handle a refusal with a pause; the request is sent once more."""
+        self.result.sent_in_pauses += 1
+        if self._heeds_pauses:
+            instance.pauses.record_pause(
+                self._now_s,
+                server.server,
+                server.paused_until_s - self._now_s,
+            )
+        instance.placement.load_of(server.server).record_failure(self._now_s)
+        tried = placement_request.tried_servers | {server.server.server_id}
+        if len(tried) >= ROUTE.max_attempts:
+            self.result.refused += 1
+            return
+        self._place(instance, replace(placement_request, tried_servers=tried))
 
     def _entry_instance(self) -> _Instance:
         regions = [region.name for region in self.size.regions]
@@ -548,11 +512,42 @@
         )
 
 
+def pause_in_turn(model: SteeringModel, duration_s: float) -> None:
+    """Let each third of the servers ask for a pause in turn."""
+    count = sum(region.servers for region in model.size.regions)
+    for turn, at_s in enumerate(
+        range(PAUSE_PERIOD_S, int(duration_s), PAUSE_PERIOD_S)
+    ):
+        third = range(turn % 3, count, 3)
+        model.at(float(at_s), lambda t=third: model.pause_servers(t, PAUSE_S))
+
+
+def compare_pauses(duration_s: float) -> Iterator[str]:
+    """Yield a table of a service of which a third asks for pauses in turn."""
+    yield "load  pauses   useful    late  refused  sent in a pause"
+    for load in (0.3, 0.5, 0.8):
+        for heeds_pauses in (False, True):
+            model = SteeringModel(
+                per_s=constant(load * ModelSize().capacity_per_s),
+                heeds_pauses=heeds_pauses,
+            )
+            pause_in_turn(model, duration_s)
+            result = model.run(duration_s)
+            yield (
+                f"{load:4.1f}  {'kept' if heeds_pauses else 'not':7s}"
+                f" {result.useful_share:7.3f}"
+                f" {result.late / result.requests:7.3f}"
+                f" {result.refused / result.requests:8.3f}"
+                f" {result.sent_in_pauses:16d}"
+            )
+
+
 def main() -> None:
-    """Print the comparison of placement with the baseline."""
+    """Print the comparisons."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seconds", type=float, default=20.0)
-    for line in compare(parser.parse_args().seconds):
+    seconds = parser.parse_args().seconds
+    for line in itertools.chain(compare(seconds), compare_pauses(seconds)):
         print(line)
 
 
