--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -20,7 +20,12 @@
 
 from platform_store import PlatformStore  # noqa: E402
 
-ZONES = {"north-a": "north", "north-b": "north", "north-c": "north"}
+ZONES = {
+    "north-a": "north",
+    "north-b": "north",
+    "north-c": "north",
+    "south-a": "south",
+}
 HOST = "shop.example"
 RUN_COMMAND = ("python3", "-S", "-m", "verbena_platform.main")
 READY_TIMEOUT_S = 20.0
@@ -122,15 +127,24 @@
         except OSError:
             return False
 
-    def resolve(self, *, timeout_s: float = 1.0) -> list[str]:
+    def resolve(self) -> list[str]:
         """Ask this instance for the addresses of the host."""
+        return self.resolve_with_ttl()[0]
+
+    def resolve_with_ttl(
+        self, *, timeout_s: float = 1.0
+    ) -> tuple[list[str], float]:
+        """Ask for the addresses and how long they may be kept."""
         region = ZONES[self.zone]
         status, body = get(
             self.directory,
             f"/-/resolve?name={HOST}&region={region}&zone={self.zone}",
             timeout_s=timeout_s,
         )
-        return list(json.loads(body)["addresses"]) if status == 200 else []
+        if status != 200:
+            return [], 0.0
+        answer = json.loads(body)
+        return list(answer["addresses"]), float(answer["ttlS"])
 
     def kill(self) -> None:
         """End the process."""
@@ -147,6 +161,8 @@
         self._folder = folder
         self.record = record
         self.store = PlatformStore()
+        # Connections of processes that ended are no error.
+        self.store._server.handle_error = lambda *_: None  # type: ignore
         self.instances: list[Instance] = []
         self._closers: list[Callable[[], None]] = []
         self._base = f"127.{random.randint(20, 250)}.{random.randint(1, 250)}"
