Interrupt only the wait that a stop is meant for

Cause: the exception that wakes the reader of a connection was thrown even if the reader had been woken by a buffered request in the meantime. It then ended the wait for the running requests, and the connection was closed.

InterruptibleWait delivers the exception only while the interrupted wait goes on. The accept loop, which had a check of its own, uses it too; its test switches to the accept loop's green thread itself instead of a private attribute that held the same object, and checks what it checked.

--- a/packages/verbenad/src/verbenad/listener.py
+++ b/packages/verbenad/src/verbenad/listener.py
@@ -1,6 +1,8 @@
 """Listening socket with admission control and graceful shutdown."""
 
+import contextlib
 import errno
+import functools
 import socket
 from collections.abc import Callable
 from typing import Any
@@ -8,7 +10,11 @@
 import eventlet
 from eventlet import hubs
 from eventlet.greenio import GreenSocket
-from eventlet.support.greenlets import getcurrent
+
+from verbenad.interruptible_wait import (
+    InterruptibleWait,
+    WaitInterruptedError,
+)
 
 # Out of file descriptors or memory: accepting works again once connections
 # have closed.
@@ -55,7 +61,7 @@
         self._closing = False
         self._remaining_accepts = BACKLOG
         self._accepts = 0
-        self._waiting_greenlet: Any = None
+        self._connection_wait = InterruptibleWait()
 
     def accept(self) -> tuple[GreenSocket, Any]:
         """Return the next admitted connection.
@@ -80,13 +86,7 @@
     def stop(self) -> None:
         """Stop accepting once the kernel's queue is empty."""
         self._closing = True
-        hubs.get_hub().schedule_call_global(0, self._wake)
-
-    def _wake(self) -> None:
-        # A connection may have woken the accept loop in the meantime. It is
-        # interrupted only while it waits for one, and closes the socket.
-        if self._waiting_greenlet is not None:
-            self._waiting_greenlet.throw(ListenerClosedError())
+        self._connection_wait.interrupt()
 
     def _claim_queued_accept(self) -> bool:
         # Without a bound, steady arrivals would keep the listener open.
@@ -118,10 +118,8 @@
             # then the kernel would go on accepting connections.
             self.close()
             raise ListenerClosedError
-        self._waiting_greenlet = getcurrent()
-        try:
-            hubs.trampoline(self.fd, read=True)
-        except ListenerClosedError:
-            return
-        finally:
-            self._waiting_greenlet = None
+        # After an interruption, accept() calls this again.
+        with contextlib.suppress(WaitInterruptedError):
+            self._connection_wait.run(
+                functools.partial(hubs.trampoline, self.fd, read=True)
+            )
--- a/packages/verbenad/src/verbenad/pipelined_protocol.py
+++ b/packages/verbenad/src/verbenad/pipelined_protocol.py
@@ -6,11 +6,13 @@
 import eventlet
 import logbook
 from eventlet.event import Event
-from eventlet.hubs import get_hub
-from eventlet.support.greenlets import getcurrent
 
 from verbenad.caller_connection import CallerConnection
 from verbenad.http_protocol import HttpProtocol
+from verbenad.interruptible_wait import (
+    InterruptibleWait,
+    WaitInterruptedError,
+)
 from verbenad.protocol_errors import ProtocolError
 from verbenad.request_body import RequestBody
 from verbenad.request_head import RequestHead
@@ -70,10 +72,6 @@
         self._stream.send_all(data, timeout_s, min_bytes_per_s)
 
 
-class _StopReadingError(Exception):
-    """Stops the reader when no further request will be served."""
-
-
 class PipelinedProtocol(HttpProtocol):
     """Reads ahead and runs requests without a body concurrently.
 
@@ -88,7 +86,7 @@
         # Set once a response or a request announces that the connection
         # closes, or a response fails.
         self._closing = False
-        self._reader: Any = None
+        self._request_wait = InterruptibleWait()
         super().__init__(conn_state, server, http_server)
 
     def handle(self) -> None:
@@ -114,25 +112,18 @@
 
     def _wait_for_request(self) -> bool:
         while not self._closing:
-            self._reader = getcurrent()
             try:
-                if super()._wait_for_request():
+                if self._request_wait.run(super()._wait_for_request):
                     return True
-            except _StopReadingError:
+            except WaitInterruptedError:
                 return False
-            finally:
-                self._reader = None
             if not self._timed_out or not self._pending:
                 return False
         return False
 
     def _stop_reading(self) -> None:
         self._closing = True
-        if self._reader is not None:
-            reader, self._reader = self._reader, None
-            get_hub().schedule_call_global(
-                0, reader.throw, _StopReadingError()
-            )
+        self._request_wait.interrupt()
 
     def _handle_next(self) -> bool:
         try:
--- a/tests/edge_server.py
+++ b/tests/edge_server.py
@@ -150,6 +150,16 @@
         start("200 OK", [])
         return [b"finished"]
 
+    def local_late(
+        self, environ: dict[str, Any], start: Callable[..., Any]
+    ) -> Iterable[bytes]:
+        """Answer some time after the HTTP server has begun to drain."""
+        self.local_slow(environ, start)
+        sys.stdout.write("draining\n")
+        sys.stdout.flush()
+        eventlet.sleep(0.3)
+        return [b"finished late"]
+
     def local_wait(
         self, environ: dict[str, Any], start: Callable[..., Any]
     ) -> Iterable[bytes]:
@@ -223,7 +233,11 @@
     application = EdgeApplication(options)
     limits = msgspec.convert(options.get("limits", {}), HttpServerLimits)
     http_server = HttpServer(
-        application, host="127.0.0.1", port=0, limits=limits
+        application,
+        host="127.0.0.1",
+        port=0,
+        limits=limits,
+        pipelined=options.get("pipelined", False),
     )
     application.http_server = http_server
     stop = eventlet.Event()
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -25,9 +25,7 @@
     address = listener.getsockname()
     loop = eventlet.spawn(listener.accept)
     eventlet.sleep(0)
-    waiting = listener._waiting_greenlet
-    assert waiting is not None
-    hubs.get_hub().schedule_call_global(0, waiting.switch)
+    hubs.get_hub().schedule_call_global(0, loop.switch)
     listener.stop()
     with pytest.raises(ListenerClosedError):
         loop.wait()
