Bound the time for which a refusal's body is read

Cause: the body was read to its end, so that the connection could be reused, with 30 s for each read and without the deadline of the request. Evidence: the request log has attempts of 4,004 ms with the outcome refused_not_run.

ResponseBody owns the deadline of its reads now, and drain() bounds time and size of what is read for the sake of the connection. The response to another request is skipped with it too: one that was cut raised an error that ended the caller's connection. Buffering and streaming use the same deadline.

--- a/packages/verbenad/src/verbenad/forwarder.py
+++ b/packages/verbenad/src/verbenad/forwarder.py
@@ -1,6 +1,5 @@
 """Sends a request to a backend server once."""
 
-import contextlib
 import functools
 import time
 from collections import Counter
@@ -39,6 +38,9 @@
 # When a send fails, the response that explains why has usually arrived.
 _EARLY_RESPONSE_TIMEOUT_S = 0.5
 _MAX_REFUSAL_BODY_BYTES = 65536
+# Two round trips between regions. A new connection costs less than waiting
+# longer for the rest of a body.
+_DRAIN_TIMEOUT_S = 0.1
 # A backend server that closed an idle connection resets the next request
 # within one round trip between regions. Later resets have other causes.
 _MAX_IDLE_RESET_DELAY_S = 0.06
@@ -368,18 +370,19 @@
         body = ResponseBody(
             connection.stream,
             head,
-            stall_s=self._time_left_s(),
+            stall_s=self._forwarder.settings.response_stall_s,
+            now_s=self._forwarder.now_s,
             on_end=lambda _read_to_end: None,
         )
-        skipped_bytes = 0
-        while piece := body.read_some():
-            skipped_bytes += len(piece)
-            if skipped_bytes > _MAX_SKIPPED_BODY_BYTES:
-                raise MalformedResponseError(
-                    "a response to another request has no end"
-                )
+        if not body.drain(
+            limit_bytes=_MAX_SKIPPED_BODY_BYTES,
+            timeout_s=self._time_left_s(),
+        ):
             if self._time_left_s() <= 0:
                 raise TimeoutError("no time left to skip a response")
+            raise MalformedResponseError(
+                "a response to another request did not end"
+            )
 
     def _next_byte_timeout_s(self, connection: UpstreamConnection) -> float:
         time_left_s = self._time_left_s()
@@ -434,6 +437,7 @@
             connection.stream,
             head,
             stall_s=settings.response_stall_s,
+            now_s=self._forwarder.now_s,
             on_end=functools.partial(
                 self._return_connection, connection, can_reuse
             ),
@@ -505,11 +509,16 @@
     def _read_refusal(
         self, body: ResponseBody, head: ResponseHead
     ) -> _AttemptError:
-        # The connection can be reused once a short body is read completely.
-        if 0 < (head.length or 0) <= _MAX_REFUSAL_BODY_BYTES:
-            with contextlib.suppress(ResponseTruncatedError):
-                while body.read_some():
-                    pass
+        # The head tells all that matters. The body is only read so that the
+        # connection can be reused.
+        is_short = (head.length or 0) <= _MAX_REFUSAL_BODY_BYTES
+        if not head.is_self_delimiting or not is_short:
+            body.close()
+        elif not body.drain(
+            limit_bytes=_MAX_REFUSAL_BODY_BYTES,
+            timeout_s=min(_DRAIN_TIMEOUT_S, self._time_left_s()),
+        ):
+            self._forwarder.counters["undrained_refusals"] += 1
         kind = FailureKind.REFUSED_NOT_RUN
         if head.status == 421:
             kind = FailureKind.MISDIRECTED
--- a/packages/verbenad/src/verbenad/steering/buffered_response.py
+++ b/packages/verbenad/src/verbenad/steering/buffered_response.py
@@ -1,12 +1,9 @@
 """Responses that are buffered, or streamed if they are long."""
 
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
-import eventlet
-
 from verbenad.http_syntax import Headers
-from verbenad.protocol_errors import ResponseTruncatedError
 from verbenad.upstream_response import UpstreamResponse
 
 # Bodies up to this size are received whole before the caller gets any byte. If
@@ -31,14 +28,16 @@
 def buffer_response(
     response: UpstreamResponse,
     *,
+    buffered_by_s: float,
     end_s: float,
-    now_s: Callable[[], float],
 ) -> BufferedResponse:
     """Receive a response's body, or only its beginning if it is long.
 
+    :param buffered_by_s: time by which that part must have arrived.
     :param end_s: time by which a long body must have been passed on.
     :raises ResponseTruncatedError: if the body ends early within that part.
     """
+    response.body.limit_until(buffered_by_s)
     buffered: list[bytes] = []
     buffered_bytes = 0
     complete = False
@@ -49,11 +48,12 @@
             break
         buffered.append(piece)
         buffered_bytes += len(piece)
-    pieces: Iterable[bytes] = _BufferedThenStreamed(
-        buffered, response, end_s=end_s, now_s=now_s
-    )
+    pieces: Iterable[bytes]
     if complete:
         pieces = [b"".join(buffered)]
+    else:
+        response.body.limit_until(end_s)
+        pieces = _BufferedThenStreamed(buffered, response)
     return BufferedResponse(
         status=response.status,
         status_line=response.status_line,
@@ -66,40 +66,16 @@
     """Iterates over the buffered pieces, then over the rest of the body."""
 
     def __init__(
-        self,
-        buffered: list[bytes],
-        response: UpstreamResponse,
-        *,
-        end_s: float,
-        now_s: Callable[[], float],
+        self, buffered: list[bytes], response: UpstreamResponse
     ) -> None:
         self._buffered = buffered
         self._response = response
-        self._end_s = end_s
-        self._now_s = now_s
 
     def __iter__(self) -> Iterator[bytes]:
         yield from self._buffered
         self._buffered = []
-        while piece := self._read_in_time():
+        while piece := self._response.body.read_some():
             yield piece
 
-    def _read_in_time(self) -> bytes:
-        """Return the next piece.
-
-        :raises ResponseTruncatedError: if the body goes on for too long.
-        """
-        left_s = self._end_s - self._now_s()
-        try:
-            if left_s <= 0:
-                raise TimeoutError
-            with eventlet.Timeout(left_s, TimeoutError):
-                return self._response.body.read_some()
-        except TimeoutError as error:
-            self._response.body.close()
-            raise ResponseTruncatedError(
-                "the response body did not end in time"
-            ) from error
-
     def close(self) -> None:
         self._response.body.close()
--- a/packages/verbenad/src/verbenad/steering/request_runner.py
+++ b/packages/verbenad/src/verbenad/steering/request_runner.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-import eventlet
 from result import Err, Ok
 
 from verbenad.attempt_failure import AttemptFailure, FailureKind
@@ -258,26 +257,21 @@
         )
         self._recorder.record(now_s, placed.server, progress.statement)
         try:
-            with eventlet.Timeout(
-                max(
-                    MIN_TIME_LEFT_S,
-                    request.deadline_s + RESPONSE_MARGIN_S - now_s,
+            buffered = buffer_response(
+                response,
+                buffered_by_s=max(
+                    now_s + MIN_TIME_LEFT_S,
+                    request.deadline_s + RESPONSE_MARGIN_S,
                 ),
-                TimeoutError,
-            ):
-                buffered = buffer_response(
-                    response,
-                    end_s=request.deadline_s + STREAM_MARGIN_S,
-                    now_s=self._now_s,
-                )
-        except (ResponseTruncatedError, TimeoutError) as error:
+                end_s=request.deadline_s + STREAM_MARGIN_S,
+            )
+        except ResponseTruncatedError as error:
             response.body.close()
             load.record_failure(self._now_s())
             progress.failure = AttemptFailure(
                 kind=FailureKind.MALFORMED_ANSWER,
                 may_have_run=True,
-                message=str(error)
-                or "the response body did not arrive in time",
+                message=error.message,
             )
             return "answer_truncated", False
         progress.response = buffered
--- a/packages/verbenad/src/verbenad/target_prober.py
+++ b/packages/verbenad/src/verbenad/target_prober.py
@@ -219,14 +219,16 @@
             headers=[],
             idempotent=True,
         )
+        deadline_s = self._now_s() + PROBE_TIMEOUT_S
         result = self._forwarder.attempt(
             request,
             (host, int(port)),
-            self._now_s() + PROBE_TIMEOUT_S,
+            deadline_s,
             connection_limit=max(1, self._connection_limit(target)),
         )
         match result:
             case Ok(answer):
+                answer.body.limit_until(deadline_s)
                 return _read(answer)
             case Err(failed) if failed.refused_not_run:
                 return 503, b""
--- a/packages/verbenad/src/verbenad/upstream_response.py
+++ b/packages/verbenad/src/verbenad/upstream_response.py
@@ -1,5 +1,6 @@
 """A backend server's response and its streamed body."""
 
+import math
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
@@ -19,7 +20,10 @@
     The first piece holds the bytes that have already arrived, and may be
     empty. The head can therefore be passed on before the body arrives.
 
+    Each read ends by the deadline of the body; :meth:`limit_until` sets one.
+
     :param stall_s: timeout for the next bytes.
+    :param now_s: clock of the deadline.
     :param on_end: called once, with whether the body was read completely.
     :param charge: called with the number of bytes to pass on and whether the
         head may have been passed on. Waits until the bytes are admitted;
@@ -29,8 +33,10 @@
     __slots__ = (
         "_head_sent",
         "_charge",
+        "_deadline_s",
         "_decoder",
         "_left_bytes",
+        "_now_s",
         "_on_end",
         "_stall_s",
         "_stream",
@@ -43,6 +49,7 @@
         head: ResponseHead,
         *,
         stall_s: float,
+        now_s: Callable[[], float],
         on_end: Callable[[bool], None],
         charge: Callable[[int, bool], None] | None = None,
     ) -> None:
@@ -50,6 +57,8 @@
         self._charge = charge
         self._head_sent = False
         self._stall_s = stall_s
+        self._now_s = now_s
+        self._deadline_s = math.inf
         self._on_end: Callable[[bool], None] | None = on_end
         self._decoder = (
             ChunkedDecoder(stream, self._refill) if head.chunked else None
@@ -86,6 +95,31 @@
                 raise ResponseTruncatedError(error.message) from error
             raise
 
+    def limit_until(self, deadline_s: float) -> None:
+        """Set the time by which the body must be read completely."""
+        self._deadline_s = deadline_s
+
+    def drain(self, *, limit_bytes: int, timeout_s: float) -> bool:
+        """Read and discard the rest, so that the connection can be reused.
+
+        If the rest is longer or takes more time, the connection is closed.
+
+        :return: whether the body was read completely.
+        """
+        deadline_s = self._now_s() + timeout_s
+        self._deadline_s = min(self._deadline_s, deadline_s)
+        discarded_bytes = 0
+        try:
+            while discarded_bytes <= limit_bytes:
+                piece = self.read_some()
+                if not piece:
+                    return True
+                discarded_bytes += len(piece)
+        except ResponseTruncatedError:
+            return False
+        self.close()
+        return False
+
     def close(self) -> None:
         """Close the connection if the body was not read completely."""
         self._end(False)
@@ -122,8 +156,13 @@
             raise ResponseTruncatedError
 
     def _receive(self) -> int:
+        left_s = self._deadline_s - self._now_s()
+        if left_s <= 0:
+            raise ResponseTruncatedError(
+                "the response body did not end in time"
+            )
         try:
-            return self._stream.refill(self._stall_s)
+            return self._stream.refill(min(self._stall_s, left_s))
         except TimeoutError as error:
             raise ResponseTruncatedError(
                 "the backend server stopped sending its response"
