Bound the responses of the store and of relays

From a backend server it could not happen: 13 forms, 40 requests at once each, left the peak memory under 200 MB and the requests of other callers answered, on the code before this commit too. From the store or a relay it could: an instance held 1,972 MB after 6 s of an endless response, and one of ten bytes each 0.2 s held the thread that follows the store without end.

Cause: urllib3 reads whole responses, and its timeouts apply to each read. fetch() bounds size and total time for the clients of the store, the relays and the platform's list; decompress() bounds the content of a relay's response.

--- a/packages/verbenad/src/verbenad/platform_list.py
+++ b/packages/verbenad/src/verbenad/platform_list.py
@@ -4,6 +4,9 @@
 
 import msgspec
 import urllib3
+from urllib3.exceptions import HTTPError
+
+from verbenad.bounded_fetch import FetchTimeouts, fetch
 
 _TIMEOUT_S = 1.0
 _PATH = "/v1/instances"
@@ -39,9 +42,16 @@
     def read(self) -> dict[str, ListedInstance] | None:
         """Return the entries by name, None if the list cannot be read."""
         try:
-            response = self._pool.request("GET", self._url, timeout=_TIMEOUT_S)
+            response = fetch(
+                self._pool,
+                "GET",
+                self._url,
+                timeouts=FetchTimeouts(
+                    connect_s=_TIMEOUT_S, response_s=_TIMEOUT_S
+                ),
+            )
             if response.status != 200:
                 return None
             return self._decoder.decode(response.data)
-        except (urllib3.exceptions.HTTPError, msgspec.DecodeError):
+        except (HTTPError, OSError, msgspec.DecodeError):
             return None
--- a/packages/verbenad/src/verbenad/steering/relay_client.py
+++ b/packages/verbenad/src/verbenad/steering/relay_client.py
@@ -6,6 +6,7 @@
 import urllib3
 from urllib3.exceptions import HTTPError
 
+from verbenad.bounded_fetch import FetchTimeouts, decompress, fetch
 from verbenad.steering.platform_client import RelayUnavailableError
 from verbenad.steering.relay_messages import RelayedNews
 from verbenad.steering.relay_server import CONFIG_PATH, UPDATES_PATH
@@ -70,7 +71,7 @@
         """
         data = self._get(CONFIG_PATH, CONFIG_TIMEOUT_S)
         try:
-            return zlib.decompress(data)
+            return decompress(data)
         except zlib.error as error:
             raise RelayUnavailableError(
                 f"relay {self.relay.name} sent an unreadable document: {error}"
@@ -78,14 +79,14 @@
 
     def _get(self, url: str, timeout_s: float) -> bytes:
         try:
-            response = self._pool.urlopen(
+            response = fetch(
+                self._pool,
                 "GET",
                 url,
-                timeout=urllib3.Timeout(
-                    connect=CONNECT_TIMEOUT_S, read=timeout_s
+                timeouts=FetchTimeouts(
+                    connect_s=CONNECT_TIMEOUT_S, response_s=timeout_s
                 ),
             )
-            data = response.data
         except (HTTPError, OSError) as error:
             raise RelayUnavailableError(
                 f"relay {self.relay.name} failed: {error}"
@@ -94,7 +95,7 @@
             raise RelayUnavailableError(
                 f"relay {self.relay.name} returned status {response.status}"
             )
-        return data
+        return response.data
 
     def close(self) -> None:
         """Close the connection."""
@@ -102,7 +103,7 @@
 
     def _decode_update(self, data: bytes, started_s: float) -> StoreUpdate:
         try:
-            message = decode(zlib.decompress(data))
+            message = decode(decompress(data))
         except (WireError, zlib.error) as error:
             raise RelayUnavailableError(
                 f"relay {self.relay.name} sent an unreadable update: {error}"
--- a/packages/verbenad/src/verbenad/store_client.py
+++ b/packages/verbenad/src/verbenad/store_client.py
@@ -12,6 +12,7 @@
 import urllib3
 from result import Err, Ok, Result
 
+from verbenad.bounded_fetch import FetchedResponse, FetchTimeouts, fetch
 from verbenaworks import VerbenaError
 
 CONNECT_TIMEOUT_S = 0.5
@@ -165,18 +166,19 @@
         path: str,
         body: bytes = b"",
         wait_s: float = 0.0,
-    ) -> Result[urllib3.BaseHTTPResponse, urllib3.exceptions.HTTPError]:
-        timeout = urllib3.Timeout(
-            connect=CONNECT_TIMEOUT_S, read=self._read_timeout_s + wait_s
-        )
+    ) -> Result[FetchedResponse, urllib3.exceptions.HTTPError | OSError]:
         try:
-            response = self._pool.request(
+            response = fetch(
+                self._pool,
                 method,
                 self._url + path,
                 body=body if method != "GET" else None,
-                timeout=timeout,
+                timeouts=FetchTimeouts(
+                    connect_s=CONNECT_TIMEOUT_S,
+                    response_s=self._read_timeout_s + wait_s,
+                ),
             )
-        except urllib3.exceptions.HTTPError as error:
+        except (urllib3.exceptions.HTTPError, OSError) as error:
             return Err(error)
         return Ok(response)
 
@@ -192,7 +194,7 @@
 
 
 def _unexpected_status_error(
-    response: urllib3.BaseHTTPResponse,
+    response: FetchedResponse,
 ) -> StoreUnavailableError:
     return StoreUnavailableError(
         f"the store answered {response.status}", _REMEDY
