Give each caller's connection one owner of its output

Cause: refusals of heads were written without asking whether the response before them was whole. In a planned stop they were written behind a response that had announced the close, too.

All bytes to a caller pass through CallerOutput: one slot for each response, and none may be written once a response ended early, was sent in part or announced the close.

--- a/packages/verbenad/src/verbenad/http_protocol.py
+++ b/packages/verbenad/src/verbenad/http_protocol.py
@@ -14,6 +14,7 @@
 from eventlet import wsgi
 
 from verbenad.caller_connection import CallerConnection
+from verbenad.caller_output import CallerOutput, ResponseSlot
 from verbenad.http_syntax import BARE_LINE_FEED
 from verbenad.protocol_errors import BodyError, ProtocolError
 from verbenad.refusal import NOT_RUN, OUTCOME_UNKNOWN, RunStatus, make_refusal
@@ -56,6 +57,7 @@
         self.http_server = http_server
         self.limits = http_server.limits
         self.stream = SocketStream(self.connection)
+        self.output = CallerOutput(self.stream)
         self.caller = CallerConnection(self.stream)
         self.idle = False
         self._timed_out = False
@@ -196,8 +198,12 @@
     def _refuse_head(self, error: ProtocolError) -> None:
         self.http_server.count("refused_malformed")
         self._lingering_close = True
-        writer = self._make_writer("GET", (1, 1), lambda: True)
-        self._send_refusal(writer, error, NOT_RUN)
+        slot = self.output.next_slot()
+        writer = self._make_writer(slot, "GET", (1, 1), lambda: True)
+        try:
+            self._send_refusal(writer, error, NOT_RUN)
+        finally:
+            slot.end(complete=writer.finished, closes=True)
 
     def _send_refusal(
         self, writer: ResponseWriter, error: ProtocolError, run: RunStatus
@@ -214,10 +220,14 @@
             return
 
     def _make_writer(
-        self, method: str, version: tuple[int, int], decide_close: Any
+        self,
+        slot: ResponseSlot,
+        method: str,
+        version: tuple[int, int],
+        decide_close: Any,
     ) -> ResponseWriter:
         return ResponseWriter(
-            self.stream,
+            slot,
             method=method,
             version=version,
             timeout_s=self.limits.write_stall_s,
@@ -227,11 +237,12 @@
 
     def _serve_request(self, head: RequestHead) -> bool:
         http_server = self.http_server
+        slot = self.output.next_slot()
         writer: ResponseWriter
 
         def send_continue() -> None:
             if not writer.head_sent:
-                self.stream.send_all(_CONTINUE, self.limits.write_stall_s)
+                slot.send_all(_CONTINUE, self.limits.write_stall_s)
 
         def decide_close() -> bool:
             return (
@@ -247,12 +258,15 @@
             limits=self.limits.body,
             send_continue=send_continue if head.expects_continue else None,
         )
-        writer = self._make_writer(head.method, head.version, decide_close)
+        writer = self._make_writer(
+            slot, head.method, head.version, decide_close
+        )
         self.caller = CallerConnection(self.stream)
         http_server.request_began(self)
         try:
-            self._run_application(writer, self._make_environ(head, body))
+            self._run_application(slot, writer, self._make_environ(head, body))
         finally:
+            slot.end(complete=writer.finished, closes=writer.close)
             http_server.request_ended(self)
         if not writer.finished:
             return False
@@ -262,7 +276,10 @@
         return True
 
     def _run_application(
-        self, writer: ResponseWriter, environ: dict[str, Any]
+        self,
+        slot: ResponseSlot,
+        writer: ResponseWriter,
+        environ: dict[str, Any],
     ) -> None:
         self._reset_on_close = True
         result: Iterable[bytes] | None = None
@@ -277,12 +294,15 @@
                 if close is not None:
                     close()
         except (Exception, eventlet.Timeout) as error:
-            self._handle_failure(writer, error)
+            self._handle_failure(slot, writer, error)
         if writer.finished:
             self._reset_on_close = False
 
     def _handle_failure(
-        self, writer: ResponseWriter, error: BaseException
+        self,
+        slot: ResponseSlot,
+        writer: ResponseWriter,
+        error: BaseException,
     ) -> None:
         if not isinstance(error, OSError | VerbenaError):
             _log.exception("the application raised an unexpected exception")
@@ -294,7 +314,7 @@
             return
         writer.close = True
         self._lingering_close = True
-        refusal_writer = self._make_writer("GET", (1, 1), lambda: True)
+        refusal_writer = self._make_writer(slot, "GET", (1, 1), lambda: True)
         if not isinstance(error, ProtocolError):
             error = ProtocolError("internal-error")
         self._send_refusal(refusal_writer, error, OUTCOME_UNKNOWN)
--- a/packages/verbenad/src/verbenad/http_server.py
+++ b/packages/verbenad/src/verbenad/http_server.py
@@ -15,6 +15,7 @@
 from eventlet.greenio import GreenSocket
 from eventlet.patcher import original
 
+from verbenad.caller_output import CallerOutput
 from verbenad.http_protocol import HttpProtocol
 from verbenad.http_server_limits import HttpServerLimits
 from verbenad.listener import BACKLOG, Listener
@@ -207,7 +208,7 @@
             retry_after_s=1.0,
         )
         writer = ResponseWriter(
-            stream,
+            CallerOutput(stream).next_slot(),
             method="GET",
             version=(1, 1),
             timeout_s=_REFUSAL_TIMEOUT_S,
--- a/packages/verbenad/src/verbenad/pipelined_protocol.py
+++ b/packages/verbenad/src/verbenad/pipelined_protocol.py
@@ -1,13 +1,12 @@
 """HTTP/1.1 protocol that runs pipelined requests concurrently."""
 
-from collections.abc import Callable
 from typing import Any
 
 import eventlet
 import logbook
-from eventlet.event import Event
 
 from verbenad.caller_connection import CallerConnection
+from verbenad.caller_output import ResponseSlot
 from verbenad.http_protocol import HttpProtocol
 from verbenad.interruptible_wait import (
     InterruptibleWait,
@@ -29,47 +28,15 @@
 class _PendingResponse:
     """A response that waits until the earlier responses are sent.
 
-    Pipelined responses are sent in the order of their requests.
-
-    :param previous: response to the previous request; none for the first.
+    :param slot: its place on the connection.
     """
 
-    __slots__ = ("_previous", "_stream", "caller", "done", "failed", "last")
+    __slots__ = ("caller", "failed", "slot")
 
-    def __init__(
-        self, stream: SocketStream, previous: "_PendingResponse | None"
-    ) -> None:
-        self._stream = stream
-        self._previous = previous
+    def __init__(self, slot: ResponseSlot, stream: SocketStream) -> None:
+        self.slot = slot
         self.caller = CallerConnection(stream)
-        self.done = Event()
         self.failed = False
-        self.last = True
-        if previous is not None:
-            previous.last = False
-
-    def wait_for_previous(self) -> None:
-        """Wait until all earlier responses are written.
-
-        :raises ConnectionResetError: if one of them failed.
-        """
-        previous, self._previous = self._previous, None
-        if previous is None:
-            return
-        previous.done.wait()
-        if previous.failed:
-            self.failed = True
-            raise ConnectionResetError("an earlier response failed")
-
-    def send_all(
-        self,
-        data: bytes,
-        timeout_s: float | None,
-        min_bytes_per_s: int | None = None,
-    ) -> None:
-        """Send all bytes after the earlier responses."""
-        self.wait_for_previous()
-        self._stream.send_all(data, timeout_s, min_bytes_per_s)
 
 
 class PipelinedProtocol(HttpProtocol):
@@ -147,9 +114,7 @@
         self._wait_for_pending(MAX_CONCURRENT_REQUESTS - 1)
         if self._failed or self._closing:
             return False
-        pending = _PendingResponse(
-            self.stream, self._pending[-1] if self._pending else None
-        )
+        pending = _PendingResponse(self.output.next_slot(), self.stream)
         self._pending.append(pending)
         self.http_server.request_began(self)
         if head.close:
@@ -159,7 +124,7 @@
 
     def _wait_for_pending(self, max_pending: int) -> None:
         while len(self._pending) > max_pending:
-            self._pending[0].done.wait()
+            self._pending[0].slot.wait()
 
     def _serve_pending(
         self, head: RequestHead, pending: _PendingResponse
@@ -172,12 +137,16 @@
         )
 
         def decide_close() -> bool:
-            closes = pending.last and (head.close or self.http_server.draining)
+            closes = pending.slot.is_last and (
+                head.close or self.http_server.draining
+            )
             if closes:
                 self._stop_reading()
             return closes
 
-        writer = self._make_pending_writer(pending, head, decide_close)
+        writer = self._make_writer(
+            pending.slot, head.method, head.version, decide_close
+        )
         try:
             self._run_pending(
                 pending, writer, self._make_environ(head, body, pending.caller)
@@ -185,21 +154,6 @@
         finally:
             self._finish_pending(pending, writer)
 
-    def _make_pending_writer(
-        self,
-        pending: _PendingResponse,
-        head: RequestHead,
-        decide_close: Callable[[], bool],
-    ) -> ResponseWriter:
-        return ResponseWriter(
-            pending,  # type: ignore[arg-type]
-            method=head.method,
-            version=head.version,
-            timeout_s=self.limits.write_stall_s,
-            min_bytes_per_s=self.limits.write_min_bytes_per_s,
-            decide_close=decide_close,
-        )
-
     def _run_pending(
         self,
         pending: _PendingResponse,
@@ -225,20 +179,18 @@
     def _finish_pending(
         self, pending: _PendingResponse, writer: ResponseWriter
     ) -> None:
-        try:
-            pending.wait_for_previous()
-        except OSError:
-            pending.failed = True
-        pending.failed = pending.failed or not writer.finished
+        slot = pending.slot
+        failed = pending.failed or not writer.finished
+        slot.end(complete=not failed, closes=writer.close)
         self._pending.remove(pending)
         if not self._pending:
             self.http_server.request_ended(self)
-        if pending.failed:
+        if failed:
             self._failed = True
-            # A truncated response without Content-Length must not look
-            # complete; the reset shows the failure.
-            self._reset_on_close = writer.framing is not Framing.SIZED
+            if slot.written:
+                # A truncated response without Content-Length must not look
+                # complete; the reset shows the failure.
+                self._reset_on_close = writer.framing is not Framing.SIZED
             self._stop_reading()
         elif writer.close:
             self._lingering_close = True
-        pending.done.send(None)
--- a/packages/verbenad/src/verbenad/response_writer.py
+++ b/packages/verbenad/src/verbenad/response_writer.py
@@ -7,8 +7,8 @@
 
 from eventlet.wsgi import format_date_time
 
+from verbenad.caller_output import ResponseSlot
 from verbenad.refusal import Refusal
-from verbenad.socket_stream import SocketStream
 
 _ExcInfo = tuple[type[BaseException], BaseException, TracebackType | None]
 # Set by the writer; values from the application are ignored.
@@ -45,7 +45,7 @@
     The end of the body is written only after the last piece of the result. A
     response that fails earlier stays recognizably incomplete.
 
-    :param stream: the caller's connection.
+    :param slot: place of the response on the caller's connection.
     :param method: method of the request.
     :param version: version of the request.
     :param timeout_s: longest wait until the caller accepts more bytes.
@@ -58,8 +58,8 @@
         "_decide_close",
         "_headers",
         "_remaining_bytes",
+        "_slot",
         "_status",
-        "_stream",
         "_timeout_s",
         "_method",
         "_min_bytes_per_s",
@@ -72,7 +72,7 @@
 
     def __init__(
         self,
-        stream: SocketStream,
+        slot: ResponseSlot,
         *,
         method: str,
         version: tuple[int, int],
@@ -80,7 +80,7 @@
         min_bytes_per_s: int,
         decide_close: Callable[[], bool],
     ) -> None:
-        self._stream = stream
+        self._slot = slot
         self._method = method
         self._version = version
         self._timeout_s = timeout_s
@@ -156,7 +156,7 @@
 
     def _send(self, data: bytes) -> None:
         if data:
-            self._stream.send_all(data, self._timeout_s, self._min_bytes_per_s)
+            self._slot.send_all(data, self._timeout_s, self._min_bytes_per_s)
 
     def _build_head(self, body_bytes: int | None) -> bytes:
         if not self._status:
