--- a/packages/verbenad/src/verbenad/forwarder.py
+++ b/packages/verbenad/src/verbenad/forwarder.py
@@ -236,6 +236,7 @@
             idempotent=self._request.idempotent,
             timeout_s=time_left_s,
             new_connection=new_connection,
+            deadline_s=self._deadline_s,
         )
         match acquired:
             case Ok(connection):
--- a/packages/verbenad/src/verbenad/metrics.py
+++ b/packages/verbenad/src/verbenad/metrics.py
@@ -109,6 +109,26 @@
         collector = aioprometheus.Gauge(name, doc, registry=self._registry)
         self._fillers.append(lambda: collector.set({}, read()))
 
+    def gauges_source(
+        self,
+        name: str,
+        doc: str,
+        label_name: str,
+        read: Callable[[], Mapping[str, float]],
+    ) -> None:
+        """Declare gauges that are read together at each rendering.
+
+        Gauges that are no longer read disappear.
+        """
+        collector = aioprometheus.Gauge(name, doc, registry=self._registry)
+
+        def fill() -> None:
+            collector.values.store.clear()
+            for label, value in read().items():
+                collector.set(_escaped_labels((label_name,), (label,)), value)
+
+        self._fillers.append(fill)
+
     def histogram(
         self,
         name: str,
--- a/packages/verbenad/src/verbenad/steering/instance_gauges.py
+++ b/packages/verbenad/src/verbenad/steering/instance_gauges.py
@@ -1,6 +1,6 @@
 """Gauges of an entry instance."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from verbenad.metrics import Metrics
 from verbenaworks.steering.steering_config import SteeringConfig
@@ -16,6 +16,8 @@
     running_requests: Callable[[], int],
     backend_servers: Callable[[], int],
     dropped_log_lines: Callable[[], int],
+    connections_in_use: Callable[[], Mapping[str, float]],
+    oldest_connection_use_s: Callable[[], Mapping[str, float]],
 ) -> None:
     """Declare the gauges, which are read when the metrics are rendered."""
 
@@ -48,3 +50,15 @@
         "Log lines lost because standard output stalled.",
         lambda: float(dropped_log_lines()),
     )
+    metrics.gauges_source(
+        "verbenad_server_connections_in_use",
+        "Connections to a backend server that requests use.",
+        "server",
+        connections_in_use,
+    )
+    metrics.gauges_source(
+        "verbenad_server_connection_oldest_use_seconds",
+        "Longest time for which a connection to a server has been in use.",
+        "server",
+        oldest_connection_use_s,
+    )
--- a/packages/verbenad/src/verbenad/steering/steering_daemon.py
+++ b/packages/verbenad/src/verbenad/steering/steering_daemon.py
@@ -386,6 +386,8 @@
             running_requests=lambda: len(self._caller_http_server.running),
             backend_servers=lambda: len(self._table),
             dropped_log_lines=lambda: self._line_writer.dropped_lines,
+            connections_in_use=self._pool.in_use_by_target,
+            oldest_connection_use_s=self._pool.oldest_use_by_target_s,
         )
         endpoints = PlatformEndpoints(
             names=self._names.endpoints,
--- a/packages/verbenad/src/verbenad/upstream_pool.py
+++ b/packages/verbenad/src/verbenad/upstream_pool.py
@@ -2,10 +2,11 @@
 
 import time
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from enum import Enum
 
+import logbook
 from result import Err, Ok, Result
 from urllib3.exceptions import (
     ConnectTimeoutError,
@@ -16,6 +17,7 @@
 from verbenad.target_address import TargetAddress
 from verbenad.upstream_connection import UpstreamConnection
 
+_log = logbook.Logger("verbenad.pool")
 # A backend server that closes idle connections early usually keeps doing so
 # for a while. For this long after a reset, a connection is reused only if it
 # has been idle for much less time than the one that was reset.
@@ -37,6 +39,8 @@
         request cannot be retried safely.
     :param peer_timeout_s: time after which a backend server that acknowledges
         nothing is considered lost; None for the system's defaults.
+    :param overdue_after_s: time after the deadline of its request at which a
+        connection in use is logged; None if bodies may take longer than that.
     """
 
     connect_timeout_s: float = 1.0
@@ -44,6 +48,7 @@
     source_ip: str | None = None
     non_idempotent_max_idle_s: float = 1.0
     peer_timeout_s: float | None = None
+    overdue_after_s: float | None = None
 
 
 class ConnectFailure(Enum):
@@ -54,10 +59,27 @@
     TIMEOUT = "the connection was not opened in time"
 
 
+@dataclass(kw_only=True, slots=True)
+class _Use:
+    """Use of a connection by one request.
+
+    :ivar deadline_s: deadline of the request; None without one.
+    """
+
+    since_s: float
+    deadline_s: float | None
+    logged: bool = False
+
+
 @dataclass(kw_only=True, slots=True)
 class _TargetConnections:
     idle: list[UpstreamConnection] = field(default_factory=list)
-    in_use: int = 0
+    uses: dict[UpstreamConnection, _Use] = field(default_factory=dict)
+    opening: int = 0
+
+    @property
+    def in_use(self) -> int:
+        return self.opening + len(self.uses)
 
     @property
     def total(self) -> int:
@@ -93,6 +115,7 @@
         idempotent: bool,
         timeout_s: float | None = None,
         new_connection: bool = False,
+        deadline_s: float | None = None,
     ) -> Result[UpstreamConnection, ConnectFailure]:
         """Return a connection that no other request uses.
 
@@ -100,14 +123,16 @@
             including idle ones.
         :param timeout_s: timeout for connecting, if below the setting.
         :param new_connection: do not reuse a connection.
+        :param deadline_s: deadline of the request that will use it.
         """
+        use = _Use(since_s=self._now_s(), deadline_s=deadline_s)
         target = self._targets.get(address)
         if target is None:
             target = self._targets[address] = _TargetConnections()
         if not new_connection:
             idle_connection = self._pop_idle(target, idempotent)
             if idle_connection is not None:
-                target.in_use += 1
+                target.uses[idle_connection] = use
                 self.counters["reused"] += 1
                 return Ok(idle_connection)
         while target.idle and target.total >= connection_limit:
@@ -115,12 +140,11 @@
         if target.total >= connection_limit:
             self.counters["limit_reached"] += 1
             return Err(ConnectFailure.LIMIT)
-        return self._open(target, address, timeout_s)
+        return self._open(target, address, timeout_s, use)
 
     def release(self, connection: UpstreamConnection) -> None:
         """Return a connection whose last response was read completely."""
-        target = self._targets[connection.address]
-        target.in_use -= 1
+        target = self._end_use(connection)
         if connection.stream.buffered_bytes:
             # Bytes after the end of a response belong to no request.
             self._close(connection, "closed_in_doubt")
@@ -131,7 +155,7 @@
 
     def discard(self, connection: UpstreamConnection) -> None:
         """Close a connection that may not be reused."""
-        self._targets[connection.address].in_use -= 1
+        self._end_use(connection)
         self._close(connection, "discarded")
 
     def record_idle_reset(self, connection: UpstreamConnection) -> None:
@@ -156,6 +180,7 @@
         """
         oldest_s = self._now_s() - self.settings.idle_timeout_s
         for address, target in list(self._targets.items()):
+            self._log_overdue(address, target)
             for connection in list(target.idle):
                 if connection.stream.has_input():
                     target.idle.remove(connection)
@@ -176,6 +201,24 @@
         target = self._targets.get(address)
         return target.in_use if target else 0
 
+    def in_use_by_target(self) -> Mapping[str, float]:
+        """Return how many connections are in use, by address."""
+        return {
+            f"{host}:{port}": float(target.in_use)
+            for (host, port), target in self._targets.items()
+        }
+
+    def oldest_use_by_target_s(self) -> Mapping[str, float]:
+        """Return how long a connection has been in use, by address."""
+        now_s = self._now_s()
+        return {
+            f"{host}:{port}": max(
+                (now_s - use.since_s for use in target.uses.values()),
+                default=0.0,
+            )
+            for (host, port), target in self._targets.items()
+        }
+
     def total(self, address: TargetAddress) -> int:
         """Return how many connections to the target are open."""
         target = self._targets.get(address)
@@ -210,6 +253,7 @@
         target: _TargetConnections,
         address: TargetAddress,
         timeout_s: float | None,
+        use: _Use,
     ) -> Result[UpstreamConnection, ConnectFailure]:
         connect_s = self.settings.connect_timeout_s
         if timeout_s is not None:
@@ -218,8 +262,7 @@
             return Err(ConnectFailure.TIMEOUT)
         # Counted while connecting, so that concurrent calls respect the
         # limit.
-        target.in_use += 1
-        opened = False
+        target.opening += 1
         try:
             connection = UpstreamConnection(
                 address,
@@ -227,7 +270,6 @@
                 self.settings.source_ip,
                 self.settings.peer_timeout_s,
             )
-            opened = True
         except (HTTPError, OSError) as error:
             # In urllib3, NewConnectionError (connection refused) is a
             # subclass of ConnectTimeoutError.
@@ -239,11 +281,40 @@
             self.counters["connect_failures"] += 1
             return Err(ConnectFailure.REFUSED)
         finally:
-            if not opened:
-                target.in_use -= 1
+            target.opening -= 1
+        target.uses[connection] = use
         self.counters["opened"] += 1
         return Ok(connection)
 
+    def _end_use(self, connection: UpstreamConnection) -> _TargetConnections:
+        target = self._targets[connection.address]
+        del target.uses[connection]
+        return target
+
+    def _log_overdue(
+        self, address: TargetAddress, target: _TargetConnections
+    ) -> None:
+        """Log connections that their requests should have returned."""
+        overdue_after_s = self.settings.overdue_after_s
+        if overdue_after_s is None:
+            return
+        now_s = self._now_s()
+        for use in target.uses.values():
+            if use.logged or use.deadline_s is None:
+                continue
+            overdue_s = now_s - use.deadline_s
+            if overdue_s > overdue_after_s:
+                use.logged = True
+                self.counters["overdue"] += 1
+                _log.warning(
+                    "connection held past its request's deadline",
+                    extra={
+                        "server": f"{address[0]}:{address[1]}",
+                        "in_use_ms": int((now_s - use.since_s) * 1000),
+                        "overdue_ms": int(overdue_s * 1000),
+                    },
+                )
+
     def _close(self, connection: UpstreamConnection, reason: str) -> None:
         self.counters[reason] += 1
         connection.close()
