Let one owner return each connection to a backend server

Cause: a failed answer over 64 KiB was kept in case no other server answers, and was replaced by the next one without closing it, so that its connection counted as in use for ever.

ResponseOwner closes the response it holds when another takes its place and when its with block is left; the runner hands it over only with the response that it returns. The gateway, the attempt and verbenad's runner close theirs on the exceptions that lay outside of a finally.

--- a/packages/verbenad/src/verbenad/call_runner.py
+++ b/packages/verbenad/src/verbenad/call_runner.py
@@ -232,16 +232,17 @@
             raise
         match result:
             case Ok(response):
-                self._record_body_sizes(call, choice, response.length)
+                stream = ResponseStream(
+                    response,
+                    lambda outcome: self._end_attempt(call, attempt, outcome),
+                )
+                try:
+                    self._record_body_sizes(call, choice, response.length)
+                except BaseException:
+                    stream.close()
+                    raise
                 return RunningResponse(
-                    response=response,
-                    stream=ResponseStream(
-                        response,
-                        lambda outcome: self._end_attempt(
-                            call, attempt, outcome
-                        ),
-                    ),
-                    target=target.name,
+                    response=response, stream=stream, target=target.name
                 )
             case Err(failure):
                 outcome = _outcome(failure)
--- a/packages/verbenad/src/verbenad/forwarder.py
+++ b/packages/verbenad/src/verbenad/forwarder.py
@@ -183,12 +183,12 @@
         body = self._prepare_body()
         self._charge_request(_buffered_bytes(body), may_have_run=False)
         connection = self._connect(address, connection_limit, new_connection)
-        connection.stream.sent_any = False
-        self._check_permission(connection)
-        self._started_s = self._forwarder.now_s()
-        if request.cancellation is not None:
-            request.cancellation.on_cancel(connection.stream.shutdown)
         try:
+            connection.stream.sent_any = False
+            self._check_permission()
+            self._started_s = self._forwarder.now_s()
+            if request.cancellation is not None:
+                request.cancellation.on_cancel(connection.stream.shutdown)
             head = self._exchange(connection, body, lines)
             return self._make_response(connection, head)
         except (OSError, MalformedResponseError) as error:
@@ -621,12 +621,11 @@
                 may_have_run=may_have_run,
             )
 
-    def _check_permission(self, connection: UpstreamConnection) -> None:
+    def _check_permission(self) -> None:
         """Check that the request may be sent; the process may have slept."""
         until_s = self._request.permitted_until_s
         if until_s is None or self._forwarder.now_s() <= until_s:
             return
-        self._return_connection(connection, False, False)
         raise self._make_failure(
             FailureKind.PERMISSION_EXPIRED,
             "the configuration was not confirmed in time",
--- a/packages/verbenad/src/verbenad/steering/buffered_response.py
+++ b/packages/verbenad/src/verbenad/steering/buffered_response.py
@@ -24,6 +24,12 @@
     headers: Headers
     pieces: Iterable[bytes]
 
+    def close(self) -> None:
+        """Close the connection of a body that is not read to its end."""
+        close = getattr(self.pieces, "close", None)
+        if close is not None:
+            close()
+
 
 def buffer_response(
     response: UpstreamResponse,
--- a/packages/verbenad/src/verbenad/steering/request_runner.py
+++ b/packages/verbenad/src/verbenad/steering/request_runner.py
@@ -11,6 +11,7 @@
 from verbenad.protocol_errors import ResponseTruncatedError
 from verbenad.refusal import NOT_RUN, OUTCOME_UNKNOWN
 from verbenad.refusal_error import RefusalError, refusal_error
+from verbenad.response_owner import ResponseOwner
 from verbenad.steering.admitted_request import AdmittedRequest
 from verbenad.steering.buffered_response import (
     BufferedResponse,
@@ -62,6 +63,7 @@
 class _Progress:
     """State of one request across its attempts.
 
+    :ivar owner: owns the connection of ``response``.
     :ivar sent_attempts: attempts that reached a server.
     :ivar idle_reset_seen: whether a server had dropped the pooled connection
         of an attempt; the next attempt opens a new connection.
@@ -70,6 +72,7 @@
     :ivar statement: what the last server said of itself.
     """
 
+    owner: ResponseOwner
     tried_servers: frozenset[str] = frozenset()
     full_servers: frozenset[str] = frozenset()
     sent_attempts: int = 0
@@ -123,7 +126,20 @@
         :raises RefusalError: if no server responded.
         """
         self._retry_budget.record_request(self._now_s(), request.service)
-        progress = _Progress()
+        with ResponseOwner() as owner:
+            response = self._run_attempts(
+                request, _Progress(owner=owner), attempts
+            )
+            # Whoever iterates over the body closes it.
+            owner.hand_over()
+        return response
+
+    def _run_attempts(
+        self,
+        request: AdmittedRequest,
+        progress: _Progress,
+        attempts: list[AttemptRecord],
+    ) -> BufferedResponse:
         while True:
             if not self._check_permission(request, progress):
                 return self._give_up(request, progress, None)
@@ -201,6 +217,7 @@
             )
             match result:
                 case Ok(response):
+                    progress.owner.own(response)
                     outcome, is_streaming = self._handle_response(
                         request,
                         placement_request,
--- a/packages/verbenad/src/verbenad/steering/steering_gateway.py
+++ b/packages/verbenad/src/verbenad/steering/steering_gateway.py
@@ -1,5 +1,6 @@
 """WSGI application that serves callers' requests on a platform."""
 
+import contextlib
 import secrets
 import zlib
 from collections.abc import Callable, Iterable
@@ -117,8 +118,11 @@
                 message=error.message,
             )
             return self._refuse(refusal, start_response, trace)
-        self._log_outcome(trace, response.status)
-        start_response(response.status_line, response.headers)
+        with contextlib.ExitStack() as on_failure:
+            on_failure.callback(response.close)
+            self._log_outcome(trace, response.status)
+            start_response(response.status_line, response.headers)
+            on_failure.pop_all()
         return response.pieces
 
     def _admit(
