Repair a registration that the store lost or wrote late

Cause: the registration was written without a condition, a failed write was repeated with another lease, and afterwards only the lease was looked at.

InstanceRegistration writes on the condition that the registration is as it was read, with the lease that it has, follows its removal in the updates, and reads it in every second renewal. While it is not registered, an instance coordinates no limit and accepts at most a twentieth of one.

--- a/packages/verbenad/src/verbenad/steering/instance_gauges.py
+++ b/packages/verbenad/src/verbenad/steering/instance_gauges.py
@@ -15,6 +15,7 @@
     config_age_s: Callable[[], float],
     running_requests: Callable[[], int],
     backend_servers: Callable[[], int],
+    is_registered: Callable[[], bool],
     dropped_log_lines: Callable[[], int],
     connections_in_use: Callable[[], Mapping[str, float]],
     oldest_connection_use_s: Callable[[], Mapping[str, float]],
@@ -45,6 +46,11 @@
         "Backend servers that the platform lists.",
         lambda: float(backend_servers()),
     )
+    metrics.gauge_source(
+        "verbenad_registered",
+        "Whether the instance is registered in the platform's store.",
+        lambda: float(is_registered()),
+    )
     metrics.gauge_source(
         "verbenad_log_lines_dropped_total",
         "Log lines lost because standard output stalled.",
--- a/packages/verbenad/src/verbenad/steering/platform_client.py
+++ b/packages/verbenad/src/verbenad/steering/platform_client.py
@@ -70,6 +70,26 @@
         super().__init__(f"{lease} has expired", "register again")
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StoredRegistration:
+    """Registration of an instance as the store has it."""
+
+    revision: int
+    lease_id: int
+
+
+class RegistrationConflictError(VerbenaError):
+    """The registration was changed since it was read."""
+
+    code = "registration-changed"
+
+    def __init__(self, name: str) -> None:
+        super().__init__(
+            f"the registration of {name} was changed by another write",
+            "read it and write it again",
+        )
+
+
 class PlatformClient(Protocol):
     """Client of the platform's store.
 
@@ -96,8 +116,27 @@
         :raises ValueError: if it is malformed.
         """
 
-    def register(self, record: InstanceRecord, ttl_s: float) -> Lease:
-        """Register an instance and return its lease."""
+    def grant_lease(self, ttl_s: float) -> Lease:
+        """Return a new lease."""
+
+    def read_registration(
+        self, name: str, *, allow_stale: bool = False
+    ) -> StoredRegistration | None:
+        """Return an instance's registration; None if there is none.
+
+        :param allow_stale: whether the result may be some seconds old.
+        """
+
+    def write_registration(
+        self, record: InstanceRecord, lease: Lease, expected_revision: int
+    ) -> int:
+        """Register an instance and return the revision of the registration.
+
+        :param expected_revision: revision of the registration before; 0 if
+            there was none.
+        :raises RegistrationConflictError: if it has another revision.
+        :raises LeaseExpiredError: if the lease has expired.
+        """
 
     def renew_lease(self, lease: Lease) -> None:
         """Renew a lease.
--- a/packages/verbenad/src/verbenad/steering/platform_sync.py
+++ b/packages/verbenad/src/verbenad/steering/platform_sync.py
@@ -1,4 +1,4 @@
-"""Follows changes of the platform's store and keeps an instance registered."""
+"""Follows changes of the platform's store."""
 
 from collections.abc import Callable, Iterable
 from dataclasses import replace
@@ -6,11 +6,10 @@
 
 import eventlet
 import logbook
-from eventlet.event import Event
 
+from verbenad.steering.instance_registration import InstanceRegistration
 from verbenad.steering.platform_client import (
     HistoryDiscardedError,
-    Lease,
     LeaseExpiredError,
     PlatformClient,
     PlatformUnavailableError,
@@ -24,10 +23,15 @@
     Change,
     ChangeBatch,
     InstanceRegistered,
+    InstanceRemoved,
 )
 from verbenaworks.steering.instance_record import InstanceRecord
 from verbenaworks.steering.item_log import ItemLog
-from verbenaworks.steering.store_item import ItemBatch, StorePosition
+from verbenaworks.steering.store_item import (
+    ItemBatch,
+    StoreItem,
+    StorePosition,
+)
 from verbenaworks.steering.usage_checkpoint import UsageCheckpoint
 
 # Delay before the next read, so that changes which follow shortly after one
@@ -38,15 +42,12 @@
 # that left during a network partition.
 MIN_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 0.4
-# Share of the lease time after which the lease is renewed. It leaves time for
-# a second renewal if one is lost.
-LEASE_RENEWAL_SHARE = 0.45
 
 _log = logbook.Logger("verbenad.platform")
 
 
 class PlatformSync:
-    """Runs two green threads: one reads updates, one renews the lease.
+    """Runs a green thread that reads updates of the store.
 
     :param platform: client of the platform's store.
     :param item_log: log to which the items that were read are added.
@@ -56,6 +57,7 @@
     :param lease_s: time to live of the registration. It is longer than the
         time for which an instance without contact to the store accepts keys,
         so that its share of the rates is not reassigned before that.
+    :param on_registration: called with whether this instance is registered.
     :param on_restored: called before a read is applied if the store was
         restored from a copy in the time of some instance.
     """
@@ -70,6 +72,7 @@
         state: SteeringState,
         local_instance: InstanceRecord,
         lease_s: float,
+        on_registration: Callable[[bool], None],
         on_restored: Callable[[], None],
         now_s: Callable[[], float],
         random: Random,
@@ -80,29 +83,27 @@
         self._relay_server = relay_server
         self._state = state
         self._local_instance = local_instance
-        self._lease_s = lease_s
+        self.registration = InstanceRegistration(
+            platform=platform,
+            record=lambda: self._local_instance,
+            lease_s=lease_s,
+            can_register=lambda: state.config is not None,
+            store_era=lambda: self._position.era if self._position else None,
+            on_change=on_registration,
+            random=random,
+        )
         self._on_restored = on_restored
         self._now_s = now_s
         self._random = random
         self._position: StorePosition | None = None
         self._reads_all = True
-        self._lease: Lease | None = None
-        self._lease_lost = Event()
-        self._deregistered = False
         self._store_reachable = True
         self._backoff_s = MIN_BACKOFF_S
 
     def start(self) -> None:
-        """Start both threads."""
+        """Start to follow the store, and register the instance."""
         eventlet.spawn_n(self._follow_updates)
-        eventlet.spawn_n(self._keep_registered)
-
-    def deregister(self) -> None:
-        """End the registration; callers no longer find this instance."""
-        self._deregistered = True
-        lease, self._lease = self._lease, None
-        if lease is not None:
-            eventlet.spawn_n(self._revoke_lease, lease)
+        self.registration.start()
 
     def write_checkpoint(
         self, workspace: str, checkpoint: UsageCheckpoint | None
@@ -111,7 +112,7 @@
 
         After a failure the checkpoint stays due and is written later.
         """
-        lease = self._lease
+        lease = self.registration.lease
         if lease is None:
             return
         try:
@@ -168,8 +169,12 @@
         restored = self._is_restored(batch)
         if restored:
             self._record_restore(batch)
-        decoded = (self._platform.decode_item(item) for item in batch.items)
-        changes = tuple(change for change in decoded if change is not None)
+        decoded = [
+            (item, change)
+            for item in batch.items
+            if (change := self._platform.decode_item(item)) is not None
+        ]
+        changes = tuple(change for _, change in decoded)
         if restored or self._starts_after_restore(changes, batch.era):
             self._on_restored()
         self._state.apply(
@@ -184,9 +189,24 @@
         self._position = self._item_log.position
         self._reads_all = False
         self._state.freshness.confirm(update.confirmed_at_s)
+        self._check_own_registration(batch, decoded)
         if batch.items:
             self._relay_server.notify_waiters()
 
+    def _check_own_registration(
+        self, batch: ItemBatch, decoded: Iterable[tuple[StoreItem, Change]]
+    ) -> None:
+        name = self._local_instance.name
+        is_listed = False
+        for item, change in decoded:
+            match change:
+                case InstanceRemoved(name=removed) if removed == name:
+                    self.registration.record_removal(item.revision)
+                case InstanceRegistered(record=record):
+                    is_listed = is_listed or record.name == name
+        if batch.complete and not is_listed:
+            self.registration.record_removal(batch.revision)
+
     def _is_restored(self, batch: ItemBatch) -> bool:
         """Whether the store was restored from a copy since the last update."""
         return self._position is not None and self._position.era != batch.era
@@ -214,11 +234,7 @@
             },
         )
         self._record_store_recovery(self._now_s())
-        lease = self._lease
-        if lease is not None and lease.era != batch.era:
-            self._lease = None
-            lost, self._lease_lost = self._lease_lost, Event()
-            lost.send(None)
+        self.registration.record_restore(batch.era)
 
     def _record_store_recovery(self, at_s: float) -> None:
         """Record that the store became available again after an outage."""
@@ -235,52 +251,3 @@
         # The jitter keeps the instances from calling at the same time.
         eventlet.sleep(self._backoff_s * self._random.uniform(0.5, 1.0))
         self._backoff_s = min(2 * self._backoff_s, MAX_BACKOFF_S)
-
-    def _keep_registered(self) -> None:
-        while not self._deregistered:
-            try:
-                if self._state.config is None:
-                    delay_s = MIN_BACKOFF_S
-                elif self._lease is None:
-                    self._register()
-                    delay_s = LEASE_RENEWAL_SHARE * self._lease_s
-                else:
-                    self._platform.renew_lease(self._lease)
-                    delay_s = LEASE_RENEWAL_SHARE * self._lease_s
-            except LeaseExpiredError as error:
-                _log.warning(str(error))
-                self._lease = None
-                delay_s = self._random.uniform(0.5, 1.0) * MIN_BACKOFF_S
-            except PlatformUnavailableError as error:
-                _log.warning(
-                    "registration not renewed",
-                    extra={"reason": error.message},
-                )
-                delay_s = self._random.uniform(0.5, 1.0) * MAX_BACKOFF_S
-            except Exception:
-                _log.exception("registration failed")
-                delay_s = MAX_BACKOFF_S
-            with eventlet.Timeout(delay_s, False):
-                self._lease_lost.wait()
-
-    def _register(self) -> None:
-        lease = self._platform.register(self._local_instance, self._lease_s)
-        if self._deregistered:
-            self._revoke_lease(lease)
-            return
-        if self._position is not None and lease.era < self._position.era:
-            # The store was restored during the call.
-            raise LeaseExpiredError(lease)
-        self._lease = lease
-        _log.info(
-            "registered", extra={"lease": lease.lease_id, "era": lease.era}
-        )
-
-    def _revoke_lease(self, lease: Lease) -> None:
-        try:
-            self._platform.revoke_lease(lease)
-        except (PlatformUnavailableError, LeaseExpiredError) as error:
-            _log.warning(
-                "registration not ended; its lease will expire",
-                extra={"reason": error.message},
-            )
--- a/packages/verbenad/src/verbenad/steering/steering_daemon.py
+++ b/packages/verbenad/src/verbenad/steering/steering_daemon.py
@@ -167,7 +167,7 @@
             extra={"running": len(self._caller_http_server.running)},
         )
         self._leaving = True
-        self._platform_sync.deregister()
+        self._platform_sync.registration.deregister()
         self._peer_exchange.announce_now()
         self._caller_http_server.drain()
         eventlet.sleep(max(0.0, self._shutdown.refuse_from_s - self._now_s()))
@@ -203,6 +203,7 @@
             window_s=bounds.rate_window_s,
             period_s=MIN_REPORT_PERIOD_S,
         )
+        self._rate_limiter.set_registered(False)
         self._retry_budget = FleetRetryBudget(
             ratio=bounds.retry_ratio,
             slack=bounds.retry_slack,
@@ -272,6 +273,7 @@
             state=self._state,
             local_instance=self._local_instance,
             lease_s=self._state.freshness.max_age_s + LEASE_MARGIN_S,
+            on_registration=self._rate_limiter.set_registered,
             on_restored=lambda: self._config_exchange.hold(),
             now_s=self._now_s,
             random=self._random,
@@ -385,6 +387,9 @@
             config_age_s=lambda: self._state.freshness.age_s(self._now_s()),
             running_requests=lambda: len(self._caller_http_server.running),
             backend_servers=lambda: len(self._table),
+            is_registered=lambda: (
+                self._platform_sync.registration.is_registered
+            ),
             dropped_log_lines=lambda: self._line_writer.dropped_lines,
             connections_in_use=self._pool.in_use_by_target,
             oldest_connection_use_s=self._pool.oldest_use_by_target_s,
--- a/packages/verbenaworks/src/verbenaworks/steering/workspace_rate_limiter.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/workspace_rate_limiter.py
@@ -74,6 +74,9 @@
 ANSWER_DELAY_S = 0.03
 # After a refusal the coordinator is not asked again for this long.
 REFUSAL_VALID_S = 0.05
+# Share of its limit that a workspace may use at an instance that is not
+# registered: the others do not count what it accepts.
+UNREGISTERED_SHARE = 0.05
 # Demand below this is not worth reporting.
 MIN_REPORTED_DEMAND_PER_S = 0.01
 
@@ -150,6 +153,7 @@
         self._reachable: frozenset[str] = frozenset({instance})
         # The instances to ask; empty unless this instance is on standby.
         self._standby_coordinators: frozenset[str] = frozenset()
+        self._is_registered = True
         self._last_number = 0
         self._checkpoints: dict[str, UsageCheckpoint] = {}
         # Checkpoints of previous incarnations, which expire with their leases.
@@ -236,6 +240,16 @@
             self._standby_coordinators = active
             self._coordinators.clear()
 
+    def set_registered(self, is_registered: bool) -> None:
+        """Set whether the others count this instance.
+
+        While they do not, they have a coordinator without it. It does not
+        coordinate then, and accepts few requests of a workspace.
+        """
+        if is_registered != self._is_registered:
+            self._is_registered = is_registered
+            self._coordinators.clear()
+
     def record_report(
         self,
         now_s: float,
@@ -328,6 +342,8 @@
             self._demand(now_s, local) + 1.0 / DEMAND_TIME_CONSTANT_S
         )
         local.demand_at_s = now_s
+        if self._is_unknown_to_others:
+            return self._admit_unregistered(now_s, workspace, spec)
         if self._standby_coordinators:
             return Admission.ASK_COORDINATOR
         limit = self._limit(spec)
@@ -349,6 +365,23 @@
             return Admission.ACCEPTED_AND_NOTIFY
         return Admission.ACCEPTED
 
+    @property
+    def _is_unknown_to_others(self) -> bool:
+        return not self._is_registered and len(self._members) > 1
+
+    def _admit_unregistered(
+        self, now_s: float, workspace: str, spec: WorkspaceSpec
+    ) -> Admission:
+        """Decide without a coordinator, which would not answer."""
+        use = self._workspace_use(workspace)
+        limit = self._limit(spec)
+        accepted = use.local.accepted.count(now_s) + 1.0
+        used = self._used(now_s, spec, use) + 1.0
+        if accepted > max(1.0, UNREGISTERED_SHARE * limit) or used > limit:
+            return Admission.REFUSED
+        self.record_accepted(now_s, workspace)
+        return Admission.ACCEPTED
+
     def record_accepted(self, now_s: float, workspace: str) -> None:
         """Count a request that was accepted here."""
         use = self._uses.get(workspace)
@@ -371,6 +404,9 @@
         coordinator = self._coordinators.get(workspace)
         if coordinator is None:
             names = self._standby_coordinators or self._reachable
+            if self._is_unknown_to_others:
+                others = self._members - {self._instance}
+                names = (self._reachable & others) or others
             coordinator = first_by_rendezvous(workspace, sorted(names), 1)[0]
             self._coordinators[workspace] = coordinator
         return coordinator
