--- a/packages/verbenad/src/verbenad/steering/request_trace.py
+++ b/packages/verbenad/src/verbenad/steering/request_trace.py
@@ -9,8 +9,8 @@
 class RequestTrace:
     """Figures of one request, which the gateway fills in step by step.
 
-    :ivar rate_charged: whether the request counts against the rate of its
-        workspace.
+    :ivar charged_at_s: when the request was counted against the rate of its
+        workspace; None if it was not.
     :ivar detail: the figures behind a refusal.
     """
 
@@ -21,6 +21,6 @@
     workspace: str = ""
     service: str = ""
     affinity_key: str = ""
-    rate_charged: bool = False
+    charged_at_s: float | None = None
     detail: str = ""
     attempts: list[AttemptRecord] = field(default_factory=list)
--- a/packages/verbenad/src/verbenad/steering/steering_gateway.py
+++ b/packages/verbenad/src/verbenad/steering/steering_gateway.py
@@ -175,7 +175,7 @@
     def _enforce_rate(self, workspace: str, trace: RequestTrace) -> None:
         trace.workspace = workspace
         if self._admit_to_rate(workspace):
-            trace.rate_charged = True
+            trace.charged_at_s = self._now_s()
             return
         trace.detail = self._rate_limiter.describe(trace.started_s, workspace)
         raise refusal_error(
@@ -264,8 +264,10 @@
         trace: RequestTrace,
     ) -> Iterable[bytes]:
         refusal = self._refusal_format.with_accurate_status(refusal)
-        if trace.rate_charged and refusal.run is NOT_RUN:
-            self._rate_limiter.refund(self._now_s(), trace.workspace)
+        if trace.charged_at_s is not None and refusal.run is NOT_RUN:
+            self._rate_limiter.refund(
+                self._now_s(), trace.workspace, trace.charged_at_s
+            )
         self._log_outcome(trace, refusal.status, refusal)
         body = refusal.body()
         start_response(
--- a/packages/verbenaworks/src/verbenaworks/steering/rate_ledger.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/rate_ledger.py
@@ -74,9 +74,11 @@
         if added < 0 and now_s - account.granted_at_s < GRANT_SETTLE_S:
             # The report was sent before the instance counted a grant.
             return
-        if added:
+        if added > 0:
             account.window.add(now_s, added)
-            account.total = total
+        else:
+            account.window.subtract(now_s, -added)
+        account.total = total
 
     def record_grant(self, now_s: float, instance: str) -> None:
         """Count a request that an instance was granted."""
--- a/packages/verbenaworks/src/verbenaworks/steering/usage_window.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/usage_window.py
@@ -21,7 +21,7 @@
         self._count = 0.0
 
     def add(self, now_s: float, events: float = 1.0) -> None:
-        """Count events; a negative number subtracts them."""
+        """Count events."""
         slices = self._slices
         if slices and now_s - slices[-1][0] < SLICE_S:
             slices[-1][1] += events
@@ -29,6 +29,21 @@
             slices.append([now_s, events])
         self._count += events
 
+    def subtract(self, now_s: float, events: float = 1.0) -> None:
+        """Stop counting events of the window; it is not known which.
+
+        The oldest ones are left out, so that the count is never too low once
+        the events that were meant would have left the window.
+        """
+        self.count(now_s)
+        for entry in self._slices:
+            taken = min(entry[1], events)
+            entry[1] -= taken
+            self._count -= taken
+            events -= taken
+            if events <= 0:
+                return
+
     def count(self, now_s: float) -> float:
         """Return the number of events in the window that ends now."""
         slices = self._slices
--- a/packages/verbenaworks/src/verbenaworks/steering/workspace_rate_limiter.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/workspace_rate_limiter.py
@@ -77,6 +77,8 @@
 # Share of its limit that a workspace may use at an instance that is not
 # registered: the others do not count what it accepts.
 UNREGISTERED_SHARE = 0.05
+# Time in which the other instances learn of a refund.
+REFUND_DELAY_S = 1.0
 # Demand below this is not worth reporting.
 MIN_REPORTED_DEMAND_PER_S = 0.01
 
@@ -391,11 +393,18 @@
         use.local.total += 1
         use.fleet.used += 1.0
 
-    def refund(self, now_s: float, workspace: str) -> None:
-        """Stop counting an accepted request that did not run."""
+    def refund(
+        self, now_s: float, workspace: str, charged_at_s: float
+    ) -> None:
+        """Stop counting an accepted request that did not run.
+
+        One that is about to leave the window is left in it: the others may
+        learn of the refund only after that.
+        """
         use = self._uses.get(workspace)
-        if use is not None:
-            use.local.accepted.add(now_s, -1.0)
+        refundable_s = self._window_s - REFUND_DELAY_S
+        if use is not None and now_s - charged_at_s < refundable_s:
+            use.local.accepted.subtract(now_s)
             use.local.total -= 1
             use.fleet.used -= 1.0
 
--- a/tests/test_workspace_rates.py
+++ b/tests/test_workspace_rates.py
@@ -345,7 +345,7 @@
     rates.set_workspaces(0.0, {"acme": workspace("acme", 1.0, 1.0)})
     for _ in range(100):
         assert rates.admit(0.0, "acme") is Admission.ACCEPTED
-        rates.refund(0.0, "acme")
+        rates.refund(0.0, "acme", 0.0)
 
 
 def test_retry_pause_grows_with_the_demand() -> None:
