Count one crash of a server once for equal requests

Connections that a server closes within a second count as one crash.

platform/tests/test_equal_requests.py failed before (503), passes.

--- a/packages/verbenad/src/verbenad/steering/crash_tracker.py
+++ b/packages/verbenad/src/verbenad/steering/crash_tracker.py
@@ -11,6 +11,9 @@
 # A crash is included in reports to other instances for this long, because
 # datagrams may be lost.
 CRASH_REPORT_DURATION_S = 3.0
+# Connections that a server closes within this time are closed by one crash: it
+# needs longer to start again.
+SAME_CRASH_S = 1.0
 
 
 class CrashTracker:
@@ -25,14 +28,28 @@
         self._ledger = CrashLedger()
         self._crash_numbers = itertools.count()
         self._completed: dict[str, None] = {}
+        # Digest and server of each crash, and when it was noticed.
+        self._latest_crashes: dict[tuple[str, str], float] = {}
         self._recent: list[tuple[float, str, str]] = []
 
-    def record_crash(self, digest: str) -> None:
-        """Record that a server crashed while it ran a request."""
+    def record_crash(self, digest: str, server_id: str) -> None:
+        """Record that a server crashed while it ran a request.
+
+        Equal requests that it ran at the same time count once.
+        """
         if digest in self._completed:
             return
-        crash_id = f"{self._instance}/{next(self._crash_numbers)}"
         now_s = self._now_s()
+        oldest_s = now_s - SAME_CRASH_S
+        self._latest_crashes = {
+            crash: at_s
+            for crash, at_s in self._latest_crashes.items()
+            if at_s > oldest_s
+        }
+        if (digest, server_id) in self._latest_crashes:
+            return
+        self._latest_crashes[digest, server_id] = now_s
+        crash_id = f"{self._instance}/{next(self._crash_numbers)}"
         self._ledger.record(now_s, digest, crash_id)
         self._recent.append((now_s, digest, crash_id))
 
--- a/packages/verbenad/src/verbenad/steering/request_runner.py
+++ b/packages/verbenad/src/verbenad/steering/request_runner.py
@@ -353,7 +353,9 @@
                     progress.full_servers |= {placed.server.server_id}
             case FailureKind.CLOSED:
                 progress.sent_attempts += failure.may_have_run
-                self._handle_closed_connection(request, load, failure)
+                self._handle_closed_connection(
+                    request, placed.server.server_id, load, failure
+                )
             case FailureKind.MALFORMED_ANSWER | FailureKind.SILENT:
                 progress.sent_attempts += 1
                 load.record_failure(now_s)
@@ -368,6 +370,7 @@
     def _handle_closed_connection(
         self,
         request: AdmittedRequest,
+        server_id: str,
         load: ServerLoad,
         failure: AttemptFailure,
     ) -> None:
@@ -382,7 +385,7 @@
         if not failure.reset_when_idle or not request.route.idempotent:
             # An idempotent request is retried on a new connection. Only that
             # attempt shows whether the request crashes servers.
-            self._crash_tracker.record_crash(request.digest)
+            self._crash_tracker.record_crash(request.digest, server_id)
 
     def _forward_request(
         self, request: AdmittedRequest, server_id: str
