Do not take an own shutdown for the end of a body

A caller that closed its sending side got a part of a body without a length as a whole response (MIXED, suspected by the review): the instance's own shutdown of the connection to the server looked like the server's end of the body.

platform/tests/test_half_closed_callers.py failed before (16 of 44 bytes, status 200), passes.

--- a/packages/verbenad/src/verbenad/socket_stream.py
+++ b/packages/verbenad/src/verbenad/socket_stream.py
@@ -27,6 +27,7 @@
         "_raw",
         "_receives",
         "buffer",
+        "is_shut_down",
         "position",
         "sent_any",
         "sock",
@@ -41,6 +42,8 @@
         self.buffer = b""
         self.position = 0
         self.sent_any = False
+        # Whether this side ended the connection.
+        self.is_shut_down = False
 
     @property
     def buffered_bytes(self) -> int:
@@ -167,6 +170,7 @@
 
     def shutdown(self) -> None:
         """Shut down both directions; wakes greenlets waiting on the socket."""
+        self.is_shut_down = True
         try:
             self._raw.shutdown(socket.SHUT_RDWR)
         except OSError:
--- a/packages/verbenad/src/verbenad/upstream_response.py
+++ b/packages/verbenad/src/verbenad/upstream_response.py
@@ -147,6 +147,10 @@
 
     def _read_until_close(self, limit_bytes: int) -> bytes:
         if not self._stream.buffered_bytes and not self._receive():
+            if self._stream.is_shut_down:
+                # The request was cancelled; the backend server has not ended
+                # the body.
+                raise ResponseTruncatedError
             self._end(True)
             return b""
         return self._stream.take(limit_bytes)
