Let registrations order the incarnations of an instance

Reports of an instance that restarted after its time of day had jumped back were dropped, and its use of limits was not counted (suspected by the review).

--- a/packages/verbenad/src/verbenad/steering/peer_exchange.py
+++ b/packages/verbenad/src/verbenad/steering/peer_exchange.py
@@ -405,8 +405,10 @@
                     )
             case PeerBeat():
                 self._handle_heartbeat(message, ())
-            case RateNotice(name=name):
-                if self._directory.peer(name) is not None:
+            case RateNotice(name=name, incarnation=incarnation):
+                peer = self._directory.peer(name)
+                # A later incarnation may not be known as registered yet.
+                if peer is not None and incarnation >= peer.incarnation:
                     self.admission.handle_notice(message)
             case RateAnswer():
                 self.admission.handle_reply(message)
@@ -425,8 +427,12 @@
 
         :returns: whether it is new and its sender is registered.
         """
-        number = (beat.incarnation, beat.number)
-        if self._last_received_numbers.get(beat.name, (0, 0)) >= number:
+        # Incarnations are not ordered: the time of day may have jumped back.
+        # The registration tells which one is current.
+        incarnation, number = self._last_received_numbers.get(
+            beat.name, (beat.incarnation, 0)
+        )
+        if beat.incarnation == incarnation and beat.number <= number:
             return False
         is_registered = self._directory.record_heartbeat(
             self._now_s(),
@@ -439,7 +445,10 @@
         )
         if not is_registered:
             return False
-        self._last_received_numbers[beat.name] = number
+        self._last_received_numbers[beat.name] = (
+            beat.incarnation,
+            beat.number,
+        )
         self._on_config_version(beat.name, beat.config_version)
         members = self.peers.members
         is_new = self.peers.record_report(
--- a/packages/verbenaworks/src/verbenaworks/steering/rate_ledger.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/rate_ledger.py
@@ -57,8 +57,6 @@
         """
         account = self._accounts.get(instance)
         if account is None or account.incarnation != incarnation:
-            if account is not None and account.incarnation > incarnation:
-                return
             self.end_incarnation(instance)
             account = self._accounts[instance] = _Account(
                 incarnation=incarnation,
