Count crashes by the time at which a request was sent

A closed connection counts now if its request was sent after the last crash of an equal request at that server was noticed; requests that run there at the same time still count once.

test_request_that_crashes_servers_is_blocked failed before and passes, with test_equal_requests and three more tests of the fleet: 5 passed.

--- a/packages/verbenad/src/verbenad/steering/crash_tracker.py
+++ b/packages/verbenad/src/verbenad/steering/crash_tracker.py
@@ -11,9 +11,8 @@
 # A crash is included in reports to other instances for this long, because
 # datagrams may be lost.
 CRASH_REPORT_DURATION_S = 3.0
-# Connections that a server closes within this time are closed by one crash: it
-# needs longer to start again.
-SAME_CRASH_S = 1.0
+# Time for which a crash is remembered: longer than a request may run.
+CRASH_MEMORY_S = 60.0
 
 
 class CrashTracker:
@@ -32,21 +31,28 @@
         self._latest_crashes: dict[tuple[str, str], float] = {}
         self._recent: list[tuple[float, str, str]] = []
 
-    def record_crash(self, digest: str, server_id: str) -> None:
+    def record_crash(
+        self, digest: str, server_id: str, started_s: float
+    ) -> None:
         """Record that a server crashed while it ran a request.
 
-        Equal requests that it ran at the same time count once.
+        Equal requests that it ran at the same time count once: those that were
+        sent before the crash was noticed.
+
+        :param started_s: when the request was sent to the server.
         """
         if digest in self._completed:
             return
         now_s = self._now_s()
-        oldest_s = now_s - SAME_CRASH_S
+        oldest_s = now_s - CRASH_MEMORY_S
         self._latest_crashes = {
             crash: at_s
             for crash, at_s in self._latest_crashes.items()
             if at_s > oldest_s
         }
-        if (digest, server_id) in self._latest_crashes:
+        if started_s <= self._latest_crashes.get(
+            (digest, server_id), float("-inf")
+        ):
             return
         self._latest_crashes[digest, server_id] = now_s
         crash_id = f"{self._instance}/{next(self._crash_numbers)}"
--- a/packages/verbenad/src/verbenad/steering/request_runner.py
+++ b/packages/verbenad/src/verbenad/steering/request_runner.py
@@ -35,7 +35,6 @@
     PlacementRequest,
     RefusalReason,
 )
-from verbenaworks.steering.server_load import ServerLoad
 
 # A backend server responds with its own error when the deadline passes. This
 # margin leaves one round trip for that response to arrive.
@@ -354,7 +353,7 @@
             case FailureKind.CLOSED:
                 progress.sent_attempts += failure.may_have_run
                 self._handle_closed_connection(
-                    request, placed.server.server_id, load, failure
+                    request, placed, started_s, failure
                 )
             case FailureKind.MALFORMED_ANSWER | FailureKind.SILENT:
                 progress.sent_attempts += 1
@@ -370,12 +369,13 @@
     def _handle_closed_connection(
         self,
         request: AdmittedRequest,
-        server_id: str,
-        load: ServerLoad,
+        placed: Placed,
+        started_s: float,
         failure: AttemptFailure,
     ) -> None:
         """Handle a connection that closed before any response."""
         now_s = self._now_s()
+        load = self._placement.load_of(placed.server)
         if not failure.reset_when_idle:
             load.record_failure(now_s)
         if not failure.looks_like_crash:
@@ -385,7 +385,9 @@
         if not failure.reset_when_idle or not request.route.idempotent:
             # An idempotent request is retried on a new connection. Only that
             # attempt shows whether the request crashes servers.
-            self._crash_tracker.record_crash(request.digest, server_id)
+            self._crash_tracker.record_crash(
+                request.digest, placed.server.server_id, started_s
+            )
 
     def _forward_request(
         self, request: AdmittedRequest, server_id: str
