Stop counting a workspace's window twice after instances join

Cause: the first report of an instance tells how many of its requests are in the window, but not when they were accepted, so that all of them counted as new for a whole window while later ones were added. A coordinator that had just become active found a limit used up that was half free, and refused. Change: later reports also bound what is counted for an instance. After a restart of its own, an instance keeps counting too much for one window, because the use of previous incarnations is only an estimate.

--- a/packages/verbenaworks/src/verbenaworks/steering/rate_ledger.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/rate_ledger.py
@@ -48,12 +48,15 @@
         incarnation: int,
         total: int,
         count: int,
+        *,
+        trims_window: bool = True,
     ) -> None:
         """Record the accepted requests that an instance reports.
 
         :param total: requests accepted since its start.
-        :param count: requests in the window; used only if the incarnation is
-            new here.
+        :param count: those of them that are in the window.
+        :param trims_window: whether fewer requests are counted if the report
+            tells that some have left the window.
         """
         account = self._accounts.get(instance)
         if account is None or account.incarnation != incarnation:
@@ -77,6 +80,11 @@
         else:
             account.window.subtract(now_s, -added)
         account.total = total
+        # The first report does not tell when its requests were accepted, so
+        # that all of them count as new. Later ones tell how many have left.
+        excess = account.window.count(now_s) - count
+        if trims_window and excess > 0:
+            account.window.subtract(now_s, excess)
 
     def record_grant(self, now_s: float, instance: str) -> None:
         """Count a request that an instance was granted."""
--- a/packages/verbenaworks/src/verbenaworks/steering/workspace_rate_limiter.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/workspace_rate_limiter.py
@@ -270,7 +270,12 @@
             use = self._uses.get(name)
             if use is not None:
                 use.ledger.record_total(
-                    now_s, peer, incarnation, reported.total, reported.count
+                    now_s,
+                    peer,
+                    incarnation,
+                    reported.total,
+                    reported.count,
+                    trims_window=self._trims_windows(now_s),
                 )
                 use.ledger.set_demand(
                     peer,
@@ -454,7 +459,12 @@
         use = self._workspace_use(notice.workspace)
         use.notified_at_s = now_s
         use.ledger.record_total(
-            now_s, notice.name, notice.incarnation, notice.total, notice.count
+            now_s,
+            notice.name,
+            notice.incarnation,
+            notice.total,
+            notice.count,
+            trims_window=self._trims_windows(now_s),
         )
         used = self._used(now_s, spec, use)
         granted = notice.asks and used + 1.0 <= self._limit(spec)
@@ -596,6 +606,14 @@
             used += max(0.0, limit - checkpoint.total)
         return used / len(self._members)
 
+    def _trims_windows(self, now_s: float) -> bool:
+        """Whether reports may lower the counts of other instances.
+
+        After a restart, the use of previous incarnations is only estimated.
+        Requests that count for too long make up for what the estimate misses.
+        """
+        return now_s - self._restarted_at_s >= self._window_s
+
     def _fleet_demand(self, now_s: float, use: _WorkspaceUse) -> float:
         peers_per_s = use.ledger.demand_per_s(self._reachable)
         return self._demand(now_s, use.local) + peers_per_s
--- a/tests/test_workspace_rates.py
+++ b/tests/test_workspace_rates.py
@@ -65,6 +65,18 @@
         rates.set_members(self.now_s, self.names)
         self.members[name] = rates
 
+    def join(self, count: int) -> None:
+        """Add instances, which exchange reports with the others at once."""
+        first = len(self.names)
+        self.names += [f"i{n}" for n in range(first, first + count)]
+        for name in self.names[first:]:
+            self.due_s[name] = self.now_s
+            self.start(name)
+        for rates in self.members.values():
+            rates.set_members(self.now_s, self.names)
+        for name, rates in self.members.items():
+            self._report(name, rates)
+
     def run(self, length_s: float, per_s: dict[str, float]) -> None:
         """Send requests at these rates to the instances."""
         end_s = self.now_s + length_s
@@ -188,6 +200,34 @@
     assert fleet.max_accepted <= MAX_ACCEPTED
 
 
+@pytest.mark.parametrize("seed", range(3))
+def test_requests_before_a_join_leave_the_window_in_time(seed: int) -> None:
+    """Guards against refusals below the limit after instances have joined.
+
+    An instance that joins learns only how many requests of the window the
+    others have accepted, not when.
+    """
+    fleet = _Fleet(4, seed)
+    fleet.run(10, {})
+    fleet.run(6, _even(fleet, 0.7 * RATE_PER_S))
+    fleet.join(12)
+    fleet.run(6, _even(fleet, 0.7 * RATE_PER_S))
+    assert fleet.wrongly_refused == 0
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_limit_holds_while_instances_join(seed: int) -> None:
+    """Guards against new instances that count too few of the requests."""
+    fleet = _Fleet(4, seed)
+    fleet.run(10, {})
+    fleet.run(3, _even(fleet, 8 * RATE_PER_S))
+    for _ in range(6):
+        fleet.join(3)
+        fleet.run(1.1, _even(fleet, 8 * RATE_PER_S))
+    fleet.run(6, _even(fleet, 8 * RATE_PER_S))
+    assert fleet.max_accepted <= MAX_ACCEPTED
+
+
 @pytest.mark.parametrize("seed", range(3))
 def test_limit_holds_during_a_network_partition(seed: int) -> None:
     """Guards against two sides of a partition that each use all of it."""
