Use the speed that machines state for choices and learning

Cause: machines have slow spells of about 600 ms, in which work takes 2.5 times as long. Servers of newer services state this in the fourth figure of Server-Load. Instances ignored it, kept sending to these servers, and learned that they were slow or had lost their data. Change: a stated speed adds to the predicted time while it is younger than 600 ms, and response times are divided by it before anything is learned from them. It decides between servers only if the better one has no wait, so that it causes no refusal; region shares and limits do not depend on it. A speed that a machine states all the time is its usual one. The age of used values is a metric and in the log. The comparison of servers and of refusals moved out of placement.py, and the model's servers out of steering_model.py, which stay or become smaller.

--- a/packages/verbenad/src/verbenad/steering/request_log.py
+++ b/packages/verbenad/src/verbenad/steering/request_log.py
@@ -37,6 +37,11 @@
             "Attempts by service, region of the server and reason.",
             ("service", "region", "choice"),
         )
+        self._speed_ages = metrics.histogram(
+            "verbenad_machine_speed_age_seconds",
+            "Age of a server's stated machine speed when it was used.",
+            ("service",),
+        )
 
     def record(self, record: RequestRecord) -> None:
         """Log and count one request."""
@@ -50,3 +55,7 @@
             self._region_count.add(
                 (record.service, attempt.region, attempt.choice)
             )
+            if attempt.speed_age_ms is not None:
+                self._speed_ages.observe(
+                    (record.service,), attempt.speed_age_ms / 1000
+                )
--- a/packages/verbenad/src/verbenad/steering/request_record.py
+++ b/packages/verbenad/src/verbenad/steering/request_record.py
@@ -17,6 +17,8 @@
     :ivar place: rank of the server in the object's order.
     :ivar objects_since: other objects that this instance has requested of the
         server since the last request for this one.
+    :ivar speed_age_ms: age of the server's statement of its machine's speed
+        when it was used for the choice; none if it was not.
     :ivar outcome: ``answered``, or why there was no response.
     """
 
@@ -27,6 +29,7 @@
     predicted_ms: int
     place: int | None
     objects_since: int | None
+    speed_age_ms: int | None
     outcome: str
     took_ms: int
     reported: str
--- a/packages/verbenad/src/verbenad/steering/request_runner.py
+++ b/packages/verbenad/src/verbenad/steering/request_runner.py
@@ -239,9 +239,10 @@
                     region=server.region,
                     choice=placed.reason,
                     load=load_description,
-                    predicted_ms=int(placed.predicted_s * 1000),
+                    predicted_ms=int(placed.current_s * 1000),
                     place=placed.rank,
                     objects_since=placed.objects_since,
+                    speed_age_ms=placed.machine_speed_age_ms,
                     outcome=outcome,
                     took_ms=int((self._now_s() - started_s) * 1000),
                     reported=progress.statement.load_text,
@@ -296,7 +297,11 @@
             return f"status_{buffered.status}", False
         self._crash_tracker.record_completed(request.digest)
         self._placement.record_response(
-            now_s, placement_request, placed, now_s - started_s
+            now_s,
+            placement_request,
+            placed,
+            now_s - started_s,
+            progress.statement.work_factor or 1.0,
         )
         if not isinstance(buffered.pieces, list):
             stream = NotifyingStream(
@@ -360,9 +365,7 @@
                 load.record_failure(now_s)
             case FailureKind.DEADLINE:
                 progress.sent_attempts += failure.may_have_run
-                load.record_overdue(
-                    now_s, now_s - started_s, placed.predicted_s
-                )
+                load.record_overdue(now_s, now_s - started_s, placed.current_s)
             case _:
                 progress.sent_attempts += failure.may_have_run
 
--- a/packages/verbenad/src/verbenad/steering/server_statement.py
+++ b/packages/verbenad/src/verbenad/steering/server_statement.py
@@ -8,8 +8,10 @@
 
 # The fourth figure is stated by newer services only.
 _LOAD = re.compile(
-    r" *([0-9]{1,9}) *, *([0-9]{1,9}) *, *[0-9]{1,9} *(?:, *[0-9]{1,9} *)?"
+    r" *([0-9]{1,9}) *, *([0-9]{1,9}) *, *[0-9]{1,9} *(?:, *([0-9]{1,9}) *)?"
 )
+# Stated for work that takes the usual time.
+_USUAL_WORK = 100
 _LIMIT = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 _PAUSE = re.compile(r"[0-9]{1,40}(\.[0-9]{1,40})?")
 _LEAVING = "1"
@@ -23,6 +25,7 @@
     """Load, limit, pause and end of a server; none if it does not name them.
 
     :param load: requests that run or wait.
+    :param work_factor: how much longer than usual work takes on its machine.
     :param limit_per_s: requests per second that the server takes from all
         instances together.
     :param pause_s: time for which it wants no requests from this instance.
@@ -33,6 +36,7 @@
     """
 
     load: int | None = None
+    work_factor: float | None = None
     limit_per_s: float | None = None
     pause_s: float | None = None
     leaving: bool = False
@@ -78,6 +82,11 @@
         is_pause = _PAUSE.fullmatch(pause_text) is not None
         return ServerStatement(
             load=int(load[1]) + int(load[2]) if load else None,
+            work_factor=(
+                int(load[3]) / _USUAL_WORK
+                if load and int(load[3] or 0)
+                else None
+            ),
             limit_per_s=float(limit_text) if is_limit else None,
             pause_s=float(pause_text) if is_pause else None,
             leaving=texts.get(self._leaving_field) == _LEAVING,
--- a/packages/verbenad/src/verbenad/steering/statement_recorder.py
+++ b/packages/verbenad/src/verbenad/steering/statement_recorder.py
@@ -48,6 +48,10 @@
         """Record the statement in a response of a server."""
         if statement.load is not None:
             self._load_of(server).record_reported_load(now_s, statement.load)
+        if statement.work_factor is not None:
+            self._load_of(server).machine_speed.record(
+                now_s, statement.work_factor
+            )
         if statement.leaving and self._table.record_leaving(now_s, server):
             self._on_leaving(server)
         if statement.pause_s is not None:
--- a/packages/verbenaworks/src/verbenaworks/steering/placement.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/placement.py
@@ -17,6 +17,7 @@
 from random import Random
 
 from verbenaworks.steering.backend_server import BackendServer
+from verbenaworks.steering.best_server import BestServer
 from verbenaworks.steering.candidate_servers import CandidateServers
 from verbenaworks.steering.cold_start_limiter import ColdStartLimiter
 from verbenaworks.steering.overflow_budget import OverflowBudget
@@ -57,6 +58,7 @@
 
     :param region: region of this instance.
     :param failure_domain: failure domain of this instance.
+    :param machine_speed: whether to use the speed that servers state.
     """
 
     def __init__(
@@ -70,6 +72,7 @@
         limits: ServerLimits,
         pauses: ServerPauses,
         random: Random,
+        machine_speed: bool = True,
     ) -> None:
         self._table = table
         self._predictor = ResponsePredictor(
@@ -77,6 +80,7 @@
             failure_domain=failure_domain,
             times=times,
             is_restricted=self._is_restricted,
+            machine_speed=machine_speed,
         )
         self._limits = limits
         self._pauses = pauses
@@ -164,7 +168,7 @@
         first = _NO_SERVER
         if None not in refusals:
             for refusal in filter(None, refusals):
-                first = _sooner(first, refusal)
+                first = first.sooner(refusal)
         return self._refusals.no_server(first)
 
     def _is_restricted(self, now_s: float, server: BackendServer) -> bool:
@@ -228,7 +232,7 @@
             best, reason = self._best_in(
                 now_s, request, region, cold_requests_per_s
             )
-            refusal = _sooner(refusal, reason)
+            refusal = refusal.sooner(reason)
         if best is None:
             best, reason = self._best_of(
                 now_s,
@@ -236,7 +240,7 @@
                 self._candidates.that_are_down(request),
                 cold_requests_per_s,
             )
-            refusal = _sooner(refusal, reason)
+            refusal = refusal.sooner(reason)
         if best is None:
             return self._refusals.no_server(refusal)
         if best.server.region != regions[0] and self._is_busy(
@@ -295,18 +299,17 @@
         candidates: Iterable[tuple[int | None, BackendServer]],
         cold_requests_per_s: float,
     ) -> tuple[Placed | None, ServerRefusal]:
-        best: Placed | None = None
-        best_cost_s = 0.0
+        compared = BestServer(self._costs, request)
         restricted_home: BackendServer | None = None
         first_refusal = _NO_SERVER
         overload = self._refusals.overload(request.service)
         for number, (rank, server) in enumerate(candidates):
             if (
                 number >= PREFERRED_CANDIDATES
-                and best is not None
+                and compared.usual is not None
                 and (
                     overload.is_sustained
-                    or not self._refusals.is_late(request, best)
+                    or not self._refusals.is_late(request, compared.usual)
                 )
             ):
                 # Servers further down the order would have to load the key's
@@ -316,14 +319,12 @@
                 now_s, server, cold_requests_per_s
             )
             if refusal is not None:
-                first_refusal = _sooner(first_refusal, refusal)
+                first_refusal = first_refusal.sooner(refusal)
                 if rank == 0 and refusal.reason in _LASTING_REASONS:
                     restricted_home = server
                 continue
-            placed = self._predict(now_s, request, server, rank)
-            cost_s = self._costs.cost_s(request, placed)
-            if best is None or cost_s < best_cost_s:
-                best, best_cost_s = placed, cost_s
+            compared.add(self._predict(now_s, request, server, rank))
+        best = compared.chosen
         if best is not None and restricted_home is not None:
             best = replace(best, restricted_home=restricted_home)
         return best, first_refusal
@@ -417,12 +418,17 @@
         request: PlacementRequest,
         placed: Placed,
         took_s: float,
+        work_factor: float = 1.0,
     ) -> None:
         """Update the load, the health and the service times of a server.
 
         :param took_s: time from the start of the request to the response.
+        :param work_factor: how much longer than usual work takes on the
+            machine, as stated in the response.
         """
-        self._predictor.record_response(now_s, request, placed, took_s)
+        self._predictor.record_response(
+            now_s, request, placed, took_s, work_factor
+        )
 
     def in_flight(self) -> dict[str, int]:
         """Return the local requests in flight by server id, without zeros."""
@@ -486,12 +492,3 @@
         for server_id, load in list(self._predictor.loads.items()):
             if server_id not in existing_ids and not load.in_flight:
                 del self._predictor.loads[server_id]
-
-
-def _sooner(first: ServerRefusal, second: ServerRefusal) -> ServerRefusal:
-    """Return the refusal that ends first; having no server is none."""
-    if first.reason is RefusalReason.NO_SERVER:
-        return second
-    if second.reason is RefusalReason.NO_SERVER:
-        return first
-    return min(first, second, key=lambda refusal: refusal.retry_after_s)
--- a/packages/verbenaworks/src/verbenaworks/steering/placement_result.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/placement_result.py
@@ -73,6 +73,9 @@
         affinity key.
     :ivar restricted_home: the object's home, if it would be the first choice
         but has a limit or a pause.
+    :ivar machine_delay_s: expected addition to the predicted time, because
+        the server's machine has stated that work takes longer there.
+    :ivar machine_speed_age_s: age of that statement; none if it is not used.
     """
 
     server: BackendServer
@@ -85,6 +88,19 @@
     objects_since: int | None = None
     reason: ChoiceReason = ChoiceReason.PREFERRED
     restricted_home: BackendServer | None = None
+    machine_delay_s: float = 0.0
+    machine_speed_age_s: float | None = None
+
+    @property
+    def current_s(self) -> float:
+        """Predicted time at the current speed of the server's machine."""
+        return self.predicted_s + self.machine_delay_s
+
+    @property
+    def machine_speed_age_ms(self) -> int | None:
+        """Age of the used statement in whole milliseconds."""
+        age_s = self.machine_speed_age_s
+        return None if age_s is None else int(age_s * 1000)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/packages/verbenaworks/src/verbenaworks/steering/response_predictor.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/response_predictor.py
@@ -31,6 +31,7 @@
     :param region: region of the instance.
     :param failure_domain: failure domain of the instance.
     :param is_restricted: returns whether a server has a limit or a pause.
+    :param machine_speed: whether to use the speed that servers state.
     :ivar loads: load and health by server id.
     """
 
@@ -41,11 +42,13 @@
         failure_domain: str,
         times: ServiceTimes,
         is_restricted: Callable[[float, BackendServer], bool],
+        machine_speed: bool = True,
     ) -> None:
         self._region = region
         self._failure_domain = failure_domain
         self._times = times
         self._is_restricted = is_restricted
+        self._uses_machine_speed = machine_speed
         self.loads: dict[str, ServerLoad] = {}
         self._cache_capacities: dict[str, CacheCapacity] = {}
 
@@ -101,6 +104,10 @@
         failure_cost_s = (
             load.failure_share(now_s) * FAILURE_COST_SERVICE_TIMES * expected_s
         )
+        machine_ratio, machine_speed_age_s = 1.0, None
+        if self._uses_machine_speed:
+            machine_ratio = load.machine_speed.expected_ratio(now_s)
+            machine_speed_age_s = load.machine_speed.age_s(now_s)
         return Placed(
             server=server,
             expected_s=expected_s,
@@ -116,6 +123,9 @@
             reason=(
                 ChoiceReason.SHORTER_WAIT if rank else ChoiceReason.PREFERRED
             ),
+            machine_delay_s=(machine_ratio - 1.0)
+            * (slowdown * expected_s + wait_s),
+            machine_speed_age_s=machine_speed_age_s,
         )
 
     def record_response(
@@ -124,14 +134,20 @@
         request: PlacementRequest,
         placed: Placed,
         took_s: float,
+        work_factor: float = 1.0,
     ) -> None:
         """Update the load, the health and the service times of a server.
 
         :param took_s: time from the start of the request to the response.
+        :param work_factor: how much longer than usual work takes on the
+            machine, as stated in the response.
         """
         load = self.load_of(placed.server)
         rtt_s = self._rtt_s(placed.server)
         at_server_s = max(0.001, took_s - rtt_s)
+        if self._uses_machine_speed:
+            at_server_s /= load.machine_speed.ratio_to_sustained(work_factor)
+            took_s = rtt_s + at_server_s
         load.record_success(now_s, took_s / max(0.001, placed.predicted_s))
         if request.affinity_key:
             load.record_object(
--- a/packages/verbenaworks/src/verbenaworks/steering/server_load.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/server_load.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from verbenaworks.steering.backend_server import BackendServer
+from verbenaworks.steering.machine_speed import MachineSpeed
 
 # Time constant of the moving average of the load that other instances report.
 # Reports are older than a service time: without the average, all instances
@@ -41,9 +42,11 @@
     :ivar bound: those of them that may not run in every region.
     :ivar peers_in_flight: moving average of the requests in flight that other
         instances report.
+    :ivar machine_speed: how long work takes on its machine, as it states.
     """
 
     slots: int
+    machine_speed: MachineSpeed = field(default_factory=MachineSpeed)
     in_flight: int = 0
     bound: int = 0
     peers_in_flight: float = 0.0
--- a/tests/steering_factories.py
+++ b/tests/steering_factories.py
@@ -84,6 +84,7 @@
     seed: int = 1,
     limits: ServerLimits | None = None,
     pauses: ServerPauses | None = None,
+    **switches: bool,
 ) -> Placement:
     """Return the placement of an instance in ``north-a``."""
     senders = ServerSenders("one", "north")
@@ -96,4 +97,5 @@
         limits=limits or ServerLimits(senders=senders),
         pauses=pauses or ServerPauses(),
         random=Random(seed),
+        **switches,
     )
--- a/tests/test_server_statement.py
+++ b/tests/test_server_statement.py
@@ -41,6 +41,22 @@
     assert PARSER.parse([("Server-Load", text)]).load == load
 
 
+@pytest.mark.parametrize(
+    ("text", "work_factor"),
+    [
+        ("3,1,8", None),
+        ("3,1,8,0", None),
+        ("3,1,8,100", 1.0),
+        ("0,0,8,250", 2.5),
+    ],
+)
+def test_speed_of_the_machine_is_read(
+    text: str, work_factor: float | None
+) -> None:
+    """Guards against a speed that is taken from a server that states none."""
+    assert PARSER.parse([("Server-Load", text)]).work_factor == work_factor
+
+
 @pytest.mark.parametrize(
     "text", ["-1", "nan", "inf", "1e9", "2,5", "", "x", "1" * 30, "\u0663"]
 )
--- a/tools/steering_model.py
+++ b/tools/steering_model.py
@@ -11,17 +11,13 @@
 import argparse
 import heapq
 import itertools
-from collections import Counter, OrderedDict, defaultdict, deque
-from collections.abc import Callable, Iterable, Iterator
+from collections import Counter, defaultdict
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from dataclasses import dataclass, field, replace
 from random import Random
 
-from steering_model_types import (
-    CACHED_SERVICE_TIME_S,
-    ModelResult,
-    ModelRun,
-    ModelSize,
-)
+from steering_model_server import UNCACHED_SERVICE_TIME_S, ModelServer
+from steering_model_types import ModelResult, ModelRun, ModelSize
 from verbenaworks.steering.backend_server import BackendServer
 from verbenaworks.steering.cold_start_limiter import ColdStartLimiter
 from verbenaworks.steering.placement import Placement
@@ -54,7 +50,6 @@
     sticky=True,
     home_regions=frozenset(),
 )
-UNCACHED_SERVICE_TIME_S = 0.64
 REPORT_PERIOD_S = 0.4
 # Instances use the reports of the last periods, as the daemon does.
 REPORT_VALID_S = 2.0
@@ -63,7 +58,6 @@
 CROSS_REGION_RTT_S = 0.04
 COLD_REQUESTS_PER_S = 17.0
 COLD_START_S = 3.0
-COLD_SLOWDOWN = 2.0
 # Time between two looks at the load pattern while there are no requests.
 IDLE_CHECK_PERIOD_S = 0.05
 # Length of the pauses that servers ask for, and time between two of them.
@@ -72,37 +66,6 @@
 NO_HOME_REGIONS: frozenset[str] = frozenset()
 
 
-@dataclass(kw_only=True, slots=True)
-class _Server:
-    server: BackendServer
-    max_cached_keys: int
-    service_time_factor: float = 1.0
-    cold_until_s: float = 0.0
-    # It refuses all requests until then, and says so.
-    paused_until_s: float = 0.0
-    running: int = 0
-    waiting: deque["_Request"] = field(default_factory=deque)
-    cached_keys: OrderedDict[str, None] = field(default_factory=OrderedDict)
-
-    def service_time_s(
-        self, now_s: float, affinity_key: str, random: Random
-    ) -> float:
-        mean_s = (
-            CACHED_SERVICE_TIME_S
-            if affinity_key in self.cached_keys
-            else UNCACHED_SERVICE_TIME_S
-        )
-        if now_s < self.cold_until_s:
-            mean_s *= COLD_SLOWDOWN
-        return mean_s * self.service_time_factor * random.uniform(0.8, 1.2)
-
-    def cache_key(self, affinity_key: str) -> None:
-        self.cached_keys[affinity_key] = None
-        self.cached_keys.move_to_end(affinity_key)
-        if len(self.cached_keys) > self.max_cached_keys:
-            self.cached_keys.popitem(last=False)
-
-
 @dataclass(kw_only=True, slots=True)
 class _Instance:
     region: str
@@ -124,7 +87,7 @@
     arrived_s: float
     placement_request: PlacementRequest
     placed: Placed
-    server: _Server
+    server: ModelServer
 
 
 class SteeringModel:
@@ -136,6 +99,8 @@
     :param slow_server: whether one server takes five times as long.
     :param baseline: whether to use the baseline instead of placement.
     :param heeds_pauses: whether instances keep the pauses of servers.
+    :ivar servers: the servers by id.
+    :param switches: switches of the placement, such as ``machine_speed``.
     """
 
     def __init__(
@@ -148,6 +113,7 @@
         baseline: bool = False,
         slow_server: bool = False,
         heeds_pauses: bool = True,
+        switches: Mapping[str, bool] | None = None,
     ) -> None:
         self.size = size or ModelSize()
         self.result = ModelResult()
@@ -155,12 +121,13 @@
         self._share_of = share_of or (lambda region, at_s: 1.0)
         self._baseline = baseline
         self._heeds_pauses = heeds_pauses
+        self._switches = dict(switches or {})
         self._random = Random(seed)
         self._now_s = 0.0
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._event_numbers = itertools.count()
         self._table = ServerTable()
-        self._servers: dict[str, _Server] = {}
+        self.servers: dict[str, ModelServer] = {}
         self._instances: list[_Instance] = []
         for region in self.size.regions:
             for _ in range(region.servers):
@@ -168,7 +135,7 @@
             for _ in range(region.instances):
                 self._add_instance(region.name)
         if slow_server:
-            self._servers["s0"].service_time_factor = 5.0
+            self.servers["s0"].service_time_factor = 5.0
 
     def at(self, at_s: float, action: Callable[[], None]) -> None:
         """Do something at a time of the run."""
@@ -176,7 +143,7 @@
 
     def add_server(self, region: str, *, cold: bool = False) -> None:
         """Add a server to a region."""
-        number = len(self._servers)
+        number = len(self.servers)
         server = BackendServer(
             server_id=f"s{number}",
             service=SERVICE,
@@ -189,7 +156,7 @@
             sequence=1,
         )
         self._table.report(self._now_s, server)
-        self._servers[server.server_id] = _Server(
+        self.servers[server.server_id] = ModelServer(
             server=server,
             max_cached_keys=self.size.max_cached_keys,
             cold_until_s=self._now_s + server.cold_left_s,
@@ -205,19 +172,19 @@
     def pause_servers(self, numbers: Iterable[int], pause_s: float) -> None:
         """Let servers refuse all requests for a time, and say so."""
         for number in numbers:
-            server = self._servers[f"s{number}"]
+            server = self.servers[f"s{number}"]
             server.paused_until_s = self._now_s + pause_s
 
     def announce_leaving(self, number: int) -> None:
         """Let a server say in its answers that it is leaving."""
-        server = self._servers[f"s{number}"].server
+        server = self.servers[f"s{number}"].server
         self._table.record_leaving(self._now_s, server)
 
     def make_cold(self, region: str, count: int) -> None:
         """Let some servers of a region start again with empty caches."""
         servers = self._table.usable(SERVICE)
         for server in [s for s in servers if s.region == region][:count]:
-            state = self._servers[server.server_id]
+            state = self.servers[server.server_id]
             state.cached_keys.clear()
             state.cold_until_s = self._now_s + COLD_START_S
             self._table.report(
@@ -279,6 +246,7 @@
             limits=ServerLimits(senders=senders),
             pauses=pauses,
             random=Random(self._random.randrange(2**32)),
+            **self._switches,
         )
 
     def _schedule(self, at_s: float, event: Callable[[], None]) -> None:
@@ -313,7 +281,7 @@
         if isinstance(placed, PlacementRefused):
             self.result.refused += 1
             return
-        server = self._servers[placed.server.server_id]
+        server = self.servers[placed.server.server_id]
         if self._now_s < server.paused_until_s:
             self._handle_pause(instance, placement_request, server)
             return
@@ -333,7 +301,7 @@
         self,
         instance: _Instance,
         placement_request: PlacementRequest,
-        server: _Server,
+        server: ModelServer,
     ) -> None:
         """Handle a refusal with a pause; the request is sent once more."""
         self.result.sent_in_pauses += 1
@@ -394,11 +362,10 @@
 
     def _start(self, request: _Request) -> None:
         request.server.running += 1
-        service_time_s = request.server.service_time_s(
+        end_s = request.server.end_s(
             self._now_s, request.affinity_key, self._random
         )
-        deadline_s = request.arrived_s + ROUTE.timeout_s
-        end_s = min(self._now_s + service_time_s, deadline_s)
+        end_s = min(end_s, request.arrived_s + ROUTE.timeout_s)
         self._schedule(end_s, lambda: self._handle_end(request))
 
     def _handle_end(self, request: _Request) -> None:
@@ -424,11 +391,16 @@
             placement.load_of(server.server).record_reported_load(
                 self._now_s, server.running + len(server.waiting)
             )
+            work_factor = server.stated_factor(self._now_s)
+            placement.load_of(server.server).machine_speed.record(
+                self._now_s, work_factor
+            )
             placement.record_response(
                 self._now_s,
                 request.placement_request,
                 request.placed,
                 response_time_s,
+                work_factor=work_factor,
             )
         if response_time_s <= ROUTE.latency_objective_s:
             self.result.useful += 1
@@ -439,7 +411,7 @@
             self.result.failed += 1
         self._start_waiting(server)
 
-    def _start_waiting(self, server: _Server) -> None:
+    def _start_waiting(self, server: ModelServer) -> None:
         while server.waiting and server.running < self.size.slots:
             waiting = server.waiting.popleft()
             if self._now_s - waiting.arrived_s < ROUTE.timeout_s:
