Bound writes to callers by the deadline of their request

A caller that stopped reading a long response held the request, the connection to the backend server and its place there until it read on: 30 s for the next bytes, and 1 KiB/s after that.

Cause: the time by which a long body must have been passed on was observed by the reads from the server only.

The body tells the time that is left, and ResponseWriter bounds each write by it, from the turn of the response on. A body that was read to its end has no bound.

--- a/packages/verbenad/src/verbenad/caller_output.py
+++ b/packages/verbenad/src/verbenad/caller_output.py
@@ -86,6 +86,12 @@
         """Wait until the slot is ended."""
         self._done.wait()
 
+    def wait_for_turn(self) -> None:
+        """Wait until the earlier responses are ended."""
+        previous, self._previous = self._previous, None
+        if previous is not None:
+            previous.wait()
+
     def send_all(
         self,
         data: bytes,
@@ -98,7 +104,7 @@
             written.
         :raises OSError: if the connection is closed or too slow.
         """
-        self._wait_for_previous()
+        self.wait_for_turn()
         if not self._output.closed:
             self.written = True
         self._output.send_all(data, timeout_s, min_bytes_per_s)
@@ -109,12 +115,7 @@
         :param complete: whether it was written as a whole.
         :param closes: whether it announced that the connection closes.
         """
-        self._wait_for_previous()
+        self.wait_for_turn()
         if closes or not complete:
             self._output.closed = True
         self._done.send(None)
-
-    def _wait_for_previous(self) -> None:
-        previous, self._previous = self._previous, None
-        if previous is not None:
-            previous.wait()
--- a/packages/verbenad/src/verbenad/response_writer.py
+++ b/packages/verbenad/src/verbenad/response_writer.py
@@ -1,5 +1,6 @@
 """Writes one response to a caller."""
 
+import math
 import time
 from collections.abc import Callable, Iterable
 from enum import Enum
@@ -60,6 +61,7 @@
         "_remaining_bytes",
         "_slot",
         "_status",
+        "_time_left_s",
         "_timeout_s",
         "_method",
         "_min_bytes_per_s",
@@ -89,6 +91,7 @@
         self._status = ""
         self._headers: list[tuple[str, str]] = []
         self._remaining_bytes = 0
+        self._time_left_s: Callable[[], float] | None = None
         self.framing = Framing.NONE
         self.close = False
         self.head_sent = False
@@ -127,6 +130,9 @@
     def write_result(self, result: Iterable[bytes]) -> None:
         """Send the pieces of a WSGI result and finish.
 
+        A result may have a method ``time_left_s``. It returns the time within
+        which the next piece must be sent, whatever the caller's rate is.
+
         :raises ResponseError: if the body does not match its stated length.
         """
         if isinstance(result, list | tuple) and not self.head_sent:
@@ -135,6 +141,7 @@
             self._send(head + self._frame(body) + self._end())
             self.finished = True
             return
+        self._time_left_s = getattr(result, "time_left_s", None)
         for piece in result:
             self.write(piece)
         self.finish()
@@ -155,8 +162,23 @@
         self.write_result([body])
 
     def _send(self, data: bytes) -> None:
-        if data:
-            self._slot.send_all(data, self._timeout_s, self._min_bytes_per_s)
+        if not data:
+            return
+        # The limits count from the turn of this response.
+        self._slot.wait_for_turn()
+        self._slot.send_all(data, *self._send_limits(len(data)))
+
+    def _send_limits(self, size_bytes: int) -> tuple[float, int | None]:
+        """Return the timeout and the minimum rate of a write."""
+        timeout_s, min_bytes_per_s = self._timeout_s, self._min_bytes_per_s
+        if self._time_left_s is None:
+            return timeout_s, min_bytes_per_s
+        left_s = self._time_left_s()
+        if left_s <= timeout_s:
+            # Without a rate, the timeout applies to all bytes.
+            return left_s, None
+        rate = math.ceil(size_bytes / (left_s - timeout_s))
+        return timeout_s, max(min_bytes_per_s, rate)
 
     def _build_head(self, body_bytes: int | None) -> bytes:
         if not self._status:
--- a/packages/verbenad/src/verbenad/steering/buffered_response.py
+++ b/packages/verbenad/src/verbenad/steering/buffered_response.py
@@ -83,5 +83,8 @@
         while piece := self._response.body.read_some():
             yield piece
 
+    def time_left_s(self) -> float:
+        return self._response.body.time_left_s()
+
     def close(self) -> None:
         self._response.body.close()
--- a/packages/verbenad/src/verbenad/steering/notifying_stream.py
+++ b/packages/verbenad/src/verbenad/steering/notifying_stream.py
@@ -1,5 +1,6 @@
 """A stream that tells when it ends."""
 
+import math
 from collections.abc import Callable, Iterable, Iterator
 
 
@@ -15,6 +16,11 @@
     def __iter__(self) -> Iterator[bytes]:
         return iter(self._pieces)
 
+    def time_left_s(self) -> float:
+        """Return the time left to pass the body on."""
+        time_left_s = getattr(self._pieces, "time_left_s", None)
+        return math.inf if time_left_s is None else time_left_s()
+
     def close(self) -> None:
         """End the stream."""
         close = getattr(self._pieces, "close", None)
--- a/packages/verbenad/src/verbenad/upstream_response.py
+++ b/packages/verbenad/src/verbenad/upstream_response.py
@@ -99,6 +99,12 @@
         """Set the time by which the body must be read completely."""
         self._deadline_s = deadline_s
 
+    def time_left_s(self) -> float:
+        """Return the time left to read the body; infinite once it is read."""
+        if self._on_end is None:
+            return math.inf
+        return self._deadline_s - self._now_s()
+
     def drain(self, *, limit_bytes: int, timeout_s: float) -> bool:
         """Read and discard the rest, so that the connection can be reused.
 
