Count at least what a usage checkpoint leaves after a restart

Cause: restarted instances were assumed to have accepted an even share of what the usage checkpoint counts. They may have accepted more, so that a limit was exceeded after repeated restarts. Change: for one window after a restart, the use is at least what is left of the whole checkpoint and what is known to have been accepted since. The test runs 16 seeds instead of 3, and one that still fails.

--- a/packages/verbenaworks/src/verbenaworks/steering/rate_ledger.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/rate_ledger.py
@@ -13,6 +13,7 @@
     """What is known of one incarnation of an instance.
 
     :ivar total: its accepted requests, as reported or as granted.
+    :ivar first_total: the same when this instance first heard of it.
     :ivar follows_known: whether the ledger holds the use of the previous
         incarnation, so that the reported debt is not counted.
     :ivar reported_count: its requests in the window when it last reported.
@@ -20,6 +21,7 @@
 
     incarnation: int
     total: int
+    first_total: int
     window: UsageWindow
     follows_known: bool
     demand_per_s: float = 0.0
@@ -64,6 +66,7 @@
             account = self._accounts[instance] = _Account(
                 incarnation=incarnation,
                 total=total,
+                first_total=total,
                 window=UsageWindow(self.window_s),
                 follows_known=instance in self._ended,
             )
@@ -162,6 +165,10 @@
             account.window.count(now_s) for account in self._accounts.values()
         )
 
+    def accepted_since_heard(self) -> float:
+        """Return the requests that were accepted since the first reports."""
+        return sum(a.total - a.first_total for a in self._accounts.values())
+
     def ages(self, now_s: float) -> list[tuple[float, float]]:
         """Return the known requests in the window by age."""
         windows = [w for ended in self._ended.values() for w in ended]
--- a/packages/verbenaworks/src/verbenaworks/steering/workspace_rate_limiter.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/workspace_rate_limiter.py
@@ -549,7 +549,26 @@
                 expected = max(even_share, expected)
             known = use.ledger.count_of(now_s, member)
             used += max(0.0, expected - known)
-        return used + self._previous_use(now_s, spec)
+        used += self._previous_use(now_s, spec)
+        return max(used, self._use_since_checkpoint(now_s, spec, use))
+
+    def _use_since_checkpoint(
+        self, now_s: float, spec: WorkspaceSpec, use: _WorkspaceUse
+    ) -> float:
+        """Return the least use of the fleet after a restart; 0 if unknown.
+
+        The instances that were restarted may have accepted more than an even
+        share of what the checkpoint counts.
+        """
+        checkpoint = self._previous_checkpoints.get(spec.name)
+        age_s = now_s - self._restarted_at_s
+        if checkpoint is None or age_s >= self._window_s:
+            return 0.0
+        return (
+            checkpoint.remaining_after(age_s, self._window_s)
+            + use.local.accepted.count(now_s)
+            + use.ledger.accepted_since_heard()
+        )
 
     def _late_members(self, now_s: float) -> list[str]:
         """Return the members whose reports are late or missing."""
--- a/tests/test_workspace_rates.py
+++ b/tests/test_workspace_rates.py
@@ -186,27 +186,13 @@
     assert fleet.max_accepted <= MAX_ACCEPTED
 
 
-@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("seed", [*range(16), 26])
 def test_limit_holds_across_restarts(seed: int) -> None:
-    """Guards against a restarted instance that uses the burst again."""
-    fleet = _Fleet(11, seed)
-    fleet.run(10, {})
-    demand = _even(fleet, 8 * RATE_PER_S)
-    for _ in range(6):
-        fleet.run(1.7, demand)
-        for name in fleet.random.sample(fleet.names, 6):
-            fleet.start(name)
-    fleet.run(8, demand)
-    assert fleet.max_accepted <= MAX_ACCEPTED
+    """Guards against a restarted instance that uses the burst again.
 
-
-def test_limit_holds_across_restarts_of_uneven_instances() -> None:
-    """Guards against an even share assumed of instances with uneven use.
-
-    With this seed the instances that were restarted had accepted more of the
-    limit than their number suggests.
+    The restarted instances may have accepted more than an even share.
     """
-    fleet = _Fleet(11, seed=12)
+    fleet = _Fleet(11, seed)
     fleet.run(10, {})
     demand = _even(fleet, 8 * RATE_PER_S)
     for _ in range(6):
