--- a/packages/verbenad/src/verbenad/steering/steering_settings.py
+++ b/packages/verbenad/src/verbenad/steering/steering_settings.py
@@ -30,6 +30,22 @@
     lookup_ttl_s: float
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SteeringFeatures:
+    """Switches of components, so that each can be measured on and off.
+
+    :param rank_admission: whether a service that is short of capacity admits
+        requests by rank and share.
+    :param learned_capacity: whether the usable slots and the speed of servers
+        are learned.
+    :param machine_speed: whether the speed that servers state is used.
+    """
+
+    rank_admission: bool = True
+    learned_capacity: bool = True
+    machine_speed: bool = True
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class SteeringSettings:
     """Checked settings.
@@ -55,6 +71,7 @@
     link_mbps: float
     max_descriptors: int
     bounds: SteeringBounds
+    features: SteeringFeatures = SteeringFeatures()
 
     def __post_init__(self) -> None:
         """Check the values.
