Admit requests by rank and share while a service is short

Cause: under a sustained overload all requests have the same longest wait, so that the most urgent rank and the callers within their share are refused as often as those who cause the shortage. Change: in a shortage, a request's class scales its longest wait. The class follows from its rank, from whether its workspace is above its max-min share of the fleet's demand, and from whether its rank or workspace was served too seldom. The level of the shortage follows the share of late and refused requests. Services without several ranks or workspaces, and all services without a sustained overload, behave as before. Serving code does not use it yet. The comparison of two server refusals became a method.

--- a/packages/verbenaworks/src/verbenaworks/steering/overload_refusals.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/overload_refusals.py
@@ -1,5 +1,6 @@
 """Refuses requests whose wait would serve nobody."""
 
+from dataclasses import replace
 from random import Random
 
 from verbenaworks.steering.overload_detector import OverloadDetector
@@ -9,6 +10,7 @@
     PlacementRequest,
     RefusalReason,
 )
+from verbenaworks.steering.rank_admission import RankAdmission
 from verbenaworks.steering.server_admission import (
     MIN_RETRY_AFTER_S,
     ServerRefusal,
@@ -23,8 +25,15 @@
 class OverloadRefusals:
     """Waits and overloads of all services as one instance sees them."""
 
-    def __init__(self, *, times: ServiceTimes, random: Random) -> None:
+    def __init__(
+        self,
+        *,
+        times: ServiceTimes,
+        random: Random,
+        rank_admission: RankAdmission,
+    ) -> None:
         self._times = times
+        self._rank_admission = rank_admission
         self._random = random
         self._wait_limits = WaitLimits(times)
         self._overloads: dict[str, OverloadDetector] = {}
@@ -36,6 +45,40 @@
             overload = self._overloads[service] = OverloadDetector()
         return overload
 
+    def classified(
+        self, now_s: float, request: PlacementRequest
+    ) -> PlacementRequest:
+        """Return a new request with its class in a shortage."""
+        admission = self._rank_admission.classify(
+            now_s, request.service, request.rank, request.workspace
+        )
+        return replace(request, admission=admission) if admission else request
+
+    def record_outcome(
+        self,
+        now_s: float,
+        request: PlacementRequest,
+        chosen: Placed | PlacementRefused,
+    ) -> None:
+        """Record whether a new request was admitted."""
+        if isinstance(chosen, PlacementRefused):
+            reason = chosen.reason.name.lower()
+            if chosen.reason is RefusalReason.OVERLOADED and request.admission:
+                reason = request.admission.reason
+            self._rank_admission.on_refusal(
+                request.service, request.rank, reason
+            )
+        self._rank_admission.record(
+            now_s,
+            request.service,
+            request.rank,
+            request.workspace,
+            is_admitted=isinstance(chosen, Placed),
+            is_late=isinstance(chosen, Placed)
+            and self.is_late(request, chosen),
+            is_sustained=self.overload(request.service).is_sustained,
+        )
+
     def is_late(self, request: PlacementRequest, best: Placed) -> bool:
         """Whether a response would miss the latency objective."""
         return best.wait_s > self._wait_limits.max_wait_s(request)
@@ -56,12 +99,7 @@
             best.wait_s > 0
             and best.wait_s + service_time_s > request.time_left_s
         )
-        is_excess = self.overload(
-            request.service
-        ).is_sustained and best.wait_s > self._wait_limits.strict_max_wait_s(
-            request, best.server
-        )
-        if not misses_deadline and not is_excess:
+        if not misses_deadline and not self._is_excess(request, best):
             return None
         over_s = best.wait_s - self._wait_limits.max_wait_s(request)
         return PlacementRefused(
@@ -69,8 +107,32 @@
             retry_after_s=max(MIN_RETRY_AFTER_S, over_s)
             * self._random.uniform(1.0, 2.0),
             predicted_s=best.predicted_s,
+            detail=self._describe(request, best),
+        )
+
+    def _describe(self, request: PlacementRequest, best: Placed) -> str:
+        if request.admission is None:
+            return ""
+        return (
+            f"{request.admission.describe()}, wait {best.wait_s * 1000:.0f} ms"
+            f" of {self._max_wait_s(request, best) * 1000:.0f}"
         )
 
+    def _max_wait_s(self, request: PlacementRequest, best: Placed) -> float:
+        """Return the longest wait of the request's class."""
+        strict_s = self._wait_limits.strict_max_wait_s(request, best.server)
+        if request.admission is None:
+            return strict_s
+        usual_s = self._wait_limits.max_wait_s(request)
+        return request.admission.max_wait_s(usual_s, strict_s)
+
+    def _is_excess(self, request: PlacementRequest, best: Placed) -> bool:
+        """Whether the wait is too long for the request's class."""
+        is_short = request.admission is not None
+        if not is_short and not self.overload(request.service).is_sustained:
+            return False
+        return best.wait_s > self._max_wait_s(request, best)
+
     def no_server(self, refusal: ServerRefusal) -> PlacementRefused:
         """Return a refusal because no server can take the request.
 
--- a/packages/verbenaworks/src/verbenaworks/steering/placement.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/placement.py
@@ -29,6 +29,7 @@
     PlacementRequest,
     RefusalReason,
 )
+from verbenaworks.steering.rank_admission import RankAdmission
 from verbenaworks.steering.region_demand import RegionDemand
 from verbenaworks.steering.region_requests import RegionRequests
 from verbenaworks.steering.region_splits import RegionSplits, Shares
@@ -57,6 +58,7 @@
 
     :param region: region of this instance.
     :param failure_domain: failure domain of this instance.
+    :ivar rank_admission: classes of requests in a shortage.
     """
 
     def __init__(
@@ -70,7 +72,9 @@
         limits: ServerLimits,
         pauses: ServerPauses,
         random: Random,
+        rank_admission: RankAdmission | None = None,
     ) -> None:
+        self.rank_admission = rank_admission or RankAdmission()
         self._table = table
         self._predictor = ResponsePredictor(
             region=region,
@@ -80,7 +84,9 @@
         )
         self._limits = limits
         self._pauses = pauses
-        self._refusals = OverloadRefusals(times=times, random=random)
+        self._refusals = OverloadRefusals(
+            times=times, random=random, rank_admission=self.rank_admission
+        )
         self._costs = PlacementCost(
             region=region,
             failure_domain=failure_domain,
@@ -141,8 +147,10 @@
             handle during its cold start.
         """
         self._introductions.record_request(now_s)
-        if not request.tried_servers:
+        is_new = not request.tried_servers
+        if is_new:
             self._overflow.record_request(now_s)
+            request = self._refusals.classified(now_s, request)
         regions = self._candidates.regions(now_s, request)
         chosen = self._introduce(
             now_s, request, regions, cold_requests_per_s
@@ -151,6 +159,8 @@
             self._admission.record_request(
                 now_s, chosen.server, cold_requests_per_s
             )
+        if is_new:
+            self._refusals.record_outcome(now_s, request, chosen)
         return chosen
 
     def refuse_service(
@@ -164,7 +174,7 @@
         first = _NO_SERVER
         if None not in refusals:
             for refusal in filter(None, refusals):
-                first = _sooner(first, refusal)
+                first = first.sooner(refusal)
         return self._refusals.no_server(first)
 
     def _is_restricted(self, now_s: float, server: BackendServer) -> bool:
@@ -228,7 +238,7 @@
             best, reason = self._best_in(
                 now_s, request, region, cold_requests_per_s
             )
-            refusal = _sooner(refusal, reason)
+            refusal = refusal.sooner(reason)
         if best is None:
             best, reason = self._best_of(
                 now_s,
@@ -236,7 +246,7 @@
                 self._candidates.that_are_down(request),
                 cold_requests_per_s,
             )
-            refusal = _sooner(refusal, reason)
+            refusal = refusal.sooner(reason)
         if best is None:
             return self._refusals.no_server(refusal)
         if best.server.region != regions[0] and self._is_busy(
@@ -316,7 +326,7 @@
                 now_s, server, cold_requests_per_s
             )
             if refusal is not None:
-                first_refusal = _sooner(first_refusal, refusal)
+                first_refusal = first_refusal.sooner(refusal)
                 if rank == 0 and refusal.reason in _LASTING_REASONS:
                     restricted_home = server
                 continue
@@ -486,12 +496,3 @@
         for server_id, load in list(self._predictor.loads.items()):
             if server_id not in existing_ids and not load.in_flight:
                 del self._predictor.loads[server_id]
-
-
-def _sooner(first: ServerRefusal, second: ServerRefusal) -> ServerRefusal:
-    """Return the refusal that ends first; having no server is none."""
-    if first.reason is RefusalReason.NO_SERVER:
-        return second
-    if second.reason is RefusalReason.NO_SERVER:
-        return first
-    return min(first, second, key=lambda refusal: refusal.retry_after_s)
--- a/packages/verbenaworks/src/verbenaworks/steering/placement_result.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/placement_result.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from enum import Enum, StrEnum, auto
 
+from verbenaworks.steering.admission_class import AdmissionClass
 from verbenaworks.steering.backend_server import BackendServer
 from verbenaworks.steering.route import Route
 
@@ -46,6 +47,10 @@
     :param tried_servers: servers that this request was sent to already.
     :param full_servers: those of them that were too busy to run it.
     :param body_bytes: size of its body, as far as it is known.
+    :param rank: rank in a shortage; 0 is the most urgent.
+    :param workspace: workspace that sent it; empty if it has no key.
+    :param is_returning: whether it was refused before and is sent again.
+    :param admission: its class in a shortage, which the placement sets.
     """
 
     route: Route
@@ -56,6 +61,10 @@
     tried_servers: frozenset[str] = frozenset()
     full_servers: frozenset[str] = frozenset()
     body_bytes: int = 0
+    rank: int = 0
+    workspace: str = ""
+    is_returning: bool = False
+    admission: AdmissionClass | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -92,8 +101,17 @@
     """No server was chosen.
 
     :ivar retry_after_s: pause after which a retry may succeed.
+    :ivar detail: class and limit behind the refusal, for the log.
     """
 
     reason: RefusalReason
     retry_after_s: float
     predicted_s: float | None = None
+    detail: str = ""
+
+    def describe(self) -> str:
+        """Return the figures behind the refusal for the log."""
+        text = (
+            f"{self.reason.name.lower()}, next in {self.retry_after_s:.2f} s"
+        )
+        return f"{text}; {self.detail}" if self.detail else text
--- a/tools/steering_model.py
+++ b/tools/steering_model.py
@@ -12,7 +12,7 @@
 import heapq
 import itertools
 from collections import Counter, OrderedDict, defaultdict, deque
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from dataclasses import dataclass, field, replace
 from random import Random
 
@@ -21,6 +21,7 @@
     ModelResult,
     ModelRun,
     ModelSize,
+    ModelTraffic,
 )
 from verbenaworks.steering.backend_server import BackendServer
 from verbenaworks.steering.cold_start_limiter import ColdStartLimiter
@@ -30,6 +31,7 @@
     PlacementRefused,
     PlacementRequest,
 )
+from verbenaworks.steering.rank_admission import RankAdmission
 from verbenaworks.steering.region_requests import RegionRequests
 from verbenaworks.steering.region_splits import Shares
 from verbenaworks.steering.route import RequestKind, Route, RouteDestination
@@ -114,6 +116,8 @@
     # The shares that it uses, as of its last report.
     shares: Shares = field(default_factory=dict)
     reported_at_s: float = float("-inf")
+    # Its arrivals in its last report, by service and workspace.
+    demand: dict[int, dict[int, int]] = field(default_factory=dict)
 
 
 @dataclass(kw_only=True, slots=True)
@@ -136,22 +140,33 @@
     :param slow_server: whether one server takes five times as long.
     :param baseline: whether to use the baseline instead of placement.
     :param heeds_pauses: whether instances keep the pauses of servers.
+    :param traffic: requests of several ranks and workspaces instead of
+        ``per_s``.
+    :param rank_admission: whether they are admitted by rank and share.
+    :param counted_from_s: when counting by rank and workspace starts.
     """
 
     def __init__(
         self,
         *,
-        per_s: Callable[[float], float],
+        per_s: Callable[[float], float] | None = None,
         share_of: Callable[[str, float], float] | None = None,
         size: ModelSize | None = None,
         seed: int = 1,
         baseline: bool = False,
         slow_server: bool = False,
         heeds_pauses: bool = True,
+        traffic: Sequence[ModelTraffic] = (),
+        rank_admission: bool = True,
+        counted_from_s: float = 0.0,
     ) -> None:
         self.size = size or ModelSize()
         self.result = ModelResult()
-        self._per_s = per_s
+        self._traffic = tuple(traffic)
+        if per_s is not None:
+            self._traffic = (ModelTraffic(per_s=per_s),)
+        self._rank_admission = rank_admission
+        self._counted_from_s = counted_from_s
         self._share_of = share_of or (lambda region, at_s: 1.0)
         self._baseline = baseline
         self._heeds_pauses = heeds_pauses
@@ -237,6 +252,7 @@
             number, instance.region, instance.pauses
         )
         instance.report = {}
+        instance.demand = {}
 
     def set_cut_off(self, number: int, is_cut_off: bool) -> None:
         """Cut the reports to and from an instance, or restore them."""
@@ -270,6 +286,9 @@
         self, number: int, region: str, pauses: ServerPauses
     ) -> Placement:
         senders = ServerSenders(f"i{number}", region)
+        rank_admission = RankAdmission()
+        if self._rank_admission and len(self._traffic) > 1:
+            rank_admission.set_services([SERVICE])
         return Placement(
             region=region,
             failure_domain=f"{region}-a",
@@ -279,13 +298,15 @@
             limits=ServerLimits(senders=senders),
             pauses=pauses,
             random=Random(self._random.randrange(2**32)),
+            rank_admission=rank_admission,
         )
 
     def _schedule(self, at_s: float, event: Callable[[], None]) -> None:
         heapq.heappush(self._events, (at_s, next(self._event_numbers), event))
 
     def _handle_arrival(self) -> None:
-        per_s = self._per_s(self._now_s)
+        rates = [traffic.per_s(self._now_s) for traffic in self._traffic]
+        per_s = sum(rates)
         if per_s <= 0:
             self._schedule(
                 self._now_s + IDLE_CHECK_PERIOD_S, self._handle_arrival
@@ -297,13 +318,19 @@
         affinity_key = str(self._random.randrange(self.size.affinity_keys))
         instance = self._entry_instance()
         self.result.requests += 1
+        traffic = self._traffic[0]
+        if len(rates) > 1:
+            traffic = self._random.choices(self._traffic, rates)[0]
         placement_request = PlacementRequest(
             route=ROUTE,
             service=SERVICE,
             affinity_key=affinity_key,
             time_left_s=ROUTE.timeout_s,
             home_regions=NO_HOME_REGIONS,
+            rank=traffic.rank,
+            workspace=traffic.workspace,
         )
+        self._count(placement_request, "requests")
         self._place(instance, placement_request)
 
     def _place(
@@ -311,7 +338,7 @@
     ) -> None:
         placed = self._choose(instance.placement, placement_request)
         if isinstance(placed, PlacementRefused):
-            self.result.refused += 1
+            self._record_refusal(placement_request)
             return
         server = self._servers[placed.server.server_id]
         if self._now_s < server.paused_until_s:
@@ -346,7 +373,7 @@
         instance.placement.load_of(server.server).record_failure(self._now_s)
         tried = placement_request.tried_servers | {server.server.server_id}
         if len(tried) >= ROUTE.max_attempts:
-            self.result.refused += 1
+            self._record_refusal(placement_request)
             return
         self._place(instance, replace(placement_request, tried_servers=tried))
 
@@ -370,7 +397,24 @@
             request.placement.load_of(server.server).record_refusal(
                 self._now_s
             )
-            self.result.refused += 1
+            self._record_refusal(request.placement_request)
+
+    def _record_refusal(self, placement_request: PlacementRequest) -> None:
+        self.result.refused += 1
+        self._count(placement_request, "refused")
+
+    def _count(
+        self,
+        request: PlacementRequest,
+        outcome: str,
+        arrived_s: float | None = None,
+    ) -> None:
+        """Count a request by its class, unless it arrived too early."""
+        at_s = self._now_s if arrived_s is None else arrived_s
+        if at_s < self._counted_from_s:
+            return
+        key = (request.rank, request.workspace)
+        self.result.by_class[key][outcome] += 1
 
     def _choose(
         self, placement: Placement, placement_request: PlacementRequest
@@ -432,6 +476,7 @@
             )
         if response_time_s <= ROUTE.latency_objective_s:
             self.result.useful += 1
+            self._count(request.placement_request, "useful", request.arrived_s)
             self.result.useful_at_s.append(self._now_s)
         elif response_time_s < ROUTE.timeout_s:
             self.result.late += 1
@@ -457,6 +502,9 @@
             instance.report = instance.placement.in_flight()
             instance.shares = instance.placement.region_shares()
             instance.reported_at_s = self._now_s
+            instance.demand = (
+                instance.placement.rank_admission.reported_demand(self._now_s)
+            )
         peers = [i for i in self._instances if i is not instance]
         if instance.is_cut_off:
             peers = []
@@ -469,6 +517,13 @@
             by_region[peer.region].update(peer.report)
         placement = instance.placement
         placement.set_peer_requests(self._now_s, totals)
+        for peer in peers:
+            placement.rank_admission.demand.record(
+                peer.reported_at_s,
+                str(id(peer)),
+                peer.demand,
+                REPORT_VALID_S,
+            )
         by_region[instance.region].update(placement.in_flight())
         placement.set_peer_shares(
             [i.shares for i in peers if i.region == instance.region]
--- a/tools/steering_model_types.py
+++ b/tools/steering_model_types.py
@@ -1,6 +1,7 @@
 """Sizes and results of the replay of load patterns."""
 
-from collections import Counter
+from collections import Counter, defaultdict
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 CACHED_SERVICE_TIME_S = 0.2
@@ -40,6 +41,18 @@
         return servers * self.slots / CACHED_SERVICE_TIME_S
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ModelTraffic:
+    """Requests of one rank and workspace.
+
+    :param per_s: returns the requests per second at a given time.
+    """
+
+    per_s: Callable[[float], float]
+    rank: int = 0
+    workspace: str = ""
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ModelRun:
     """One request that ran.
@@ -65,6 +78,7 @@
     :ivar sent_in_pauses: requests sent to servers that wanted a pause.
     :ivar useful_at_s: end times of the useful requests.
     :ivar runs: requests that ran, in the order of their ends.
+    :ivar by_class: counts by outcome, by rank and workspace.
     """
 
     requests: int = 0
@@ -75,12 +89,25 @@
     sent_in_pauses: int = 0
     useful_at_s: list[float] = field(default_factory=list)
     runs: list[ModelRun] = field(default_factory=list)
+    by_class: dict[tuple[int, str], Counter[str]] = field(
+        default_factory=lambda: defaultdict(Counter)
+    )
 
     @property
     def useful_share(self) -> float:
         """Share of requests answered within the latency objective."""
         return self.useful / max(1, self.requests)
 
+    def useful_share_of(
+        self, rank: int | None = None, workspace: str | None = None
+    ) -> float:
+        """Return the useful share of the requests of a rank or workspace."""
+        total: Counter[str] = Counter()
+        for key, counts in self.by_class.items():
+            if rank in (None, key[0]) and workspace in (None, key[1]):
+                total.update(counts)
+        return total["useful"] / max(1, total["requests"])
+
     def useful_per_s(self, from_s: float, to_s: float) -> float:
         """Return the rate of useful responses between two times."""
         count = sum(from_s <= at_s < to_s for at_s in self.useful_at_s)
