Use ranks and shares for callers' requests, and show them

Cause: the serving code passed neither rank nor workspace to the choice of a server. Change: the gateway derives the rank (the workspace's, otherwise the route's), reports carry the demand for services that are short, and the switch rank_admission, which a reload applies, decides whether classes are used. The detail of a refusal names class, share, limit and age of reports; new metrics count refusals by service, rank and reason and show the shortage and the largest share. The filter for servers that a report names moved to report_summary.

--- a/packages/verbenad/src/verbenad/steering/admitted_request.py
+++ b/packages/verbenad/src/verbenad/steering/admitted_request.py
@@ -18,6 +18,7 @@
         no key.
     :ivar deadline_s: time at which the caller stops waiting or the route's
         timeout ends.
+    :ivar rank: rank of the workspace, or of the route; 0 is the most urgent.
     :ivar digest: identifies the request if it is sent again.
     """
 
@@ -34,3 +35,4 @@
     deadline_s: float
     digest: str
     config_version: int
+    rank: int
--- a/packages/verbenad/src/verbenad/steering/peer_exchange.py
+++ b/packages/verbenad/src/verbenad/steering/peer_exchange.py
@@ -1,7 +1,7 @@
 """Exchanges load reports and heartbeats between instances, in datagrams."""
 
 import socket
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Iterable
 
 import eventlet
 import logbook
@@ -24,6 +24,7 @@
     pack_counts,
     pack_shares,
     requests_by_region,
+    servers_of,
     total_in_flight,
 )
 from verbenaworks.steering.server_limits import ServerLimits
@@ -155,6 +156,10 @@
         """Time in seconds between two reports to any other peer."""
         return REMOTE_REPORT_INTERVAL * self.report_period_s
 
+    @property
+    def _valid_s(self) -> float:
+        return REPORT_VALID_PERIODS * self.remote_report_period_s
+
     @property
     def is_active(self) -> bool:
         """Whether this instance takes part in the exchange of reports."""
@@ -325,6 +330,7 @@
         self, changed_since_s: float = float("-inf")
     ) -> PeerReport:
         now_s = self._now_s()
+        leaving = self._table.leaving_since(now_s - REPORT_LEAVING_S)
         return PeerReport(
             beat=self._make_heartbeat(),
             in_flight=pack_counts(self._placement.in_flight()),
@@ -338,12 +344,8 @@
                 else pack_shares(self._placement.region_shares())
             ),
             limits=self._limits.packed(now_s, self._table.servers),
-            leaving=tuple(
-                incarnation_hash(server)
-                for server in self._table.leaving_since(
-                    now_s - REPORT_LEAVING_S
-                )
-            ),
+            leaving=tuple(map(incarnation_hash, leaving)),
+            demand=self._placement.rank_admission.reported_demand(now_s),
         )
 
     def _unreachable_peers(self, now_s: float) -> tuple[str, ...]:
@@ -354,7 +356,7 @@
 
     def _unheard_peers(self, now_s: float) -> tuple[str, ...]:
         """Return the serving peers without a recent report."""
-        oldest_s = now_s - REPORT_VALID_PERIODS * self.remote_report_period_s
+        oldest_s = now_s - self._valid_s
         return tuple(
             peer.name
             for peer in self.peers.report_recipients
@@ -399,7 +401,13 @@
                         self._limits.record_peer(
                             now_s, message.limits, self._table.servers
                         )
-                        self._record_leaving(now_s, message.leaving)
+                        for server in servers_of(
+                            message.leaving, self._table.servers
+                        ):
+                            self._table.record_leaving(now_s, server)
+                    self._placement.rank_admission.demand.record(
+                        now_s, beat.name, message.demand, self._valid_s
+                    )
                     self._rate_limiter.record_report(
                         now_s, beat.name, beat.incarnation, message.usage
                     )
@@ -413,13 +421,6 @@
             case RateAnswer():
                 self.admission.handle_reply(message)
 
-    def _record_leaving(self, now_s: float, hashes: Collection[int]) -> None:
-        if not hashes:
-            return
-        for server in self._table.servers:
-            if incarnation_hash(server) in hashes:
-                self._table.record_leaving(now_s, server)
-
     def _handle_heartbeat(
         self, beat: PeerBeat, missing: Iterable[str]
     ) -> bool:
@@ -464,8 +465,9 @@
     def _apply_reports(self) -> None:
         """Apply the recent reports to the server loads and the rates."""
         now_s = self._now_s()
-        oldest_s = now_s - REPORT_VALID_PERIODS * self.remote_report_period_s
+        oldest_s = now_s - self._valid_s
         names = set(self._directory.names)
+        self._placement.rank_admission.demand.set_instances(names)
         for name in [n for n in self._last_received_numbers if n not in names]:
             del self._last_received_numbers[name]
         for name in [n for n in self._reports if n not in names]:
--- a/packages/verbenad/src/verbenad/steering/request_runner.py
+++ b/packages/verbenad/src/verbenad/steering/request_runner.py
@@ -188,6 +188,8 @@
             tried_servers=progress.tried_servers,
             full_servers=progress.full_servers,
             body_bytes=len(request.body.prefix),
+            rank=request.rank,
+            workspace=request.workspace,
         )
 
     def _run_attempt(
@@ -487,10 +489,5 @@
             request.request_id,
             run=run,
             retry_after_s=retry_after_s,
-            detail=(
-                f"{refused.reason.name.lower()}, next in"
-                f" {refused.retry_after_s:.2f} s"
-                if refused
-                else ""
-            ),
+            detail=refused.describe() if refused else "",
         )
--- a/packages/verbenad/src/verbenad/steering/steering_daemon.py
+++ b/packages/verbenad/src/verbenad/steering/steering_daemon.py
@@ -15,6 +15,7 @@
 from verbenad.line_writer import LineWriter
 from verbenad.loop_timers import LoopTimers
 from verbenad.metrics import Metrics
+from verbenad.steering.admission_metrics import declare_admission_metrics
 from verbenad.steering.caller_http_limits import caller_http_limits
 from verbenad.steering.caller_lookup import CallerLookup
 from verbenad.steering.config_exchange import ConfigExchange
@@ -45,6 +46,7 @@
 from verbenad.steering.update_reader import UpdateReader
 from verbenaworks.steering.bound_rates import bound_parts
 from verbenaworks.steering.cold_start_limiter import ColdStartLimiter
+from verbenaworks.steering.competing_services import competing_services
 from verbenaworks.steering.config_freshness import ConfigFreshness
 from verbenaworks.steering.fleet_retry_budget import FleetRetryBudget
 from verbenaworks.steering.instance_directory import InstanceDirectory
@@ -149,6 +151,8 @@
             slack=settings.bounds.retry_slack,
             window_s=settings.bounds.retry_window_s,
         )
+        if self._state.config is not None:
+            self._set_rank_admission(self._state.config)
         self._log.info("settings reloaded")
 
     def shut_down(self) -> bool:
@@ -381,6 +385,9 @@
 
     def _build_endpoints(self) -> None:
         settings = self._settings
+        declare_admission_metrics(
+            self._metrics, self._placement.rank_admission
+        )
         declare_gauges(
             self._metrics,
             config=lambda: self._state.config,
@@ -432,10 +439,17 @@
         self._placement.set_bound_parts(
             bound_parts(config.workspaces.values())
         )
+        self._set_rank_admission(config)
         self._caller_http_server.limits = caller_http_limits(
             config, self._settings.max_descriptors
         )
 
+    def _set_rank_admission(self, config: SteeringConfig) -> None:
+        services: frozenset[str] = frozenset()
+        if self._settings.features.rank_admission:
+            services = competing_services(config)
+        self._placement.rank_admission.set_services(services)
+
     def _on_registrations(self) -> None:
         self._peer_exchange.set_registered(self._directory.peers)
         self._update_reader.set_instances(self._directory.peers)
--- a/packages/verbenad/src/verbenad/steering/steering_gateway.py
+++ b/packages/verbenad/src/verbenad/steering/steering_gateway.py
@@ -28,6 +28,7 @@
 from verbenad.steering.request_trace import RequestTrace
 from verbenad.steering.shutdown_plan import ShutdownPlan
 from verbenad.steering.steering_state import SteeringState
+from verbenaworks.steering.competing_services import effective_rank
 from verbenaworks.steering.route import Route
 from verbenaworks.steering.steering_config import SteeringConfig
 from verbenaworks.steering.workspace_rate_limiter import WorkspaceRateLimiter
@@ -244,6 +245,7 @@
             deadline_s=trace.deadline_s,
             digest=_request_digest(head, trace.workspace, body),
             config_version=config.version,
+            rank=effective_rank(route, workspace),
         )
 
     def _run(
--- a/packages/verbenaworks/src/verbenaworks/steering/peer_report.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/peer_report.py
@@ -45,6 +45,9 @@
         milliseconds, by a short hash of the server's incarnation.
     :ivar leaving: short hashes of the incarnations that have said lately that
         they are leaving.
+    :ivar demand: arrivals per second in hundredths, by short hashes of the
+        service and of the workspace; only for services that are short of
+        capacity or were lately.
     """
 
     beat: PeerBeat
@@ -56,3 +59,4 @@
     shares: dict[int, dict[int, int]] = {}
     limits: dict[int, tuple[int, int]] = {}
     leaving: tuple[int, ...] = ()
+    demand: dict[int, dict[int, int]] = {}
--- a/packages/verbenaworks/src/verbenaworks/steering/report_summary.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/report_summary.py
@@ -2,7 +2,7 @@
 
 import zlib
 from collections import Counter
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 
 from verbenaworks.steering.backend_server import BackendServer
 from verbenaworks.steering.peer_report import PeerReport
@@ -107,6 +107,13 @@
     return short_hash(f"{server.server_id}/{server.started_at_ms}")
 
 
+def servers_of(
+    hashes: Collection[int], servers: Iterable[BackendServer]
+) -> list[BackendServer]:
+    """Return the servers whose incarnations a report names."""
+    return [s for s in servers if hashes and incarnation_hash(s) in hashes]
+
+
 def _add(
     counts: Counter[str],
     by_hash: Mapping[int, int],
--- a/tests/test_rank_admission.py
+++ b/tests/test_rank_admission.py
@@ -17,7 +17,12 @@
 from steering_factories import route, workspace
 from steering_model import SERVICE, SteeringModel, constant
 from steering_model_types import ModelResult, ModelTraffic
-from verbenaworks.steering.competing_services import competing_services
+from verbenad.metrics import Metrics
+from verbenad.steering.admission_metrics import declare_admission_metrics
+from verbenaworks.steering.competing_services import (
+    competing_services,
+    effective_rank,
+)
 from verbenaworks.steering.decaying_count import DecayingCount
 from verbenaworks.steering.fleet_demand import FleetDemand
 from verbenaworks.steering.rank_admission import RankAdmission
@@ -154,6 +159,26 @@
         assert competing_services(config) == {SERVICE}
 
 
+def test_rank_of_the_workspace_takes_precedence() -> None:
+    """Guards against the rank of the route for a workspace with its own."""
+    assert effective_rank(route(priority=2), None) == 2
+    assert effective_rank(route(priority=2), workspace("a")) == 2
+    assert effective_rank(route(priority=2), workspace("a", priority=0)) == 0
+
+
+def test_refusals_and_shares_are_shown() -> None:
+    """Guards against refusals whose reason an operator cannot see."""
+    metrics = Metrics()
+    admission = RankAdmission()
+    admission.set_services([SERVICE])
+    declare_admission_metrics(metrics, admission)
+    admission.on_refusal(SERVICE, 2, "share")
+    page = metrics.render().decode()
+    labels = f'{{rank="2",reason="share",service="{SERVICE}"}}'
+    assert f"verbenad_placement_refusals_total{labels} 1" in page
+    assert f'verbenad_shortage_level{{service="{SERVICE}"}} 0' in page
+
+
 def test_share_follows_the_demand_of_the_fleet() -> None:
     """Guards against shares from what this instance alone sees."""
     shares = WorkspaceShares()
--- a/tests/test_report_summary.py
+++ b/tests/test_report_summary.py
@@ -69,3 +69,4 @@
     old = msgspec.msgpack.encode([name, fields[:5]])
     assert decode(old).in_flight == pack_counts({"a": 2})
     assert decode(old).shares == {}
+    assert decode(old).demand == {}
