--- a/packages/verbenaworks/src/verbenaworks/steering/placement.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/placement.py
@@ -30,6 +30,7 @@
     PlacementRequest,
     RefusalReason,
 )
+from verbenaworks.steering.rank_admission import RankAdmission
 from verbenaworks.steering.region_demand import RegionDemand
 from verbenaworks.steering.region_requests import RegionRequests
 from verbenaworks.steering.region_splits import RegionSplits, Shares
@@ -59,6 +60,7 @@
     :param region: region of this instance.
     :param failure_domain: failure domain of this instance.
     :param machine_speed: whether to use the speed that servers state.
+    :ivar rank_admission: classes of requests in a shortage.
     """
 
     def __init__(
@@ -73,7 +75,9 @@
         pauses: ServerPauses,
         random: Random,
         machine_speed: bool = True,
+        rank_admission: RankAdmission | None = None,
     ) -> None:
+        self.rank_admission = rank_admission or RankAdmission()
         self._table = table
         self._predictor = ResponsePredictor(
             region=region,
@@ -84,7 +88,9 @@
         )
         self._limits = limits
         self._pauses = pauses
-        self._refusals = OverloadRefusals(times=times, random=random)
+        self._refusals = OverloadRefusals(
+            times=times, random=random, rank_admission=self.rank_admission
+        )
         self._costs = PlacementCost(
             region=region,
             failure_domain=failure_domain,
@@ -145,8 +151,10 @@
             handle during its cold start.
         """
         self._introductions.record_request(now_s)
-        if not request.tried_servers:
+        is_new = not request.tried_servers
+        if is_new:
             self._overflow.record_request(now_s)
+            request = self._refusals.classified(now_s, request)
         regions = self._candidates.regions(now_s, request)
         chosen = self._introduce(
             now_s, request, regions, cold_requests_per_s
@@ -155,6 +163,8 @@
             self._admission.record_request(
                 now_s, chosen.server, cold_requests_per_s
             )
+        if is_new:
+            self._refusals.record_outcome(now_s, request, chosen)
         return chosen
 
     def refuse_service(
