Learn the speed and the usable slots of servers

Cause: servers of one service differ in speed, and some slow down before their slots are full. Instances counted with the configured slots, and knew slow servers only from a moving average that decays within 6 s. Change: each instance learns from responses without a wait how long work takes at a server of its region and above which number of running requests it takes longer, and shares values that are clear and differ from the configured ones in PeerReport.capacity. They replace the configured slots in the expected wait and time and in the slots of a region. Objects whose home is slow for long move to the next server of their order. PeerReport.demand, which precedes the new field on the wire, is declared too and not used yet. Gauges and log lines show servers that differ. Tests of the touched parts, test_whole_path, test_platform_fleet and test_server_notices pass (212).

--- a/packages/verbenad/src/verbenad/steering/peer_exchange.py
+++ b/packages/verbenad/src/verbenad/steering/peer_exchange.py
@@ -325,6 +325,7 @@
         self, changed_since_s: float = float("-inf")
     ) -> PeerReport:
         now_s = self._now_s()
+        is_complete = changed_since_s == float("-inf")
         return PeerReport(
             beat=self._make_heartbeat(),
             in_flight=pack_counts(self._placement.in_flight()),
@@ -332,10 +333,8 @@
             crashes=self._crash_tracker.recent_crashes(),
             missing=self._unreachable_peers(now_s),
             bound=pack_counts(self._placement.bound_requests()),
-            shares=(
-                {}
-                if changed_since_s > float("-inf")
-                else pack_shares(self._placement.region_shares())
+            shares=pack_shares(
+                self._placement.region_shares() if is_complete else {}
             ),
             limits=self._limits.packed(now_s, self._table.servers),
             leaving=tuple(
@@ -344,6 +343,9 @@
                     now_s - REPORT_LEAVING_S
                 )
             ),
+            capacity=self._placement.capacities.packed(
+                now_s, self._table.servers if is_complete else ()
+            ),
         )
 
     def _unreachable_peers(self, now_s: float) -> tuple[str, ...]:
@@ -400,6 +402,7 @@
                             now_s, message.limits, self._table.servers
                         )
                         self._record_leaving(now_s, message.leaving)
+                        self._placement.capacities.record(now_s, message)
                     self._rate_limiter.record_report(
                         now_s, beat.name, beat.incarnation, message.usage
                     )
--- a/packages/verbenad/src/verbenad/steering/steering_daemon.py
+++ b/packages/verbenad/src/verbenad/steering/steering_daemon.py
@@ -23,11 +23,11 @@
 from verbenad.steering.peer_exchange import MIN_REPORT_PERIOD_S, PeerExchange
 from verbenad.steering.peer_traffic import PeerTraffic
 from verbenad.steering.permission_check import PermissionCheck
+from verbenad.steering.placement_log import PlacementLog
 from verbenad.steering.platform_client import PlatformClient
 from verbenad.steering.platform_endpoints import PlatformEndpoints
 from verbenad.steering.platform_names import PlatformNames
 from verbenad.steering.platform_sync import PlatformSync
-from verbenad.steering.region_share_log import RegionShareLog
 from verbenad.steering.relay_server import RelayServer
 from verbenad.steering.request_log import RequestLog
 from verbenad.steering.request_runner import RequestRunner
@@ -121,7 +121,7 @@
         every(POOL_CLEANUP_PERIOD_S, self._clean_up)
         every(LOG_FLUSH_PERIOD_S, self._line_writer.flush)
         every(CHECKPOINT_PERIOD_S, self._write_due_checkpoints)
-        every(SHARE_LOG_PERIOD_S, self._log_region_shares)
+        every(SHARE_LOG_PERIOD_S, self._placement_log.record)
         self._relay_http_server.start()
         self._platform_sync.start()
         self._peer_exchange.start()
@@ -351,7 +351,12 @@
             cold_requests_per_s=service_limits.cold_requests_per_s,
             now_s=self._now_s,
         )
-        self._region_share_log = RegionShareLog()
+        self._placement_log = PlacementLog(
+            placement=self._placement,
+            table=self._table,
+            metrics=self._metrics,
+            now_s=self._now_s,
+        )
         self._request_log = RequestLog(self._line_writer, self._metrics)
         gateway = SteeringGateway(
             names=self._names.fields,
@@ -464,13 +469,10 @@
 
     def _clean_up(self) -> None:
         self._pool.close_expired()
-        self._placement.forget_removed_servers(self._table.server_ids)
+        self._placement.forget_removed_servers()
         self._server_limits.forget(self._now_s())
         self._server_pauses.forget(self._now_s())
 
-    def _log_region_shares(self) -> None:
-        self._region_share_log.record(self._placement.region_shares())
-
     def _write_due_checkpoints(self) -> None:
         for name, checkpoint in self._rate_limiter.due_checkpoints(
             self._now_s()
--- a/packages/verbenaworks/src/verbenaworks/steering/best_server.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/best_server.py
@@ -2,6 +2,7 @@
 
 from verbenaworks.steering.placement_cost import PlacementCost
 from verbenaworks.steering.placement_result import Placed, PlacementRequest
+from verbenaworks.steering.substitute_home import SubstituteHome
 
 
 class BestServer:
@@ -15,6 +16,7 @@
     ) -> None:
         self._costs = costs
         self._request = request
+        self._substitute = SubstituteHome()
         self.usual: Placed | None = None
         self._usual_cost_s = 0.0
         self._current: Placed | None = None
@@ -23,6 +25,7 @@
     def add(self, placed: Placed) -> None:
         """Compare one more server."""
         cost_s = self._costs.cost_s(self._request, placed)
+        cost_s -= self._substitute.credit_s(placed)
         if self.usual is None or cost_s < self._usual_cost_s:
             self.usual, self._usual_cost_s = placed, cost_s
         cost_s += placed.machine_delay_s
--- a/packages/verbenaworks/src/verbenaworks/steering/peer_report.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/peer_report.py
@@ -45,6 +45,13 @@
         milliseconds, by a short hash of the server's incarnation.
     :ivar leaving: short hashes of the incarnations that have said lately that
         they are leaving.
+    :ivar demand: arrivals per second in hundredths, by short hashes of the
+        service and the workspace; only for services that are short of
+        capacity.
+    :ivar capacity: learned capacity of servers by a short hash of their
+        incarnation: usable slots in tenths, time per request in hundredths of
+        the usual one and the number of samples; only in reports that are
+        complete, and only if it differs from the configured one.
     """
 
     beat: PeerBeat
@@ -56,3 +63,5 @@
     shares: dict[int, dict[int, int]] = {}
     limits: dict[int, tuple[int, int]] = {}
     leaving: tuple[int, ...] = ()
+    demand: dict[int, dict[int, int]] = {}
+    capacity: dict[int, tuple[int, int, int]] = {}
--- a/packages/verbenaworks/src/verbenaworks/steering/placement.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/placement.py
@@ -20,6 +20,7 @@
 from verbenaworks.steering.best_server import BestServer
 from verbenaworks.steering.candidate_servers import CandidateServers
 from verbenaworks.steering.cold_start_limiter import ColdStartLimiter
+from verbenaworks.steering.learned_capacities import LearnedCapacities
 from verbenaworks.steering.overflow_budget import OverflowBudget
 from verbenaworks.steering.overload_refusals import OverloadRefusals
 from verbenaworks.steering.placement_cost import PlacementCost
@@ -58,7 +59,9 @@
 
     :param region: region of this instance.
     :param failure_domain: failure domain of this instance.
+    :param learned_capacity: whether to use learned capacities.
     :param machine_speed: whether to use the speed that servers state.
+    :ivar capacities: learned capacities of the servers.
     """
 
     def __init__(
@@ -72,14 +75,19 @@
         limits: ServerLimits,
         pauses: ServerPauses,
         random: Random,
+        learned_capacity: bool = True,
         machine_speed: bool = True,
     ) -> None:
         self._table = table
+        self.capacities = LearnedCapacities(
+            region=region, is_enabled=learned_capacity
+        )
         self._predictor = ResponsePredictor(
             region=region,
             failure_domain=failure_domain,
             times=times,
             is_restricted=self._is_restricted,
+            capacities=self.capacities,
             machine_speed=machine_speed,
         )
         self._limits = limits
@@ -483,12 +491,7 @@
         """
         return self._splits.settled_shares
 
-    def forget_removed_servers(self, server_ids: Iterable[str]) -> None:
-        """Delete the data about servers that no longer exist.
-
-        :param server_ids: ids of all existing servers.
-        """
-        existing_ids = set(server_ids)
-        for server_id, load in list(self._predictor.loads.items()):
-            if server_id not in existing_ids and not load.in_flight:
-                del self._predictor.loads[server_id]
+    def forget_removed_servers(self) -> None:
+        """Delete the data about servers that no longer exist."""
+        self._predictor.forget_removed(set(self._table.server_ids))
+        self.capacities.forget_removed(self._table.servers)
--- a/packages/verbenaworks/src/verbenaworks/steering/placement_result.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/placement_result.py
@@ -73,6 +73,10 @@
         affinity key.
     :ivar restricted_home: the object's home, if it would be the first choice
         but has a limit or a pause.
+    :ivar time_factor: learned time per request at the server; 1 is usual.
+    :ivar load_cost_s: what more the request is expected to take because the
+        object's data may not be cached.
+    :ivar cold: whether the server was in its cold start.
     :ivar machine_delay_s: expected addition to the predicted time, because
         the server's machine has stated that work takes longer there.
     :ivar machine_speed_age_s: age of that statement; none if it is not used.
@@ -88,6 +92,9 @@
     objects_since: int | None = None
     reason: ChoiceReason = ChoiceReason.PREFERRED
     restricted_home: BackendServer | None = None
+    time_factor: float = 1.0
+    load_cost_s: float = 0.0
+    cold: bool = False
     machine_delay_s: float = 0.0
     machine_speed_age_s: float | None = None
 
--- a/packages/verbenaworks/src/verbenaworks/steering/region_demand.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/region_demand.py
@@ -92,7 +92,7 @@
         """Return the slots of a server that can be used now."""
         if self._predictor.load_of(server).is_down(now_s):
             return 0.0
-        slots = float(server.slots)
+        slots = self._predictor.relative_slots(now_s, server)
         if self._table.cold_left_s(now_s, server.server_id) > 0:
             slots /= COLD_START_SLOWDOWN
         limit_per_s = self._limits.limit_per_s(now_s, server)
--- a/packages/verbenaworks/src/verbenaworks/steering/response_predictor.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/response_predictor.py
@@ -5,6 +5,7 @@
 from verbenaworks.steering.backend_server import BackendServer
 from verbenaworks.steering.cache_capacity import CacheCapacity
 from verbenaworks.steering.candidate_servers import object_key
+from verbenaworks.steering.learned_capacities import LearnedCapacities
 from verbenaworks.steering.placement_result import (
     ChoiceReason,
     Placed,
@@ -23,6 +24,9 @@
 MAX_LEARNING_SLOWDOWN = 1.5
 # Expected cost of a failed request, which must be retried, in service times.
 FAILURE_COST_SERVICE_TIMES = 3.0
+# A load that a server stated with a response is not older than this when the
+# response is recorded.
+STATED_LOAD_AGE_S = 0.05
 
 
 class ResponsePredictor:
@@ -31,6 +35,7 @@
     :param region: region of the instance.
     :param failure_domain: failure domain of the instance.
     :param is_restricted: returns whether a server has a limit or a pause.
+    :param capacities: learned capacities of the servers.
     :param machine_speed: whether to use the speed that servers state.
     :ivar loads: load and health by server id.
     """
@@ -42,12 +47,14 @@
         failure_domain: str,
         times: ServiceTimes,
         is_restricted: Callable[[float, BackendServer], bool],
+        capacities: LearnedCapacities,
         machine_speed: bool = True,
     ) -> None:
         self._region = region
         self._failure_domain = failure_domain
         self._times = times
         self._is_restricted = is_restricted
+        self._capacities = capacities
         self._uses_machine_speed = machine_speed
         self.loads: dict[str, ServerLoad] = {}
         self._cache_capacities: dict[str, CacheCapacity] = {}
@@ -61,6 +68,17 @@
             )
         return load
 
+    def forget_removed(self, existing_ids: set[str]) -> None:
+        """Delete the load of servers that no longer exist."""
+        for server_id, load in list(self.loads.items()):
+            if server_id not in existing_ids and not load.in_flight:
+                del self.loads[server_id]
+
+    def relative_slots(self, now_s: float, server: BackendServer) -> float:
+        """Return how many slots of a usual server it replaces."""
+        capacity = self._capacities.capacity(now_s, server)
+        return capacity.relative_slots(server.slots)
+
     def cache_capacity(self, service: str) -> CacheCapacity:
         """Return what is known of the caches of a service's servers."""
         capacity = self._cache_capacities.get(service)
@@ -97,7 +115,8 @@
         if rank is not None and not cached:
             cached_share = times.cached_share(*key, rank)
         expected_s = times.expected_s(*key, cached_share)
-        slowdown = load.slowdown(now_s)
+        load.apply_capacity(self._capacities.capacity(now_s, server))
+        slowdown = load.slowdown(now_s) * load.time_factor
         if cold:
             slowdown = max(slowdown, COLD_START_SLOWDOWN)
         wait_s = slowdown * load.wait_s(now_s, times.mean_s(*key))
@@ -123,6 +142,9 @@
             reason=(
                 ChoiceReason.SHORTER_WAIT if rank else ChoiceReason.PREFERRED
             ),
+            time_factor=load.time_factor,
+            load_cost_s=expected_s - times.expected_s(*key, 1.0),
+            cold=cold,
             machine_delay_s=(machine_ratio - 1.0)
             * (slowdown * expected_s + wait_s),
             machine_speed_age_s=machine_speed_age_s,
@@ -149,6 +171,8 @@
             at_server_s /= load.machine_speed.ratio_to_sustained(work_factor)
             took_s = rtt_s + at_server_s
         load.record_success(now_s, took_s / max(0.001, placed.predicted_s))
+        self._learn_capacity(now_s, placed, at_server_s)
+        at_server_s /= load.time_factor
         if request.affinity_key:
             load.record_object(
                 object_key(request).text, placed.restricted_home
@@ -170,6 +194,35 @@
             )
             self._learn_cache_capacity(now_s, request, placed, at_server_s)
 
+    def _learn_capacity(
+        self, now_s: float, placed: Placed, at_server_s: float
+    ) -> None:
+        """Update the learned capacity from a response without a wait.
+
+        Responses that may or may not have found their data cached, and those
+        of a cold start, say nothing about the server.
+        """
+        server = placed.server
+        load = self.load_of(server)
+        is_comparable = placed.cached or placed.rank is None
+        running: float | None = load.recent_reported_load(
+            now_s - STATED_LOAD_AGE_S
+        )
+        if running is None:
+            running = load.load(now_s)
+        if (
+            is_comparable
+            and not placed.cold
+            and max(placed.load + 1, running) <= server.slots
+        ):
+            self._capacities.observe(
+                now_s,
+                server,
+                running=round(running),
+                took_s=at_server_s,
+                usual_s=placed.expected_s,
+            )
+
     def _objects_since(
         self, now_s: float, request: PlacementRequest, load: ServerLoad
     ) -> int | None:
--- a/packages/verbenaworks/src/verbenaworks/steering/server_load.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/server_load.py
@@ -5,6 +5,7 @@
 
 from verbenaworks.steering.backend_server import BackendServer
 from verbenaworks.steering.machine_speed import MachineSpeed
+from verbenaworks.steering.server_capacity import ServerCapacity
 
 # Time constant of the moving average of the load that other instances report.
 # Reports are older than a service time: without the average, all instances
@@ -42,11 +43,15 @@
     :ivar bound: those of them that may not run in every region.
     :ivar peers_in_flight: moving average of the requests in flight that other
         instances report.
+    :ivar usable_slots: learned number of usable slots; 0 if none is known.
+    :ivar time_factor: learned time per request, where 1 is usual.
     :ivar machine_speed: how long work takes on its machine, as it states.
     """
 
     slots: int
     machine_speed: MachineSpeed = field(default_factory=MachineSpeed)
+    usable_slots: float = 0.0
+    time_factor: float = 1.0
     in_flight: int = 0
     bound: int = 0
     peers_in_flight: float = 0.0
@@ -143,8 +148,25 @@
 
     def wait_s(self, now_s: float, service_s: float) -> float:
         """Return how long one more request would wait for a slot."""
-        above = self.load(now_s) + 1 - self.slots
-        return max(0.0, above) / self.slots * service_s
+        usable_slots = self.usable_slots or self.slots
+        above = self.load(now_s) + 1 - usable_slots
+        return max(0.0, above) / usable_slots * service_s
+
+    def apply_capacity(self, capacity: ServerCapacity) -> None:
+        """Set the learned capacity.
+
+        The slowdown contains what the learned time explains from now on; that
+        part is taken out of it, so that it does not count twice.
+        """
+        self.usable_slots = capacity.usable_slots
+        if capacity.time_factor == self.time_factor:
+            return
+        left = self._slowdown * self.time_factor / capacity.time_factor
+        if (left - 1.0) * (self._slowdown - 1.0) < 0.0:
+            left = 1.0
+        if abs(left - 1.0) < abs(self._slowdown - 1.0):
+            self._slowdown = left
+        self.time_factor = capacity.time_factor
 
     def slowdown(self, now_s: float) -> float:
         """Return the ratio of observed to predicted response times."""
--- a/tools/steering_model.py
+++ b/tools/steering_model.py
@@ -16,10 +16,12 @@
 from dataclasses import dataclass, field, replace
 from random import Random
 
+from capacity_report import capacity_report
 from steering_model_server import UNCACHED_SERVICE_TIME_S, ModelServer
 from steering_model_types import ModelResult, ModelRun, ModelSize
 from verbenaworks.steering.backend_server import BackendServer
 from verbenaworks.steering.cold_start_limiter import ColdStartLimiter
+from verbenaworks.steering.peer_report import PeerReport
 from verbenaworks.steering.placement import Placement
 from verbenaworks.steering.placement_result import (
     Placed,
@@ -77,6 +79,7 @@
     # The shares that it uses, as of its last report.
     shares: Shares = field(default_factory=dict)
     reported_at_s: float = float("-inf")
+    capacities: PeerReport = field(default_factory=lambda: capacity_report(""))
 
 
 @dataclass(kw_only=True, slots=True)
@@ -209,6 +212,11 @@
         """Cut the reports to and from an instance, or restore them."""
         self._instances[number].is_cut_off = is_cut_off
 
+    def count_differing(self, number: int) -> int:
+        """Count servers whose capacity an instance knows to differ."""
+        capacities = self._instances[number].placement.capacities
+        return len(capacities.that_differ(self._now_s, self._table.servers))
+
     def run(self, duration_s: float) -> ModelResult:
         """Run the pattern and return the counts of requests by outcome."""
         self._schedule(0.0, self._handle_arrival)
@@ -370,7 +378,6 @@
 
     def _handle_end(self, request: _Request) -> None:
         server = request.server
-        server.running -= 1
         region = request.instance.region
         response_time_s = self._now_s - request.arrived_s
         if server.server.region != region:
@@ -383,7 +390,6 @@
             )
         )
         placement = request.placement
-        placement.request_ended(server.server)
         if response_time_s < ROUTE.timeout_s:
             # A server that aborts a request at its deadline caches no key and
             # sends no response.
@@ -402,6 +408,8 @@
                 response_time_s,
                 work_factor=work_factor,
             )
+        server.running -= 1
+        placement.request_ended(server.server)
         if response_time_s <= ROUTE.latency_objective_s:
             self.result.useful += 1
             self.result.useful_at_s.append(self._now_s)
@@ -428,12 +436,22 @@
         if not instance.is_cut_off:
             instance.report = instance.placement.in_flight()
             instance.shares = instance.placement.region_shares()
+            instance.capacities = capacity_report(
+                str(id(instance)),
+                instance.placement.capacities.packed(
+                    self._now_s, self._table.servers
+                ),
+            )
             instance.reported_at_s = self._now_s
         peers = [i for i in self._instances if i is not instance]
         if instance.is_cut_off:
             peers = []
         oldest_s = self._now_s - REPORT_VALID_S
         peers = [i for i in peers if i.reported_at_s >= oldest_s]
+        for peer in peers:
+            instance.placement.capacities.record(
+                peer.reported_at_s, peer.capacities
+            )
         totals: Counter[str] = Counter()
         by_region: dict[str, Counter[str]] = defaultdict(Counter)
         for peer in peers:
