--- a/packages/verbenad/src/verbenad/steering/peer_exchange.py
+++ b/packages/verbenad/src/verbenad/steering/peer_exchange.py
@@ -342,6 +342,7 @@
         self, changed_since_s: float = float("-inf")
     ) -> PeerReport:
         now_s = self._now_s()
+        is_complete = changed_since_s == float("-inf")
         leaving = self._table.leaving_since(now_s - REPORT_LEAVING_S)
         return PeerReport(
             beat=self._make_heartbeat(),
@@ -350,14 +351,15 @@
             crashes=self._crash_tracker.recent_crashes(),
             missing=self._unreachable_peers(now_s),
             bound=pack_counts(self._placement.bound_requests()),
-            shares=(
-                {}
-                if changed_since_s > float("-inf")
-                else pack_shares(self._placement.region_shares())
+            shares=pack_shares(
+                self._placement.region_shares() if is_complete else {}
             ),
             limits=self._limits.packed(now_s, self._table.servers),
             leaving=tuple(map(incarnation_hash, leaving)),
             demand=self._placement.rank_admission.reported_demand(now_s),
+            capacity=self._placement.capacities.packed(
+                now_s, self._table.servers if is_complete else ()
+            ),
         )
 
     def _unreachable_peers(self, now_s: float) -> tuple[str, ...]:
@@ -417,6 +419,7 @@
                             message.leaving, self._table.servers
                         ):
                             self._table.record_leaving(now_s, server)
+                        self._placement.capacities.record(now_s, message)
                     self._placement.rank_admission.demand.record(
                         now_s, beat.name, message.demand, self._valid_s
                     )
--- a/packages/verbenaworks/src/verbenaworks/steering/peer_report.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/peer_report.py
@@ -48,6 +48,10 @@
     :ivar demand: arrivals per second in hundredths, by short hashes of the
         service and of the workspace; only for services that are short of
         capacity or were lately.
+    :ivar capacity: learned capacity of servers by a short hash of their
+        incarnation: usable slots in tenths, time per request in hundredths of
+        the usual one and the number of samples; only in reports that are
+        complete, and only if it differs from the configured one.
     """
 
     beat: PeerBeat
@@ -60,3 +64,4 @@
     limits: dict[int, tuple[int, int]] = {}
     leaving: tuple[int, ...] = ()
     demand: dict[int, dict[int, int]] = {}
+    capacity: dict[int, tuple[int, int, int]] = {}
--- a/tests/test_report_sizes.py
+++ b/tests/test_report_sizes.py
@@ -40,6 +40,8 @@
     placement.in_flight.return_value = {}
     placement.bound_requests.return_value = {}
     placement.region_shares.return_value = {}
+    placement.rank_admission.reported_demand.return_value = {}
+    placement.capacities.packed.return_value = {}
     table = Mock(servers=())
     table.leaving_since.return_value = ()
     limits, rate_limiter, crash_tracker, load = Mock(), Mock(), Mock(), Mock()
