Bound the bytes held for callers by the machine's memory

Cause: each connection could make the process hold a body of up to 1 MiB, and nothing bounded the sum. Callers that stopped just short of the end kept theirs.

Change: HeldBytes grants bytes to the holding of each request: bodies received ahead, buffered and streamed responses, and partial heads. A request that is not granted them is refused with 503 (memory-full, not run) before its body is received. The holding that has waited longest for its caller is dropped first, and small requests keep a part. Bodies are collected in one buffer instead of a list of pieces, and a chunked body of exactly the limit is read to its end before a backend server is chosen. Pipelined requests run one at a time while memory is short. The settings file's limits.memoryMb gives the machine's memory.

--- a/packages/verbenad/src/verbenad/http_protocol.py
+++ b/packages/verbenad/src/verbenad/http_protocol.py
@@ -5,7 +5,7 @@
 import struct
 import sys
 import time
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import TYPE_CHECKING, Any
 from urllib.parse import unquote
 
@@ -15,6 +15,7 @@
 
 from verbenad.caller_connection import CallerConnection
 from verbenad.caller_output import CallerOutput, ResponseSlot
+from verbenad.held_bytes import Holding
 from verbenad.http_syntax import BARE_LINE_FEED
 from verbenad.protocol_errors import BodyError, ProtocolError
 from verbenad.refusal import NOT_RUN, OUTCOME_UNKNOWN, RunStatus, make_refusal
@@ -29,6 +30,8 @@
 
 _log = logbook.Logger("verbenad.front")
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+# A connection without a request holds no more than this and a partial head.
+_HEAD_RECEIVE_BYTES = 16384
 _ZERO_LINGER = struct.pack("ii", 1, 0)
 _REQUEST_FIRST_BYTES = frozenset(
     b"!#$%&'*+-.^_`|~0123456789"
@@ -59,6 +62,7 @@
         self.stream = SocketStream(self.connection)
         self.output = CallerOutput(self.stream)
         self.caller = CallerConnection(self.stream)
+        self._input = http_server.held_bytes.open(self.stream.shutdown)
         self.idle = False
         self._timed_out = False
         self._reset_on_close = False
@@ -71,6 +75,7 @@
             self.handle()
         finally:
             http_server.remove_connection(self)
+            self._input.close()
             self.finish()
 
     def handle(self) -> None:
@@ -127,7 +132,10 @@
         self._timed_out = False
         self.http_server.idle[self] = None
         try:
-            return self.stream.refill(self.limits.idle_timeout_s) > 0
+            count = self.stream.refill(
+                self.limits.idle_timeout_s, _HEAD_RECEIVE_BYTES
+            )
+            return count > 0
         except TimeoutError:
             self._timed_out = True
             return False
@@ -158,18 +166,27 @@
             )
             if end >= 0:
                 block = stream.take(end + 4 - stream.position)
+                self._input.close()
                 return parse_request_head(block, self.limits.head)
             self._check_partial_head(searched_bytes)
             searched_bytes = stream.buffered_bytes
+            self._hold_input(searched_bytes)
             now_s = time.monotonic()
             if deadline_s is None:
                 deadline_s = now_s + self.limits.head_timeout_s
             try:
-                if not stream.refill(deadline_s - now_s):
+                if not stream.refill(deadline_s - now_s, _HEAD_RECEIVE_BYTES):
                     return None
             except TimeoutError as error:
                 raise ProtocolError("request-too-slow") from error
 
+    def _hold_input(self, count: int) -> None:
+        """Hold the received part of a head; refuse it if that is too much."""
+        holding = self._input
+        if not holding.try_grow(count - holding.held_bytes):
+            raise ProtocolError("memory-full")
+        holding.set_droppable(True)
+
     def _check_partial_head(self, searched_bytes: int) -> None:
         stream = self.stream
         buffered_bytes = stream.buffered_bytes
@@ -251,12 +268,14 @@
                 or not self._is_discardable(body)
             )
 
+        holding = self._open_holding(lambda: body)
         body = RequestBody(
             self.stream,
             content_length=head.content_length,
             chunked=head.chunked,
             limits=self.limits.body,
             send_continue=send_continue if head.expects_continue else None,
+            holding=holding,
         )
         writer = self._make_writer(
             slot, head.method, head.version, decide_close
@@ -268,6 +287,7 @@
         finally:
             slot.end(complete=writer.finished, closes=writer.close)
             http_server.request_ended(self)
+            holding.close()
         if not writer.finished:
             return False
         if writer.close or not self._discard_body(body):
@@ -275,6 +295,21 @@
             return False
         return True
 
+    def _open_holding(self, body: Callable[[], RequestBody]) -> Holding:
+        """Return the holding of a request.
+
+        If it is dropped while the body is received, the request is refused;
+        afterwards, the connection is closed.
+        """
+
+        def drop() -> None:
+            if body().received or not body().at_start:
+                self.stream.shutdown()
+            else:
+                self.stream.shut_down_reading()
+
+        return self.http_server.held_bytes.open(drop)
+
     def _run_application(
         self,
         slot: ResponseSlot,
--- a/packages/verbenad/src/verbenad/http_server.py
+++ b/packages/verbenad/src/verbenad/http_server.py
@@ -16,6 +16,7 @@
 from eventlet.patcher import original
 
 from verbenad.caller_output import CallerOutput
+from verbenad.held_bytes import HeldBytes
 from verbenad.http_protocol import HttpProtocol
 from verbenad.http_server_limits import HttpServerLimits
 from verbenad.listener import BACKLOG, Listener
@@ -56,6 +57,8 @@
     :param port: port to listen on; 0 lets the system choose.
     :param pipelined: whether requests without a body that wait on one
         connection run at the same time; responses keep their order.
+    :param held_bytes: bounds what is held for callers; by default, nothing
+        does.
     """
 
     def __init__(
@@ -66,7 +69,9 @@
         port: int,
         limits: HttpServerLimits | None = None,
         pipelined: bool = False,
+        held_bytes: HeldBytes | None = None,
     ) -> None:
+        self.held_bytes = held_bytes or HeldBytes()
         self.application = application
         self._protocol = PipelinedProtocol if pipelined else HttpProtocol
         self.limits = limits or HttpServerLimits()
--- a/packages/verbenad/src/verbenad/pipelined_protocol.py
+++ b/packages/verbenad/src/verbenad/pipelined_protocol.py
@@ -111,7 +111,9 @@
         return self._start_request(head)
 
     def _start_request(self, head: RequestHead) -> bool:
-        self._wait_for_pending(MAX_CONCURRENT_REQUESTS - 1)
+        # Responses that wait for earlier ones hold memory.
+        is_short = self.http_server.held_bytes.is_short
+        self._wait_for_pending(0 if is_short else MAX_CONCURRENT_REQUESTS - 1)
         if self._failed or self._closing:
             return False
         pending = _PendingResponse(self.output.next_slot(), self.stream)
@@ -129,11 +131,13 @@
     def _serve_pending(
         self, head: RequestHead, pending: _PendingResponse
     ) -> None:
+        holding = self._open_holding(lambda: body)
         body = RequestBody(
             self.stream,
             content_length=head.content_length,
             chunked=False,
             limits=self.limits.body,
+            holding=holding,
         )
 
         def decide_close() -> bool:
@@ -152,6 +156,7 @@
                 pending, writer, self._make_environ(head, body, pending.caller)
             )
         finally:
+            holding.close()
             self._finish_pending(pending, writer)
 
     def _run_pending(
--- a/packages/verbenad/src/verbenad/protocol_errors.py
+++ b/packages/verbenad/src/verbenad/protocol_errors.py
@@ -7,6 +7,9 @@
 from verbenad.refusal import REFUSAL_KINDS
 from verbenaworks.errors import VerbenaError
 
+# Bytes are returned as soon as requests end or are found to be stalled.
+MEMORY_RETRY_AFTER_S = 1.0
+
 
 class ProtocolError(VerbenaError):
     """A message violates RFC 9110, RFC 9112 or a limit.
@@ -22,7 +25,13 @@
 
 
 class BodyError(ProtocolError):
-    """A body cannot be read completely."""
+    """A body cannot be read completely.
+
+    :cvar retry_after_s: seconds after which a retry may succeed; None if it
+        would fail again.
+    """
+
+    retry_after_s: float | None = None
 
 
 class BodyTooShortError(BodyError):
@@ -46,6 +55,15 @@
         super().__init__("request-too-slow")
 
 
+class MemoryFullError(BodyError):
+    """The process holds too many bytes to read the body."""
+
+    retry_after_s = MEMORY_RETRY_AFTER_S
+
+    def __init__(self) -> None:
+        super().__init__("memory-full")
+
+
 class MalformedChunkError(BodyError):
     """The chunked coding is malformed."""
 
--- a/packages/verbenad/src/verbenad/refusal.py
+++ b/packages/verbenad/src/verbenad/refusal.py
@@ -187,6 +187,12 @@
             "this entry instance has no connection left",
             "use another entry instance from the lookup answer",
         ),
+        "memory-full": _kind(
+            503,
+            "the entry instance holds too many bytes of other requests",
+            "retry later, or use another entry instance from the lookup"
+            " answer",
+        ),
         "malformed-deadline": _kind(
             400,
             "X-Request-Deadline-Ms is not a positive whole number",
--- a/packages/verbenad/src/verbenad/request_body.py
+++ b/packages/verbenad/src/verbenad/request_body.py
@@ -7,10 +7,12 @@
 from eventlet import wsgi
 
 from verbenad.chunked_decoder import ChunkedDecoder
+from verbenad.held_bytes import HeldBytes, Holding
 from verbenad.protocol_errors import (
     BodyTooLargeError,
     BodyTooShortError,
     BodyTooSlowError,
+    MemoryFullError,
 )
 from verbenad.socket_stream import RECEIVE_BYTES, SocketStream
 
@@ -46,6 +48,8 @@
     :param chunked: whether the body is in chunked coding.
     :param limits: limits on the body.
     :param send_continue: called once before the first wait for the sender.
+    :param holding: the bytes held for the request; by default, without a
+        limit.
     """
 
     def __init__(
@@ -56,7 +60,9 @@
         chunked: bool,
         limits: BodyLimits,
         send_continue: Callable[[], None] | None = None,
+        holding: Holding | None = None,
     ) -> None:
+        self.holding = holding or HeldBytes().open()
         self.content_length = content_length
         self.chunked_input = chunked
         self._stream = stream
@@ -120,21 +126,40 @@
     def prefetch(self, limit_bytes: int) -> bool:
         """Buffer up to ``limit_bytes``; return whether the body is complete.
 
+        Bytes are received only once the holding was granted them. While the
+        caller sends, the holding may be dropped.
+
         :raises BodyError: if the body cannot be read.
         :raises ValueError: if a part of it has already been read.
         """
         self._check_at_start()
-        pieces = [self._prefix]
-        collected_bytes = len(self._prefix)
-        while collected_bytes < limit_bytes:
-            piece = self._read_stream(limit_bytes - collected_bytes)
-            if not piece:
-                break
-            pieces.append(piece)
-            collected_bytes += len(piece)
-        self._prefix = b"".join(pieces)
+        self._check_size()
+        self.holding.set_droppable(True)
+        granted_bytes = 0
+        # Small pieces in a list would take many times their size.
+        collected = bytearray(self._prefix)
+        try:
+            while len(collected) < limit_bytes and not self.received:
+                granted_bytes += self._ask(
+                    limit_bytes, granted_bytes - len(collected)
+                )
+                piece = self._read_stream(limit_bytes - len(collected))
+                collected += piece
+                self.holding.record_progress(len(piece))
+            self._check_end(limit_bytes)
+        finally:
+            self.holding.set_droppable(False)
+            self.holding.shrink(granted_bytes - len(collected))
+        self._prefix = bytes(collected)
         return self.received
 
+    def release(self) -> None:
+        """Return the bytes of a body that is not sent again."""
+        if self.received:
+            self.holding.shrink(len(self._prefix))
+            self._prefix = b""
+            self._prefix_position = self._read_bytes = 0
+
     def hold_first_piece(self) -> None:
         """Buffer the first bytes, without consuming them.
 
@@ -210,6 +235,31 @@
     def __iter__(self) -> Iterator[bytes]:
         return iter(self.readline, b"")
 
+    def _ask(self, limit_bytes: int, spare_bytes: int) -> int:
+        """Ask for the bytes of the next piece; return how many are granted.
+
+        A body of known length is granted as a whole, so that bodies which are
+        received at the same time do not prevent each other from ending.
+        """
+        if self._decoder is None:
+            wanted_bytes = min(self._remaining_bytes, limit_bytes)
+        else:
+            wanted_bytes = RECEIVE_BYTES
+        if spare_bytes >= min(wanted_bytes, RECEIVE_BYTES):
+            return 0
+        if not self.holding.try_grow(wanted_bytes - spare_bytes):
+            self.failed = True
+            raise MemoryFullError
+        return wanted_bytes - spare_bytes
+
+    def _check_end(self, limit_bytes: int) -> None:
+        # A longer body is not within the limit; without a check here, it would
+        # be sent to a backend server before that is known.
+        if self._limits.body_bytes > limit_bytes or self.received:
+            return
+        if self._read_stream(1):
+            raise BodyTooLargeError
+
     def _check_at_start(self) -> None:
         if not self.at_start:
             raise ValueError("a part of the body was read already")
@@ -240,6 +290,7 @@
 
     def _check_size(self) -> None:
         if (self.content_length or 0) > self._limits.body_bytes:
+            self.failed = True
             raise BodyTooLargeError
 
     def _refill(self) -> None:
@@ -253,6 +304,8 @@
             raise BodyTooSlowError from error
         except OSError as error:
             raise BodyTooShortError from error
+        if self.holding.dropped:
+            raise MemoryFullError
         if not count:
             raise BodyTooShortError
         self._waited_s += time.monotonic() - started_s
--- a/packages/verbenad/src/verbenad/socket_stream.py
+++ b/packages/verbenad/src/verbenad/socket_stream.py
@@ -50,7 +50,9 @@
         """The number of received bytes that have not been read yet."""
         return len(self.buffer) - self.position
 
-    def receive(self, timeout_s: float | None) -> bytes:
+    def receive(
+        self, timeout_s: float | None, limit_bytes: int = RECEIVE_BYTES
+    ) -> bytes:
         """Return the next bytes, or ``b""`` at the end of the stream.
 
         :raises TimeoutError: if nothing arrives in time.
@@ -60,14 +62,14 @@
             raise TimeoutError("no time left to receive")
         if not self._green:
             self._raw.settimeout(timeout_s)
-            return self._raw.recv(RECEIVE_BYTES)
+            return self._raw.recv(limit_bytes)
         self._receives += 1
         if self._receives > _MAX_RECEIVES_PER_YIELD:
             self._receives = 0
             eventlet.sleep(0)
         while True:
             try:
-                return self._raw.recv(RECEIVE_BYTES)
+                return self._raw.recv(limit_bytes)
             except BlockingIOError:
                 pass
             self._receives = 0
@@ -78,12 +80,14 @@
                 timeout_exc=TimeoutError,
             )
 
-    def refill(self, timeout_s: float | None) -> int:
+    def refill(
+        self, timeout_s: float | None, limit_bytes: int = RECEIVE_BYTES
+    ) -> int:
         """Receive into the buffer and return the number of new bytes.
 
         Zero means the end of the stream.
         """
-        data = self.receive(timeout_s)
+        data = self.receive(timeout_s, limit_bytes)
         if self.position >= len(self.buffer):
             self.buffer = data
         else:
@@ -168,6 +172,13 @@
             return True
         return True
 
+    def shut_down_reading(self) -> None:
+        """End the input; wakes a greenlet that waits for it."""
+        try:
+            self._raw.shutdown(socket.SHUT_RD)
+        except OSError:
+            return
+
     def shutdown(self) -> None:
         """Shut down both directions; wakes greenlets waiting on the socket."""
         self.is_shut_down = True
--- a/packages/verbenad/src/verbenad/steering/request_runner.py
+++ b/packages/verbenad/src/verbenad/steering/request_runner.py
@@ -280,6 +280,7 @@
                     request.deadline_s + RESPONSE_MARGIN_S,
                 ),
                 end_s=request.deadline_s + STREAM_MARGIN_S,
+                holding=request.body.holding,
             )
         except ResponseTruncatedError as error:
             response.body.close()
--- a/packages/verbenad/src/verbenad/steering/steering_daemon.py
+++ b/packages/verbenad/src/verbenad/steering/steering_daemon.py
@@ -9,6 +9,7 @@
 import logbook
 
 from verbenad.forwarder import Forwarder, ForwarderSettings
+from verbenad.held_bytes import HeldBytes, limit_of_memory
 from verbenad.http_server import HttpServer
 from verbenad.http_server_limits import HttpServerLimits
 from verbenad.json_lines_handler import JsonLinesHandler
@@ -371,8 +372,10 @@
         host, port_number = parse_address(
             "caller_address", settings.caller_address
         )
+        self._held_bytes = HeldBytes(limit_of_memory(settings.memory_mb))
         self._caller_http_server = HttpServer(
             gateway,
+            held_bytes=self._held_bytes,
             host=host,
             port=port_number,
             limits=caller_http_limits(None, settings.max_descriptors),
--- a/packages/verbenad/src/verbenad/steering/steering_gateway.py
+++ b/packages/verbenad/src/verbenad/steering/steering_gateway.py
@@ -11,7 +11,8 @@
 
 from verbenad.caller_connection import CallerConnection
 from verbenad.field_names import FieldNames
-from verbenad.protocol_errors import BodyError
+from verbenad.held_bytes import REQUEST_BYTES
+from verbenad.protocol_errors import MEMORY_RETRY_AFTER_S, BodyError
 from verbenad.refusal import NOT_RUN, Refusal, make_refusal
 from verbenad.refusal_error import RefusalError, refusal_error
 from verbenad.request_body import RequestBody
@@ -116,6 +117,7 @@
                 run=NOT_RUN,
                 request_id=request_id,
                 message=error.message,
+                retry_after_s=error.retry_after_s,
             )
             return self._refuse(refusal, start_response, trace)
         with contextlib.ExitStack() as on_failure:
@@ -123,6 +125,8 @@
             self._log_outcome(trace, response.status)
             start_response(response.status_line, response.headers)
             on_failure.pop_all()
+        request.body.release()
+        request.body.holding.set_droppable(True)
         return response.pieces
 
     def _admit(
@@ -137,6 +141,11 @@
         """
         request_id = trace.request_id
         self._record_arrival()
+        body: RequestBody = environ["wsgi.input"]
+        if not body.holding.try_grow(REQUEST_BYTES):
+            raise refusal_error(
+                "memory-full", request_id, retry_after_s=MEMORY_RETRY_AFTER_S
+            )
         config = self._state.config
         if config is None:
             raise refusal_error(
--- a/packages/verbenad/src/verbenad/steering/steering_settings.py
+++ b/packages/verbenad/src/verbenad/steering/steering_settings.py
@@ -40,6 +40,7 @@
         the speed of the core.
     :param link_mbps: bandwidth of the machine's link; 0 if not known.
     :param max_descriptors: most file descriptors that the process may open.
+    :param memory_mb: memory of the machine; 0 if not known.
     """
 
     name: str
@@ -54,6 +55,7 @@
     processor_share: float
     link_mbps: float
     max_descriptors: int
+    memory_mb: float = 0.0
     bounds: SteeringBounds
 
     def __post_init__(self) -> None:
