Decode chunks in buffers and in turns

Cause: the decoder handled each chunk with several searches and copies and yielded only after eight receives, so that one body of 60,000 chunks held up all connections, and many bodies held them up for minutes.

Change: the decoder reads all chunks that a buffer holds in one loop. After 512 chunks a body waits for its turn; only one body has a turn in each pass of the event loop. A request is refused with 400 (chunks-too-small) if its framing is longer than 64 KiB plus 32 times its data; a chunk of one byte needs 5.

--- a/packages/verbenad/src/verbenad/protocol_errors.py
+++ b/packages/verbenad/src/verbenad/protocol_errors.py
@@ -71,6 +71,13 @@
         super().__init__("malformed-chunk", message)
 
 
+class ChunksTooSmallError(BodyError):
+    """The framing of the chunks is far longer than the data in them."""
+
+    def __init__(self) -> None:
+        super().__init__("chunks-too-small")
+
+
 class UpstreamResponseError(ProtocolError):
     """A backend server's response cannot be passed on completely."""
 
--- a/packages/verbenad/src/verbenad/refusal.py
+++ b/packages/verbenad/src/verbenad/refusal.py
@@ -136,6 +136,11 @@
             "the chunked body is malformed",
             "send chunks as RFC 9112 section 7.1 requires",
         ),
+        "chunks-too-small": _kind(
+            400,
+            "the framing of the chunks is far longer than the body",
+            "send larger chunks, or shorter chunk extensions",
+        ),
         "body-too-short": _kind(
             400,
             "the body ended before its stated end",
--- a/packages/verbenad/src/verbenad/request_body.py
+++ b/packages/verbenad/src/verbenad/request_body.py
@@ -69,7 +69,9 @@
         self._limits = limits
         self._send_continue = send_continue
         self._decoder = (
-            ChunkedDecoder(stream, self._refill) if chunked else None
+            ChunkedDecoder(stream, self._refill, limits_framing=True)
+            if chunked
+            else None
         )
         self._remaining_bytes = content_length or 0
         self._read_bytes = 0
--- a/tests/test_request_body.py
+++ b/tests/test_request_body.py
@@ -2,15 +2,24 @@
 
 import socket
 
+import eventlet
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from verbenad.chunked_decoder import (
+    CHUNKS_PER_TURN,
+    FREE_FRAMING_BYTES,
+    MAX_FRAMING_RATIO,
+)
+from verbenad.decode_turns import DecodeTurns
 from verbenad.protocol_errors import (
     BodyError,
     BodyTooLargeError,
     BodyTooShortError,
     BodyTooSlowError,
+    ChunksTooSmallError,
+    MalformedChunkError,
 )
 from verbenad.request_body import BodyLimits, RequestBody
 from verbenad.socket_stream import SocketStream
@@ -143,3 +152,69 @@
         assert len(piece) <= size
         received += piece
     assert received == b"".join(chunks)
+
+
+def test_longest_framing_is_accepted_and_longer_is_refused() -> None:
+    """Guards against extensions that cost far more than the body."""
+    accepted = b"1;%b\r\nb\r\n" % (b"x" * (MAX_FRAMING_RATIO - 6))
+    chunks = 3 * FREE_FRAMING_BYTES // len(accepted)
+    assert _body(accepted * chunks + b"0\r\n\r\n").read() == b"b" * chunks
+    refused = b"1;%b\r\nb\r\n" % (b"x" * 900)
+    with pytest.raises(ChunksTooSmallError):
+        _body(refused * (2 * FREE_FRAMING_BYTES // len(refused))).read()
+
+
+@pytest.mark.parametrize("data", [b"1\r\nbX\r\n", b"1\r\nb\r\nX", b"1\r\nb\n"])
+def test_malformed_chunk_after_others_is_refused(data: bytes) -> None:
+    """Guards against a fast path that accepts more than the strict one."""
+    body = _body(b"1\r\na\r\n" * 20 + data + b"1\r\nb\r\n0\r\n\r\n")
+    with pytest.raises(MalformedChunkError):
+        body.read()
+
+
+def test_small_chunks_let_others_run() -> None:
+    """Guards against a body that holds up all other connections."""
+    passes = 0
+
+    def count() -> None:
+        nonlocal passes
+        while True:
+            passes += 1
+            eventlet.sleep(0)
+
+    counter = eventlet.spawn(count)
+    chunks = 8 * CHUNKS_PER_TURN
+    try:
+        body = _body(b"1\r\nb\r\n" * chunks + b"0\r\n\r\n")
+        assert body.read() == b"b" * chunks
+    finally:
+        counter.kill()
+    assert passes >= 7
+
+
+def test_bodies_of_small_chunks_take_turns() -> None:
+    """Guards against a pass of the loop that decodes a part of each body."""
+    turns = DecodeTurns()
+    passes = 0
+    taken: list[int] = []
+
+    def count() -> None:
+        nonlocal passes
+        while True:
+            passes += 1
+            eventlet.sleep(0)
+
+    def take_turns() -> None:
+        for _ in range(3):
+            turns.wait()
+            taken.append(passes)
+
+    counter = eventlet.spawn(count)
+    try:
+        bodies = [eventlet.spawn(take_turns) for _ in range(4)]
+        for body in bodies:
+            body.wait()
+    finally:
+        counter.kill()
+    assert len(taken) == 12
+    assert taken[-1] - taken[0] >= 11
