Report held bytes, and refuse dropped bodies instead of closing

Cause: a holding that was dropped while its body was received closed the connection, because the check for the start of the body was wrong; the caller could not tell that its request did not run. Nothing showed the bytes held.

Change: the body states whether it is received before the request can run; then the caller gets 503 (memory-full). Metrics verbenad_held_bytes, verbenad_held_bytes_limit and verbenad_holdings_total, and a log line of channel verbenad.memory for each second with refused or dropped holdings.

--- a/packages/verbenad/src/verbenad/http_protocol.py
+++ b/packages/verbenad/src/verbenad/http_protocol.py
@@ -303,10 +303,10 @@
         """
 
         def drop() -> None:
-            if body().received or not body().at_start:
-                self.stream.shutdown()
-            else:
+            if body().is_prefetching:
                 self.stream.shut_down_reading()
+            else:
+                self.stream.shutdown()
 
         return self.http_server.held_bytes.open(drop)
 
--- a/packages/verbenad/src/verbenad/request_body.py
+++ b/packages/verbenad/src/verbenad/request_body.py
@@ -80,6 +80,8 @@
         self._prefix = b""
         self._prefix_position = 0
         self.failed = False
+        # Whether the body is received before the request can run.
+        self.is_prefetching = False
 
     @property
     def exists(self) -> bool:
@@ -136,6 +138,7 @@
         """
         self._check_at_start()
         self._check_size()
+        self.is_prefetching = True
         self.holding.set_droppable(True)
         granted_bytes = 0
         # Small pieces in a list would take many times their size.
@@ -150,6 +153,7 @@
                 self.holding.record_progress(len(piece))
             self._check_end(limit_bytes)
         finally:
+            self.is_prefetching = False
             self.holding.set_droppable(False)
             self.holding.shrink(granted_bytes - len(collected))
         self._prefix = bytes(collected)
--- a/packages/verbenad/src/verbenad/steering/instance_gauges.py
+++ b/packages/verbenad/src/verbenad/steering/instance_gauges.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Mapping
 
+from verbenad.held_bytes import HeldBytes
 from verbenad.metrics import Metrics
 from verbenaworks.steering.steering_config import SteeringConfig
 
@@ -19,6 +20,7 @@
     dropped_log_lines: Callable[[], int],
     connections_in_use: Callable[[], Mapping[str, float]],
     oldest_connection_use_s: Callable[[], Mapping[str, float]],
+    held_bytes: HeldBytes,
 ) -> None:
     """Declare the gauges, which are read when the metrics are rendered."""
 
@@ -68,3 +70,23 @@
         "server",
         oldest_connection_use_s,
     )
+    _declare_held_bytes(metrics, held_bytes)
+
+
+def _declare_held_bytes(metrics: Metrics, held_bytes: HeldBytes) -> None:
+    metrics.gauge_source(
+        "verbenad_held_bytes",
+        "Bytes held for callers and servers.",
+        lambda: float(held_bytes.held_bytes),
+    )
+    metrics.gauge_source(
+        "verbenad_held_bytes_limit",
+        "Most bytes that may be held.",
+        lambda: float(held_bytes.limit_bytes),
+    )
+    metrics.counter_source(
+        "verbenad_holdings_total",
+        "Requests that were refused bytes, or dropped for other requests.",
+        "event",
+        lambda: held_bytes.counters,
+    )
--- a/packages/verbenad/src/verbenad/steering/steering_daemon.py
+++ b/packages/verbenad/src/verbenad/steering/steering_daemon.py
@@ -20,6 +20,7 @@
 from verbenad.steering.caller_lookup import CallerLookup
 from verbenad.steering.config_exchange import ConfigExchange
 from verbenad.steering.crash_tracker import CrashTracker
+from verbenad.steering.held_bytes_log import HeldBytesLog
 from verbenad.steering.instance_gauges import declare_gauges
 from verbenad.steering.peer_exchange import MIN_REPORT_PERIOD_S, PeerExchange
 from verbenad.steering.peer_traffic import PeerTraffic
@@ -65,6 +66,7 @@
 LOG_FLUSH_PERIOD_S = 0.5
 CHECKPOINT_PERIOD_S = 1.0
 SHARE_LOG_PERIOD_S = 1.0
+HELD_LOG_PERIOD_S = 1.0
 # The lease of the registration lasts this much longer than keys are accepted
 # without contact to the store.
 LEASE_MARGIN_S = 0.5
@@ -123,6 +125,7 @@
         every(LOG_FLUSH_PERIOD_S, self._line_writer.flush)
         every(CHECKPOINT_PERIOD_S, self._write_due_checkpoints)
         every(SHARE_LOG_PERIOD_S, self._log_region_shares)
+        every(HELD_LOG_PERIOD_S, HeldBytesLog(self._held_bytes).record)
         self._relay_http_server.start()
         self._platform_sync.start()
         self._peer_exchange.start()
@@ -396,6 +399,7 @@
             dropped_log_lines=lambda: self._line_writer.dropped_lines,
             connections_in_use=self._pool.in_use_by_target,
             oldest_connection_use_s=self._pool.oldest_use_by_target_s,
+            held_bytes=self._held_bytes,
         )
         endpoints = PlatformEndpoints(
             names=self._names.endpoints,
