--- a/packages/verbenad/src/verbenad/http_protocol.py
+++ b/packages/verbenad/src/verbenad/http_protocol.py
@@ -185,7 +185,9 @@
         holding = self._input
         if not holding.try_grow(count - holding.held_bytes):
             raise ProtocolError("memory-full")
-        holding.set_droppable(True)
+        if not holding.droppable:
+            # Later parts are no progress; the whole head has a time limit.
+            holding.set_droppable(True)
 
     def _check_partial_head(self, searched_bytes: int) -> None:
         stream = self.stream
