Return the buffered part of a body that is streamed

Cause: a body longer than 1 MiB was sent on with its first part still held, although it could not be sent a second time; a caller that stalled after that part held 1 MiB for the time of the stall. The decoder left the end of a chunked body unread, so that verbenad without a platform no longer knew that a short body was complete and could be sent again.

Change: the first part is returned once a later byte was read. The decoder takes the end of a body without trailers together with the last data. The limits are listed in docs/settings.md, with the values of the code.

--- a/packages/verbenad/src/verbenad/chunked_decoder.py
+++ b/packages/verbenad/src/verbenad/chunked_decoder.py
@@ -20,6 +20,8 @@
 CHUNKS_PER_TURN = 512
 _SIZE = rb"([0-9A-Fa-f]{1,15})(?:[ \t]*;[\t\x20-\x7e\x80-\xff]*)?"
 _SIZE_LINE = re.compile(_SIZE)
+# The end of a chunk and of a body without trailers.
+_PLAIN_END = b"\r\n0\r\n\r\n"
 # The end of a chunk and the size line of the next one.
 _NEXT_CHUNK = re.compile(rb"\r\n" + _SIZE + rb"\r\n")
 _MAX_SIZE_LINE_BYTES = 1024
@@ -91,7 +93,7 @@
         stream = self._stream
         remaining = self._chunk_remaining_bytes
         available_bytes = min(limit_bytes, stream.buffered_bytes)
-        if remaining >= available_bytes:
+        if remaining > available_bytes:
             self._chunk_remaining_bytes -= available_bytes
             return stream.take(available_bytes)
         buffer, position = stream.buffer, stream.position
@@ -117,6 +119,9 @@
             self._framing_bytes += head.end() - position
             position = head.end()
             remaining = size
+        if not remaining and buffer.startswith(_PLAIN_END, position):
+            position += len(_PLAIN_END)
+            self.finished = True
         self._chunks_in_turn += count
         self._chunk_remaining_bytes = remaining
         stream.take(position - stream.position)
--- a/packages/verbenad/src/verbenad/request_body.py
+++ b/packages/verbenad/src/verbenad/request_body.py
@@ -79,6 +79,7 @@
         self._received_bytes = 0
         self._prefix = b""
         self._prefix_position = 0
+        self._held_prefix_bytes = 0
         self.failed = False
         # Whether the body is received before the request can run.
         self.is_prefetching = False
@@ -157,14 +158,14 @@
             self.holding.set_droppable(False)
             self.holding.shrink(granted_bytes - len(collected))
         self._prefix = bytes(collected)
+        self._held_prefix_bytes = len(collected)
         return self.received
 
     def release(self) -> None:
         """Return the bytes of a body that is not sent again."""
         if self.received:
-            self.holding.shrink(len(self._prefix))
-            self._prefix = b""
-            self._prefix_position = self._read_bytes = 0
+            self._drop_prefix()
+            self._read_bytes = 0
 
     def hold_first_piece(self) -> None:
         """Buffer the first bytes, without consuming them.
@@ -194,7 +195,11 @@
             start = self._prefix_position
             self._prefix_position = min(start + limit_bytes, len(self._prefix))
             return self._prefix[start : self._prefix_position]
-        return self._read_stream(limit_bytes)
+        data = self._read_stream(limit_bytes)
+        if data and self._held_prefix_bytes:
+            # A body that is longer than its buffered part is not sent again.
+            self._drop_prefix()
+        return data
 
     def read(self, length: int | None = None) -> bytes:
         """Return ``length`` bytes, or fewer at the end of the body.
@@ -241,6 +246,12 @@
     def __iter__(self) -> Iterator[bytes]:
         return iter(self.readline, b"")
 
+    def _drop_prefix(self) -> None:
+        self.holding.shrink(self._held_prefix_bytes)
+        self._held_prefix_bytes = 0
+        self._prefix = b""
+        self._prefix_position = 0
+
     def _ask(self, limit_bytes: int, spare_bytes: int) -> int:
         """Ask for the bytes of the next piece; return how many are granted.
 
--- a/tests/test_request_body.py
+++ b/tests/test_request_body.py
@@ -13,6 +13,7 @@
     MAX_FRAMING_RATIO,
 )
 from verbenad.decode_turns import DecodeTurns
+from verbenad.held_bytes import HeldBytes
 from verbenad.protocol_errors import (
     BodyError,
     BodyTooLargeError,
@@ -20,6 +21,7 @@
     BodyTooSlowError,
     ChunksTooSmallError,
     MalformedChunkError,
+    MemoryFullError,
 )
 from verbenad.request_body import BodyLimits, RequestBody
 from verbenad.socket_stream import SocketStream
@@ -31,6 +33,7 @@
     length: int | None = None,
     limits: BodyLimits | None = None,
     keep_open: list[socket.socket] | None = None,
+    owner: HeldBytes | None = None,
 ) -> RequestBody:
     left, right = socket.socketpair()
     left.sendall(data)
@@ -43,6 +46,7 @@
         content_length=length,
         chunked=length is None,
         limits=limits or BodyLimits(),
+        holding=(owner or HeldBytes()).open(),
     )
 
 
@@ -218,3 +222,65 @@
         counter.kill()
     assert len(taken) == 12
     assert taken[-1] - taken[0] >= 11
+
+
+@pytest.mark.parametrize("length", [1000, None])
+def test_body_is_held_until_it_is_released(length: int | None) -> None:
+    """Guards against bytes that are never returned."""
+    owner = HeldBytes()
+    data = (
+        b"b" * 1000 if length else b"3e8\r\n" + b"b" * 1000 + b"\r\n0\r\n\r\n"
+    )
+    body = _body(data, length=length, owner=owner)
+    assert body.prefetch(2000)
+    assert owner.held_bytes == 1000
+    assert body.read() == b"b" * 1000
+    body.rewind()
+    assert owner.held_bytes == 1000
+    body.release()
+    assert owner.held_bytes == 0
+    assert body.received
+
+
+def test_body_that_is_streamed_is_not_held() -> None:
+    """Guards against callers that stall after the buffered part."""
+    owner = HeldBytes()
+    body = _body(b"b" * 1000, length=1000, owner=owner)
+    assert not body.prefetch(600)
+    assert owner.held_bytes == 600
+    assert body.read(700) == b"b" * 700
+    assert owner.held_bytes == 0
+    assert not body.at_start and not body.can_send_from_start
+    assert body.read() == b"b" * 300
+
+
+@pytest.mark.parametrize("length", [1000, None])
+def test_body_without_room_is_not_received(length: int | None) -> None:
+    """Guards against a body that is read before its bytes are granted."""
+    owner = HeldBytes(999)
+    body = _body(b"3e8\r\n" + b"b" * 1000, length=length, owner=owner)
+    with pytest.raises(MemoryFullError):
+        body.prefetch(2000)
+    assert owner.held_bytes == 0
+    assert body.failed
+
+
+def test_body_of_exactly_the_limit_is_read_to_its_end() -> None:
+    """Guards against a body over the limit that is sent to a server."""
+    limits = BodyLimits(body_bytes=10)
+    body = _body(b"a\r\n" + b"b" * 10 + b"\r\n0\r\n\r\n", limits=limits)
+    assert body.prefetch(10)
+    assert body.replayable
+    body = _body(b"a\r\n" + b"b" * 10 + b"\r\n1\r\nb\r\n", limits=limits)
+    with pytest.raises(BodyTooLargeError):
+        body.prefetch(10)
+
+
+def test_whole_chunked_body_is_known_to_be_whole() -> None:
+    """Guards against a second attempt that is lost for want of the end."""
+    body = _body(b"5\r\nbytes\r\n3\r\nend\r\n0\r\n\r\n")
+    body.hold_first_piece()
+    assert body.replayable
+    assert body.read() == b"bytesend"
+    body.rewind()
+    assert body.read() == b"bytesend"
--- a/tools/settings_table.py
+++ b/tools/settings_table.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterator
 from pathlib import Path
 
+from verbenad import chunked_decoder, held_bytes
 from verbenad.daemon_settings import PROCESS_SETTINGS, default_text
 from verbenaworks.settings_path import LEVEL_FORMS
 from verbenaworks.settings_schema import FIELDS, FieldSpec, fields_of_level
@@ -43,6 +44,70 @@
 the name of a site. The most specific block that contains an address counts.
 """
 
+_MEMORY_LIMITS = """\
+## Memory and chunks of an entry instance
+
+These limits of the platform's entry instances have no setting of their own,
+except the machine's memory: `limits.memoryMb` of the platform's settings file.
+No caller that keeps to `maxHeaderBytes`, `maxBodyBytes`, `headerTimeoutS` and
+`idleTimeoutS` reaches one of them while the instance is calm.
+`docs/design/held-bytes.md` describes how they work.
+"""
+
+# Name, value and meaning.
+_MEMORY_ROWS = (
+    (
+        "`limits.memoryMb`",
+        f"{held_bytes.DEFAULT_MEMORY_MB:g} MB if absent",
+        "Memory of the machine.",
+    ),
+    (
+        "bytes held",
+        f"{held_bytes.MEMORY_SHARE:g} of the memory, at least"
+        f" {held_bytes.MIN_LIMIT_BYTES >> 20} MiB",
+        "Bodies, responses and partial heads held for all callers. A request"
+        " beyond it is refused with 503 `memory-full` before its body is"
+        " received.",
+    ),
+    (
+        "part for small requests",
+        f"{held_bytes.SMALL_SHARE:g} of the bytes held",
+        "Only requests that hold at most"
+        f" {held_bytes.SMALL_HOLDING_BYTES >> 10} KiB use it.",
+    ),
+    (
+        "base of a request",
+        f"{held_bytes.REQUEST_BYTES >> 10} KiB",
+        "Held by each request in progress, beside its body and response.",
+    ),
+    (
+        "time without progress",
+        f"{held_bytes.MIN_IDLE_S:g} s",
+        "While the bytes held are at their limit, a request whose caller sends"
+        f" or receives less than {held_bytes.PROGRESS_BYTES >> 10} KiB in this"
+        " time may be dropped for another: 503 `memory-full` while its body is"
+        " received, a closed connection while its response is sent.",
+    ),
+    (
+        "pipelined requests at once",
+        f"one from {held_bytes.SHORT_SHARE:g} of the bytes held",
+        "Further requests of a connection wait for its earlier responses.",
+    ),
+    (
+        "framing of chunks",
+        f"{chunked_decoder.FREE_FRAMING_BYTES >> 10} KiB and"
+        f" {chunked_decoder.MAX_FRAMING_RATIO} times the data",
+        "Size lines, extensions and line breaks of a chunked request body; a"
+        " chunk of one byte without an extension needs 5 times the data. A"
+        " body beyond it is refused with 400 `chunks-too-small`.",
+    ),
+    (
+        "chunks of a turn",
+        f"{chunked_decoder.CHUNKS_PER_TURN}",
+        "Chunks that are decoded before other connections get their turn.",
+    ),
+)
+
 
 def render() -> str:
     """Return the page."""
@@ -50,6 +115,9 @@
         _INTRODUCTION,
         *_process_table(),
         "",
+        _MEMORY_LIMITS,
+        *_memory_table(),
+        "",
         _CONFIGURATION,
         "### Levels",
         "",
@@ -76,6 +144,13 @@
         )
 
 
+def _memory_table() -> Iterator[str]:
+    yield from _row("limit", "value", "description")
+    yield from _row(*["---"] * 3)
+    for row in _MEMORY_ROWS:
+        yield from _row(*row)
+
+
 def _level_table() -> Iterator[str]:
     yield from _row("level", "path", "fields")
     yield from _row(*["---"] * 3)
