Receive the heads of responses in smaller parts

Cause: a response whose head was received with 64 KiB held up to that much in its connection, beside what was granted for it.

Change: 16 KiB at a time while a head is awaited, which the base of a request covers.

--- a/packages/verbenad/src/verbenad/forwarder.py
+++ b/packages/verbenad/src/verbenad/forwarder.py
@@ -27,6 +27,7 @@
 from verbenad.request_body import RequestBody
 from verbenad.request_head import HeadLimits
 from verbenad.response_head import ResponseHead, parse_response_head
+from verbenad.socket_stream import HEAD_RECEIVE_BYTES
 from verbenad.target_address import TargetAddress
 from verbenad.upstream_connection import UpstreamConnection
 from verbenad.upstream_pool import ConnectFailure, UpstreamPool
@@ -418,7 +419,7 @@
                 raise MalformedResponseError(
                     "the head of the response is too long"
                 )
-            if not stream.refill(timeout_s):
+            if not stream.refill(timeout_s, HEAD_RECEIVE_BYTES):
                 raise ConnectionResetError("closed before a response")
             timeout_s = self._time_left_s()
 
--- a/packages/verbenad/src/verbenad/http_protocol.py
+++ b/packages/verbenad/src/verbenad/http_protocol.py
@@ -22,7 +22,7 @@
 from verbenad.request_body import RequestBody
 from verbenad.request_head import RequestHead, parse_request_head
 from verbenad.response_writer import Framing, ResponseWriter
-from verbenad.socket_stream import SocketStream
+from verbenad.socket_stream import HEAD_RECEIVE_BYTES, SocketStream
 from verbenaworks.errors import VerbenaError
 
 if TYPE_CHECKING:
@@ -30,8 +30,6 @@
 
 _log = logbook.Logger("verbenad.front")
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
-# A connection without a request holds no more than this and a partial head.
-_HEAD_RECEIVE_BYTES = 16384
 _ZERO_LINGER = struct.pack("ii", 1, 0)
 _REQUEST_FIRST_BYTES = frozenset(
     b"!#$%&'*+-.^_`|~0123456789"
@@ -133,7 +131,7 @@
         self.http_server.idle[self] = None
         try:
             count = self.stream.refill(
-                self.limits.idle_timeout_s, _HEAD_RECEIVE_BYTES
+                self.limits.idle_timeout_s, HEAD_RECEIVE_BYTES
             )
             return count > 0
         except TimeoutError:
@@ -175,7 +173,7 @@
             if deadline_s is None:
                 deadline_s = now_s + self.limits.head_timeout_s
             try:
-                if not stream.refill(deadline_s - now_s, _HEAD_RECEIVE_BYTES):
+                if not stream.refill(deadline_s - now_s, HEAD_RECEIVE_BYTES):
                     return None
             except TimeoutError as error:
                 raise ProtocolError("request-too-slow") from error
--- a/packages/verbenad/src/verbenad/socket_stream.py
+++ b/packages/verbenad/src/verbenad/socket_stream.py
@@ -14,6 +14,8 @@
 from eventlet.hubs import trampoline
 
 RECEIVE_BYTES = 65536
+# While a head is awaited, so that a connection holds little besides it.
+HEAD_RECEIVE_BYTES = 16384
 # A fast transfer always has data ready. Without a yield it would block all
 # other connections until it ends.
 _MAX_RECEIVES_PER_YIELD = 8
