Count bytes to backend servers by distance and reason

ByteCounts counts the bytes of requests and responses of all attempts, heads included, by distance of the server and reason of the choice, and the bodies of calls to the store (its distance is not known) and to relays by distance. A connection counts its bytes; the forwarder reports those of one attempt when the connection is returned. distance() has the labels that PeerTraffic had.

--- a/packages/verbenad/src/verbenad/bounded_fetch.py
+++ b/packages/verbenad/src/verbenad/bounded_fetch.py
@@ -7,7 +7,7 @@
 
 import contextlib
 import zlib
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Any, Protocol
 
@@ -111,6 +111,34 @@
     )
 
 
+class FetchClient:
+    """Base of clients whose calls are counted.
+
+    :ivar on_call: called with the bytes of the bodies sent and received when
+        a call got a response.
+    """
+
+    on_call: Callable[[int, int], None] | None = None
+
+    def _fetch(
+        self,
+        pool: ConnectionPool,
+        method: str,
+        url: str,
+        *,
+        timeouts: FetchTimeouts,
+        body: bytes | None = None,
+        headers: Mapping[str, str] | None = None,
+    ) -> FetchedResponse:
+        """Make a request with :func:`fetch` and count it."""
+        response = fetch(
+            pool, method, url, timeouts=timeouts, body=body, headers=headers
+        )
+        if self.on_call is not None:
+            self.on_call(len(body or b""), len(response.data))
+        return response
+
+
 def decompress(data: bytes, limit_bytes: int = MAX_RESPONSE_BYTES) -> bytes:
     """Return the content of compressed data.
 
--- a/packages/verbenad/src/verbenad/forward_request.py
+++ b/packages/verbenad/src/verbenad/forward_request.py
@@ -1,5 +1,6 @@
 """The forwarder's input."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from verbenad.body_charge import BodyCharge
@@ -26,6 +27,8 @@
         stop working on the request; None for the attempt's deadline.
     :param permitted_until_s: monotonic time after which no byte of the request
         may be sent; None if there is no such time.
+    :param on_traffic: called with the bytes sent and received when the
+        connection is no longer in use.
     """
 
     request_id: str
@@ -41,3 +44,4 @@
     workspace: str = ""
     work_until_s: float | None = None
     permitted_until_s: float | None = None
+    on_traffic: Callable[[int, int], None] | None = None
--- a/packages/verbenad/src/verbenad/forwarder.py
+++ b/packages/verbenad/src/verbenad/forwarder.py
@@ -152,6 +152,7 @@
         "_request",
         "_request_sent",
         "_response_returned",
+        "_start_bytes",
         "_started_s",
     )
 
@@ -170,6 +171,8 @@
         self._response_returned = False
         self._connection_returned = False
         self._started_s = 0.0
+        # Bytes that the connection had sent and received before.
+        self._start_bytes = (0, 0)
 
     def run(
         self,
@@ -183,6 +186,8 @@
         body = self._prepare_body()
         self._charge_request(_buffered_bytes(body), may_have_run=False)
         connection = self._connect(address, connection_limit, new_connection)
+        stream = connection.stream
+        self._start_bytes = (stream.sent_bytes, stream.received_bytes)
         try:
             connection.stream.sent_any = False
             self._check_permission()
@@ -546,6 +551,12 @@
         cancellation = self._request.cancellation
         if cancellation is not None:
             cancellation.on_cancel(None)
+        if self._request.on_traffic is not None:
+            stream = connection.stream
+            self._request.on_traffic(
+                stream.sent_bytes - self._start_bytes[0],
+                stream.received_bytes - self._start_bytes[1],
+            )
         if can_reuse and read_to_end:
             self._forwarder.pool.release(connection)
         else:
--- a/packages/verbenad/src/verbenad/socket_stream.py
+++ b/packages/verbenad/src/verbenad/socket_stream.py
@@ -29,7 +29,9 @@
         "buffer",
         "is_shut_down",
         "position",
+        "received_bytes",
         "sent_any",
+        "sent_bytes",
         "sock",
     )
 
@@ -42,6 +44,9 @@
         self.buffer = b""
         self.position = 0
         self.sent_any = False
+        # Over the life of the connection.
+        self.sent_bytes = 0
+        self.received_bytes = 0
         # Whether this side ended the connection.
         self.is_shut_down = False
 
@@ -84,6 +89,7 @@
         Zero means the end of the stream.
         """
         data = self.receive(timeout_s)
+        self.received_bytes += len(data)
         if self.position >= len(self.buffer):
             self.buffer = data
         else:
@@ -122,12 +128,13 @@
             raise TimeoutError("no time left to send")
         sent = self._send(data, timeout_s)
         self.sent_any = True
+        self.sent_bytes += sent
         if sent == len(data):
             return
         rest = memoryview(data)[sent:]
         if timeout_s is None:
             while rest:
-                rest = rest[self._send(rest, None) :]
+                rest = self._send_some(rest, None)
             return
         end_s = time.monotonic() + timeout_s
         if min_bytes_per_s is not None:
@@ -136,7 +143,14 @@
             left_s = min(timeout_s, end_s - time.monotonic())
             if left_s <= 0:
                 raise TimeoutError("the peer receives the data too slowly")
-            rest = rest[self._send(rest, left_s) :]
+            rest = self._send_some(rest, left_s)
+
+    def _send_some(
+        self, rest: memoryview, timeout_s: float | None
+    ) -> memoryview:
+        sent = self._send(rest, timeout_s)
+        self.sent_bytes += sent
+        return rest[sent:]
 
     def _send(self, data: bytes | memoryview, timeout_s: float | None) -> int:
         if not self._green:
--- a/packages/verbenad/src/verbenad/steering/config_exchange.py
+++ b/packages/verbenad/src/verbenad/steering/config_exchange.py
@@ -11,6 +11,7 @@
 from verbenad.steering.relay_client import RelayClient
 from verbenad.steering.steering_state import SteeringState
 from verbenaworks.steering.instance_directory import InstanceDirectory
+from verbenaworks.steering.instance_record import InstanceRecord
 from verbenaworks.steering.peer_configs import PeerConfigs
 
 # A new configuration reaches all instances through the store in less time.
@@ -38,6 +39,7 @@
         peers: Callable[[], Collection[str]],
         now_s: Callable[[], float],
         call_later: Callable[[float, Callable[[], None]], object],
+        on_relay_call: Callable[[InstanceRecord, int], None] | None = None,
     ) -> None:
         self._state = state
         self._platform = platform
@@ -45,6 +47,7 @@
         self._peers = peers
         self._now_s = now_s
         self._call_later = call_later
+        self._on_relay_call = on_relay_call
         self._configs = PeerConfigs()
         self._held_since_s: float | None = None
         self._is_fetching = False
@@ -104,7 +107,7 @@
         peer = self._directory.peer(name)
         if peer is None:
             return False
-        client = RelayClient(peer, self._now_s)
+        client = RelayClient(peer, self._now_s, self._on_relay_call)
         try:
             document = client.read_config()
             config = self._platform.decode_config(document)
--- a/packages/verbenad/src/verbenad/steering/peer_traffic.py
+++ b/packages/verbenad/src/verbenad/steering/peer_traffic.py
@@ -1,6 +1,7 @@
 """Counts the datagrams that an instance sends to the others."""
 
 from verbenad.metrics import Metrics
+from verbenad.steering.distance import distance
 from verbenaworks.steering.instance_record import InstanceRecord
 
 # Headers of IP and UDP.
@@ -35,13 +36,9 @@
 
         :param size_bytes: size without the headers of the network.
         """
-        labels = (message_type, self._distance(peer))
+        where = distance(
+            self._local_instance, peer.region, peer.failure_domain
+        )
+        labels = (message_type, where)
         self._datagrams.add(labels)
         self._bytes.add(labels, size_bytes + DATAGRAM_HEADER_BYTES)
-
-    def _distance(self, peer: InstanceRecord) -> str:
-        if peer.region != self._local_instance.region:
-            return "region"
-        if peer.failure_domain != self._local_instance.failure_domain:
-            return "domain"
-        return "local"
--- a/packages/verbenad/src/verbenad/steering/platform_client.py
+++ b/packages/verbenad/src/verbenad/steering/platform_client.py
@@ -1,5 +1,6 @@
 """Interface of the platform's store, as an entry instance needs it."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -95,8 +96,13 @@
 
     Every method except :meth:`decode_item` raises PlatformUnavailableError if
     the store does not serve the call.
+
+    :ivar on_call: called with the bytes of the bodies sent and received when
+        a call got a response.
     """
 
+    on_call: Callable[[int, int], None] | None
+
     def snapshot(self) -> ItemBatch:
         """Return all items."""
 
--- a/packages/verbenad/src/verbenad/steering/relay_client.py
+++ b/packages/verbenad/src/verbenad/steering/relay_client.py
@@ -31,12 +31,17 @@
     """A connection to one relay.
 
     :param relay: record of the instance that is the relay.
+    :param on_call: called with the relay and the bytes of each response.
     """
 
     def __init__(
-        self, relay: InstanceRecord, now_s: Callable[[], float]
+        self,
+        relay: InstanceRecord,
+        now_s: Callable[[], float],
+        on_call: Callable[[InstanceRecord, int], None] | None = None,
     ) -> None:
         self.relay = relay
+        self._on_call = on_call
         self._now_s = now_s
         host, _, port = relay.peer_address.rpartition(":")
         self._pool = urllib3.HTTPConnectionPool(
@@ -91,6 +96,8 @@
             raise RelayUnavailableError(
                 f"relay {self.relay.name} failed: {error}"
             ) from error
+        if self._on_call is not None:
+            self._on_call(self.relay, len(response.data))
         if response.status != 200:
             raise RelayUnavailableError(
                 f"relay {self.relay.name} returned status {response.status}"
--- a/packages/verbenad/src/verbenad/steering/request_runner.py
+++ b/packages/verbenad/src/verbenad/steering/request_runner.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 
 from result import Err, Ok
 
@@ -17,6 +18,7 @@
     BufferedResponse,
     buffer_response,
 )
+from verbenad.steering.byte_counts import ByteCounts
 from verbenad.steering.crash_tracker import CrashTracker
 from verbenad.steering.notifying_stream import NotifyingStream
 from verbenad.steering.permission_check import PermissionCheck
@@ -104,8 +106,10 @@
         connection_limit: Callable[[str], int],
         cold_requests_per_s: Callable[[str], float],
         now_s: Callable[[], float],
+        byte_counts: ByteCounts,
     ) -> None:
         self._placement = placement
+        self._byte_counts = byte_counts
         self._forwarder = forwarder
         self._retry_budget = retry_budget
         self._crash_tracker = crash_tracker
@@ -207,7 +211,7 @@
         outcome = "interrupted"
         try:
             result = self._forwarder.attempt(
-                self._forward_request(request, server.server_id),
+                self._forward_request(request, placed),
                 server.address,
                 request.deadline_s + RESPONSE_MARGIN_S,
                 connection_limit=self._connection_limit(request.service),
@@ -390,7 +394,7 @@
             )
 
     def _forward_request(
-        self, request: AdmittedRequest, server_id: str
+        self, request: AdmittedRequest, placed: Placed
     ) -> ForwardRequest:
         head = request.head
         return ForwardRequest(
@@ -402,12 +406,15 @@
             body=request.body,
             idempotent=request.route.idempotent,
             cancellation=request.caller.cancellation,
-            server_id=server_id,
+            server_id=placed.server.server_id,
             workspace=request.workspace,
             work_until_s=request.deadline_s,
             permitted_until_s=self._permission_check.permitted_until_s(
                 request
             ),
+            on_traffic=partial(
+                self._byte_counts.record_attempt, placed.server, placed.reason
+            ),
         )
 
     def _is_server_error(self, progress: _Progress) -> bool:
--- a/packages/verbenad/src/verbenad/steering/steering_daemon.py
+++ b/packages/verbenad/src/verbenad/steering/steering_daemon.py
@@ -15,6 +15,7 @@
 from verbenad.line_writer import LineWriter
 from verbenad.loop_timers import LoopTimers
 from verbenad.metrics import Metrics
+from verbenad.steering.byte_counts import ByteCounts
 from verbenad.steering.caller_http_limits import caller_http_limits
 from verbenad.steering.caller_lookup import CallerLookup
 from verbenad.steering.config_exchange import ConfigExchange
@@ -239,12 +240,17 @@
     def _build_serving(self, platform: PlatformClient) -> None:
         settings = self._settings
         self._metrics = Metrics()
+        byte_counts = ByteCounts(
+            local_instance=self._local_instance, metrics=self._metrics
+        )
+        platform.on_call = byte_counts.record_store_call
         item_log = ItemLog()
         self._update_reader = UpdateReader(
             local_instance=self._local_instance,
             platform=platform,
             now_s=self._now_s,
             random=self._random,
+            on_relay_call=byte_counts.record_relay_call,
         )
         relay_server = RelayServer(
             item_log=item_log,
@@ -309,6 +315,7 @@
             ],
             now_s=self._now_s,
             call_later=self._timers.after,
+            on_relay_call=byte_counts.record_relay_call,
         )
         self._notices = ServerNotices(
             metrics=self._metrics,
@@ -350,6 +357,7 @@
             connection_limit=service_limits.connections,
             cold_requests_per_s=service_limits.cold_requests_per_s,
             now_s=self._now_s,
+            byte_counts=byte_counts,
         )
         self._region_share_log = RegionShareLog()
         self._request_log = RequestLog(self._line_writer, self._metrics)
--- a/packages/verbenad/src/verbenad/steering/update_reader.py
+++ b/packages/verbenad/src/verbenad/steering/update_reader.py
@@ -39,6 +39,7 @@
 
     :param local_instance: record of this instance.
     :param platform: client of the platform's store.
+    :param on_relay_call: called with the relay and the bytes of each response.
     """
 
     def __init__(
@@ -48,11 +49,13 @@
         platform: PlatformClient,
         now_s: Callable[[], float],
         random: Random,
+        on_relay_call: Callable[[InstanceRecord, int], None] | None = None,
     ) -> None:
         self._local_instance = local_instance
         self._platform = platform
         self._now_s = now_s
         self._random = random
+        self._on_relay_call = on_relay_call
         self._relays: list[InstanceRecord] = []
         self._relay_retry_at_s: dict[str, float] = {}
         self._store_retry_at_s = float("-inf")
@@ -159,6 +162,8 @@
         if client is None or client.relay != relay:
             if client is not None:
                 client.close()
-            client = self._client = RelayClient(relay, self._now_s)
+            client = self._client = RelayClient(
+                relay, self._now_s, self._on_relay_call
+            )
             _log.info("relay chosen", extra={"relay": relay.name})
         return client
