--- a/packages/verbenad/src/verbenad/steering/steering_daemon.py
+++ b/packages/verbenad/src/verbenad/steering/steering_daemon.py
@@ -17,6 +17,7 @@
 from verbenad.loop_timers import LoopTimers
 from verbenad.metrics import Metrics
 from verbenad.steering.admission_metrics import declare_admission_metrics
+from verbenad.steering.byte_counts import ByteCounts
 from verbenad.steering.caller_http_limits import caller_http_limits
 from verbenad.steering.caller_lookup import CallerLookup
 from verbenad.steering.config_exchange import ConfigExchange
@@ -249,12 +250,17 @@
     def _build_serving(self, platform: PlatformClient) -> None:
         settings = self._settings
         self._metrics = Metrics()
+        byte_counts = ByteCounts(
+            local_instance=self._local_instance, metrics=self._metrics
+        )
+        platform.on_call = byte_counts.record_store_call
         item_log = ItemLog()
         self._update_reader = UpdateReader(
             local_instance=self._local_instance,
             platform=platform,
             now_s=self._now_s,
             random=self._random,
+            on_relay_call=byte_counts.record_relay_call,
         )
         relay_server = RelayServer(
             item_log=item_log,
@@ -319,6 +325,7 @@
             ],
             now_s=self._now_s,
             call_later=self._timers.after,
+            on_relay_call=byte_counts.record_relay_call,
         )
         self._notices = ServerNotices(
             metrics=self._metrics,
@@ -360,6 +367,7 @@
             connection_limit=service_limits.connections,
             cold_requests_per_s=service_limits.cold_requests_per_s,
             now_s=self._now_s,
+            byte_counts=byte_counts,
         )
         self._placement_log = PlacementLog(
             placement=self._placement,
