Let requests that return go first, and say when to return

Cause: a request that was refused and returns competed as a new one, and Retry-After knew neither the class of the request nor how long the shortage has lasted. Change: in a shortage, a request that this instance refused, or whose stated deadline is clearly shorter than usual on its route, is a quarter of a class more urgent than others of its rank, and so are, a little, those with less time left. Retry-After follows the wait above the limit of the class and the time for which the rank has been refused, within a third of the caller's time less the service time. A request that cannot be served in its time is refused at once. The model has callers that return once. Without a shortage nothing changes.

--- a/packages/verbenad/src/verbenad/steering/admitted_request.py
+++ b/packages/verbenad/src/verbenad/steering/admitted_request.py
@@ -19,6 +19,7 @@
     :ivar deadline_s: time at which the caller stops waiting or the route's
         timeout ends.
     :ivar rank: rank of the workspace, or of the route; 0 is the most urgent.
+    :ivar is_returning: whether it was refused for lack of capacity before.
     :ivar digest: identifies the request if it is sent again.
     """
 
@@ -36,3 +37,4 @@
     digest: str
     config_version: int
     rank: int
+    is_returning: bool
--- a/packages/verbenad/src/verbenad/steering/request_runner.py
+++ b/packages/verbenad/src/verbenad/steering/request_runner.py
@@ -190,6 +190,7 @@
             body_bytes=len(request.body.prefix),
             rank=request.rank,
             workspace=request.workspace,
+            is_returning=request.is_returning,
         )
 
     def _run_attempt(
--- a/packages/verbenad/src/verbenad/steering/steering_gateway.py
+++ b/packages/verbenad/src/verbenad/steering/steering_gateway.py
@@ -29,6 +29,7 @@
 from verbenad.steering.shutdown_plan import ShutdownPlan
 from verbenad.steering.steering_state import SteeringState
 from verbenaworks.steering.competing_services import effective_rank
+from verbenaworks.steering.returning_requests import ReturningRequests
 from verbenaworks.steering.route import Route
 from verbenaworks.steering.steering_config import SteeringConfig
 from verbenaworks.steering.workspace_rate_limiter import WorkspaceRateLimiter
@@ -46,6 +47,8 @@
 MAX_DEADLINE_DIGITS = 9
 # Backend servers need some seconds to restart after a crash.
 CRASH_RETRY_AFTER_S = 5.0
+# Refusals for lack of capacity, after which callers return.
+CAPACITY_CODES = frozenset({"overloaded", "backend-refused"})
 
 
 class SteeringGateway:
@@ -95,6 +98,7 @@
         self._log_request = log_request
         self._now_s = now_s
         self._random = random
+        self._returning = ReturningRequests()
 
     def __call__(
         self, environ: dict[str, Any], start_response: StartResponse
@@ -162,7 +166,10 @@
         workspace = self._authenticate(
             config, route, head, request_id, is_fresh
         )
-        trace.deadline_s = trace.started_s + self._timeout_s(route, head)
+        stated_s = self._stated_s(route, head)
+        trace.deadline_s = trace.started_s + (
+            route.timeout_s if stated_s is None else stated_s
+        )
         if not self._shutdown().can_finish(
             route, trace.started_s, trace.deadline_s
         ):
@@ -231,6 +238,7 @@
         self._record_body(len(body.prefix))
         trace.service = self._choose_service(route)
         trace.affinity_key = self._affinity_key(route, head)
+        digest = _request_digest(head, trace.workspace, body)
         return AdmittedRequest(
             request_id=trace.request_id,
             route=route,
@@ -243,9 +251,15 @@
             caller=caller,
             started_s=trace.started_s,
             deadline_s=trace.deadline_s,
-            digest=_request_digest(head, trace.workspace, body),
+            digest=digest,
             config_version=config.version,
             rank=effective_rank(route, workspace),
+            is_returning=self._returning.is_returning(
+                trace.started_s,
+                digest,
+                route.name,
+                self._stated_s(route, head),
+            ),
         )
 
     def _run(
@@ -257,7 +271,17 @@
                 request.request_id,
                 retry_after_s=CRASH_RETRY_AFTER_S,
             )
-        return self._runner.run(request, trace.attempts)
+        try:
+            return self._runner.run(request, trace.attempts)
+        except RefusalError as exc:
+            if exc.refusal.code in CAPACITY_CODES:
+                self._returning.record_refusal(
+                    self._now_s(),
+                    request.digest,
+                    retry_after_s=exc.refusal.retry_after_s or 0.0,
+                    deadline_s=request.deadline_s,
+                )
+            raise
 
     def _refuse(
         self,
@@ -293,7 +317,11 @@
                     return pair[len(self._cookie_prefix) :]
         return ""
 
-    def _timeout_s(self, route: Route, head: RequestHead) -> float:
+    def _stated_s(self, route: Route, head: RequestHead) -> float | None:
+        """Return the deadline that the caller states; none if it does not.
+
+        A caller with a longer one waits for the route's timeout.
+        """
         values = head.values(self._deadline_field)
         if (
             len(values) == 1
@@ -301,7 +329,7 @@
             and len(values[0]) <= MAX_DEADLINE_DIGITS
         ):
             return min(route.timeout_s, int(values[0]) / 1000)
-        return route.timeout_s
+        return None
 
     def _log_outcome(
         self,
--- a/packages/verbenaworks/src/verbenaworks/steering/admission_class.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/admission_class.py
@@ -21,6 +21,7 @@
     :ivar is_above_share: whether its workspace is above its share.
     :ivar is_starved: whether its rank or workspace was served too seldom, so
         that it is served first.
+    :ivar refused_for_s: for how long its rank has been refused.
     :ivar share_per_s: largest share of a workspace in the fleet; none if all
         have what they want.
     :ivar age_s: age of the newest report of another instance; none without.
@@ -33,6 +34,7 @@
     classes: int
     is_above_share: bool
     is_starved: bool
+    refused_for_s: float
     share_per_s: float | None
     age_s: float | None
     level: float
@@ -47,7 +49,7 @@
         longest_s = usual_s + STRICT_PART * self.level * (strict_s - usual_s)
         step = WAIT_RANGE / min(MAX_SPREAD_CLASSES, self.classes)
         reduction = step * self.number * self.separation
-        return longest_s * max(0.0, 1.0 - reduction)
+        return min(usual_s, longest_s * max(0.0, 1.0 - reduction))
 
     @property
     def reason(self) -> str:
--- a/packages/verbenaworks/src/verbenaworks/steering/overload_refusals.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/overload_refusals.py
@@ -11,6 +11,7 @@
     RefusalReason,
 )
 from verbenaworks.steering.rank_admission import RankAdmission
+from verbenaworks.steering.return_time import return_time_s
 from verbenaworks.steering.server_admission import (
     MIN_RETRY_AFTER_S,
     ServerRefusal,
@@ -50,7 +51,12 @@
     ) -> PlacementRequest:
         """Return a new request with its class in a shortage."""
         admission = self._rank_admission.classify(
-            now_s, request.service, request.rank, request.workspace
+            now_s,
+            request.service,
+            request.rank,
+            request.workspace,
+            is_returning=request.is_returning,
+            time_left_share=request.time_left_s / request.route.timeout_s,
         )
         return replace(request, admission=admission) if admission else request
 
@@ -98,18 +104,34 @@
         misses_deadline = (
             best.wait_s > 0
             and best.wait_s + service_time_s > request.time_left_s
+        ) or (
+            request.admission is not None
+            and best.expected_s > request.time_left_s
         )
         if not misses_deadline and not self._is_excess(request, best):
             return None
-        over_s = best.wait_s - self._wait_limits.max_wait_s(request)
         return PlacementRefused(
             reason=RefusalReason.OVERLOADED,
-            retry_after_s=max(MIN_RETRY_AFTER_S, over_s)
-            * self._random.uniform(1.0, 2.0),
+            retry_after_s=self._retry_after_s(request, best, service_time_s),
             predicted_s=best.predicted_s,
             detail=self._describe(request, best),
         )
 
+    def _retry_after_s(
+        self, request: PlacementRequest, best: Placed, service_time_s: float
+    ) -> float:
+        if request.admission is None:
+            over_s = best.wait_s - self._wait_limits.max_wait_s(request)
+            spread = self._random.uniform(1.0, 2.0)
+            return max(MIN_RETRY_AFTER_S, over_s) * spread
+        return return_time_s(
+            over_s=best.wait_s - self._max_wait_s(request, best),
+            refused_for_s=request.admission.refused_for_s,
+            time_left_s=request.time_left_s,
+            service_s=service_time_s,
+            random=self._random,
+        )
+
     def _describe(self, request: PlacementRequest, best: Placed) -> str:
         if request.admission is None:
             return ""
--- a/packages/verbenaworks/src/verbenaworks/steering/rank_admission.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/rank_admission.py
@@ -11,6 +11,7 @@
     UNITS_PER_S,
     FleetDemand,
 )
+from verbenaworks.steering.refusal_spells import RefusalSpells
 from verbenaworks.steering.report_summary import short_hash
 from verbenaworks.steering.shortage_level import ShortageLevel
 from verbenaworks.steering.workspace_shares import WorkspaceShares
@@ -21,6 +22,11 @@
 # Demand is reported for this long after a shortage, for instances that still
 # see one.
 REPORT_AFTER_S = 2.0
+# Requests that return go before new ones of their rank, and those with less
+# time left before others. With twice these steps as many callers are answered,
+# but more of them late: who returns has used up most of the objective.
+RETURNING_STEP = 0.25
+TIME_LEFT_STEP = 0.1
 
 
 class _Service:
@@ -30,6 +36,7 @@
         self.counts = AdmissionCounts()
         self.shortage = ShortageLevel()
         self.shares = WorkspaceShares()
+        self.spells = RefusalSpells()
         self.shares_at_s = float("-inf")
         self.short_at_s = float("-inf")
 
@@ -57,9 +64,20 @@
         }
 
     def classify(
-        self, now_s: float, service_name: str, rank: int, workspace: str
+        self,
+        now_s: float,
+        service_name: str,
+        rank: int,
+        workspace: str,
+        *,
+        is_returning: bool = False,
+        time_left_share: float = 1.0,
     ) -> AdmissionClass | None:
-        """Return the class of a new request; none without a shortage."""
+        """Return the class of a new request; none without a shortage.
+
+        :param time_left_share: time until the caller stops waiting, relative
+            to the timeout of the route.
+        """
         service = self._services.get(service_name)
         if service is None or not service.shortage.is_short:
             return None
@@ -70,6 +88,8 @@
         number = 0.0
         if not is_starved:
             number = counts.rank_count(now_s, rank) + float(not is_within)
+        number -= RETURNING_STEP * is_returning
+        number -= TIME_LEFT_STEP * max(0.0, 1.0 - time_left_share)
         return AdmissionClass(
             rank=rank,
             number=number,
@@ -77,6 +97,7 @@
             classes=counts.rank_count(now_s) + 1,
             is_above_share=not is_within,
             is_starved=is_starved,
+            refused_for_s=service.spells.lasted_s(now_s, rank),
             share_per_s=service.shares.limit_per_s(rank),
             age_s=self.demand.age_s(now_s),
             level=service.shortage.level,
@@ -103,6 +124,8 @@
         if service is None:
             return
         service.counts.record(now_s, rank, workspace, is_admitted=is_admitted)
+        if not is_admitted:
+            service.spells.record_refusal(now_s, rank)
         service.shortage.observe(
             now_s,
             is_pressed=is_late or not is_admitted,
--- a/tools/admission_model.py
+++ b/tools/admission_model.py
@@ -3,8 +3,9 @@
 Each load runs in `steering_model` with the same seeds, with the admission
 switched off and on. The tool prints the share of requests that were answered
 within the latency objective, for all requests and for each rank, from the
-time on at which the load changes and caches are warm; and the share of late
-responses of the whole run.
+time on at which the load changes and caches are warm. Times count from the
+first attempt of a caller. The share of late responses is that of the whole
+run.
 """
 
 import argparse
@@ -29,15 +30,19 @@
     traffic: tuple[ModelTraffic, ...]
     halved_at_s: float | None = None
 
-    def model(self, *, is_on: bool, seed: int = 1) -> SteeringModel:
+    def model(
+        self, *, is_on: bool, seed: int = 1, returns: bool = False
+    ) -> SteeringModel:
         """Return a model of the load.
 
         :param is_on: whether requests are admitted by rank and share.
+        :param returns: whether refused callers return once.
         """
         model = SteeringModel(
             traffic=self.traffic,
             rank_admission=is_on,
             seed=seed,
+            returns=returns,
             counted_from_s=CHANGE_S,
         )
         if self.halved_at_s is not None:
@@ -111,12 +116,16 @@
     return sum(shares) / max(1, len(shares))
 
 
-def compare(seed: int) -> Iterator[str]:
+def compare(seed: int, *, returns: bool) -> Iterator[str]:
     """Yield a table with two rows for each load."""
-    yield f"{'load, seed ' + str(seed):27s}      useful   late  by rank"
+    yield (
+        f"{'load, seed ' + str(seed):27s}"
+        "      useful  answered   late  by rank"
+    )
     for name, load in LOADS.items():
         for is_on in (False, True):
-            result = load.model(is_on=is_on, seed=seed).run(LENGTH_S)
+            model = load.model(is_on=is_on, seed=seed, returns=returns)
+            result = model.run(LENGTH_S)
             by_rank = [
                 f"{result.useful_share_of(rank=rank):.3f}"
                 for rank in sorted({rank for rank, _ in result.by_class})
@@ -128,6 +137,7 @@
             yield (
                 f"{name:27s} {'on ' if is_on else 'off'}"
                 f"  {result.useful_share_of():.3f}"
+                f"     {result.answered_share():.3f}"
                 f"  {result.late / result.requests:.3f}  {' '.join(by_rank)}"
             )
 
@@ -136,8 +146,12 @@
     """Print the comparisons."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seeds", type=int, nargs="+", default=[1, 2])
-    for seed in parser.parse_args().seeds:
-        for line in compare(seed):
+    parser.add_argument(
+        "--returns", action="store_true", help="refused callers return once"
+    )
+    arguments = parser.parse_args()
+    for seed in arguments.seeds:
+        for line in compare(seed, returns=arguments.returns):
             print(line)
 
 
--- a/tools/steering_model.py
+++ b/tools/steering_model.py
@@ -34,7 +34,9 @@
 from verbenaworks.steering.rank_admission import RankAdmission
 from verbenaworks.steering.region_requests import RegionRequests
 from verbenaworks.steering.region_splits import Shares
+from verbenaworks.steering.returning_requests import ReturningRequests
 from verbenaworks.steering.route import RequestKind, Route, RouteDestination
+from verbenaworks.steering.server_admission import MIN_RETRY_AFTER_S
 from verbenaworks.steering.server_limits import ServerLimits
 from verbenaworks.steering.server_pauses import ServerPauses
 from verbenaworks.steering.server_senders import ServerSenders
@@ -116,6 +118,7 @@
     # The shares that it uses, as of its last report.
     shares: Shares = field(default_factory=dict)
     reported_at_s: float = float("-inf")
+    returning: ReturningRequests = field(default_factory=ReturningRequests)
     # Its arrivals in its last report, by service and workspace.
     demand: dict[int, dict[int, int]] = field(default_factory=dict)
 
@@ -126,6 +129,9 @@
     placement: Placement
     affinity_key: str
     arrived_s: float
+    # When it was sent for the last time; later than ``arrived_s`` if it was
+    # refused at first.
+    sent_s: float
     placement_request: PlacementRequest
     placed: Placed
     server: _Server
@@ -143,6 +149,7 @@
     :param traffic: requests of several ranks and workspaces instead of
         ``per_s``.
     :param rank_admission: whether they are admitted by rank and share.
+    :param returns: whether callers return once after Retry-After.
     :param counted_from_s: when counting by rank and workspace starts.
     """
 
@@ -158,6 +165,7 @@
         heeds_pauses: bool = True,
         traffic: Sequence[ModelTraffic] = (),
         rank_admission: bool = True,
+        returns: bool = False,
         counted_from_s: float = 0.0,
     ) -> None:
         self.size = size or ModelSize()
@@ -166,6 +174,7 @@
         if per_s is not None:
             self._traffic = (ModelTraffic(per_s=per_s),)
         self._rank_admission = rank_admission
+        self._returns = returns
         self._counted_from_s = counted_from_s
         self._share_of = share_of or (lambda region, at_s: 1.0)
         self._baseline = baseline
@@ -251,6 +260,7 @@
         instance.placement = self._make_placement(
             number, instance.region, instance.pauses
         )
+        instance.returning = ReturningRequests()
         instance.report = {}
         instance.demand = {}
 
@@ -331,14 +341,24 @@
             workspace=traffic.workspace,
         )
         self._count(placement_request, "requests")
-        self._place(instance, placement_request)
+        self._receive(instance, placement_request)
+
+    def _receive(
+        self, instance: _Instance, placement_request: PlacementRequest
+    ) -> None:
+        is_returning = instance.returning.is_returning(
+            self._now_s, "", ROUTE.name, placement_request.time_left_s
+        )
+        self._place(
+            instance, replace(placement_request, is_returning=is_returning)
+        )
 
     def _place(
         self, instance: _Instance, placement_request: PlacementRequest
     ) -> None:
         placed = self._choose(instance.placement, placement_request)
         if isinstance(placed, PlacementRefused):
-            self._record_refusal(placement_request)
+            self._record_refusal(placement_request, placed.retry_after_s)
             return
         server = self._servers[placed.server.server_id]
         if self._now_s < server.paused_until_s:
@@ -349,7 +369,8 @@
                 instance=instance,
                 placement=instance.placement,
                 affinity_key=placement_request.affinity_key,
-                arrived_s=self._now_s,
+                arrived_s=self._now_s - _waited_s(placement_request),
+                sent_s=self._now_s,
                 placement_request=placement_request,
                 placed=placed,
                 server=server,
@@ -399,9 +420,28 @@
             )
             self._record_refusal(request.placement_request)
 
-    def _record_refusal(self, placement_request: PlacementRequest) -> None:
-        self.result.refused += 1
-        self._count(placement_request, "refused")
+    def _record_refusal(
+        self,
+        placement_request: PlacementRequest,
+        retry_after_s: float = MIN_RETRY_AFTER_S,
+    ) -> None:
+        """Let a caller return, unless it has already."""
+        waited_s = _waited_s(placement_request)
+        if not self._returns or waited_s:
+            self.result.refused += 1
+            self._count(placement_request, "refused", self._now_s - waited_s)
+            return
+        self.result.returned += 1
+        pause_s = min(retry_after_s, ROUTE.timeout_s / 3)
+        again = replace(
+            placement_request,
+            time_left_s=ROUTE.timeout_s - pause_s,
+            tried_servers=frozenset(),
+        )
+        self._schedule(
+            self._now_s + pause_s,
+            lambda: self._receive(self._entry_instance(), again),
+        )
 
     def _count(
         self,
@@ -472,7 +512,10 @@
                 self._now_s,
                 request.placement_request,
                 request.placed,
-                response_time_s,
+                response_time_s - (request.sent_s - request.arrived_s),
+            )
+            self._count(
+                request.placement_request, "answered", request.arrived_s
             )
         if response_time_s <= ROUTE.latency_objective_s:
             self.result.useful += 1
@@ -539,6 +582,11 @@
         )
 
 
+def _waited_s(request: PlacementRequest) -> float:
+    """Return for how long a caller has waited before it sent a request."""
+    return ROUTE.timeout_s - request.time_left_s
+
+
 def constant(per_s: float) -> Callable[[float], float]:
     """Return a load pattern with a constant rate."""
     return lambda _: per_s
--- a/tools/steering_model_types.py
+++ b/tools/steering_model_types.py
@@ -76,6 +76,7 @@
     :ivar refused: requests refused by placement or by a full server queue.
     :ivar failed: requests that timed out.
     :ivar sent_in_pauses: requests sent to servers that wanted a pause.
+    :ivar returned: requests that were refused once and sent again.
     :ivar useful_at_s: end times of the useful requests.
     :ivar runs: requests that ran, in the order of their ends.
     :ivar by_class: counts by outcome, by rank and workspace.
@@ -87,6 +88,7 @@
     refused: int = 0
     failed: int = 0
     sent_in_pauses: int = 0
+    returned: int = 0
     useful_at_s: list[float] = field(default_factory=list)
     runs: list[ModelRun] = field(default_factory=list)
     by_class: dict[tuple[int, str], Counter[str]] = field(
@@ -108,6 +110,18 @@
                 total.update(counts)
         return total["useful"] / max(1, total["requests"])
 
+    @property
+    def served_return_share(self) -> float:
+        """Share of the requests that were sent again that were not refused."""
+        return 1.0 - self.refused / max(1, self.returned)
+
+    def answered_share(self) -> float:
+        """Return the share of counted requests answered before the timeout."""
+        total: Counter[str] = Counter()
+        for counts in self.by_class.values():
+            total.update(counts)
+        return total["answered"] / max(1, total["requests"])
+
     def useful_per_s(self, from_s: float, to_s: float) -> float:
         """Return the rate of useful responses between two times."""
         count = sum(from_s <= at_s < to_s for at_s in self.useful_at_s)
