Refuse parts of early responses and statuses that do not exist

Cause: a backend server answers an upload that it does not read with a 200 without a length, sends a part of the body and resets the connection. A send of the instance that waits then gets the kernel's only report of the reset, and the next read sees a regular end, so that the caller got the part as a complete response. A regular close in the middle had the same effect. A status from 600 to 999 was passed on.

Change: SocketStream remembers a failed send and reports the end of that stream as a reset. A 2xx without a length that comes before the request was sent is refused. The status of a response is from 100 to 599.

--- a/packages/verbenad/src/verbenad/forwarder.py
+++ b/packages/verbenad/src/verbenad/forwarder.py
@@ -431,6 +431,17 @@
             and not settings.accept_close_delimited_responses
         ):
             raise MalformedResponseError("the response has no length")
+        if (
+            not head.is_self_delimiting
+            and not self._request_sent
+            and head.status < 300
+        ):
+            # A backend server that ends the connection before it has read
+            # the request has usually failed, and its response may be cut.
+            raise MalformedResponseError(
+                "the response has no length and came before the end of the"
+                " request"
+            )
         can_reuse = (
             head.keep_alive and head.is_self_delimiting and self._request_sent
         )
--- a/packages/verbenad/src/verbenad/response_head.py
+++ b/packages/verbenad/src/verbenad/response_head.py
@@ -17,7 +17,7 @@
 from verbenad.request_head import HeadLimits
 
 _STATUS_LINE = re.compile(
-    r"HTTP/1\.([01]) ([1-9][0-9]{2})(?: ([\t\x20-\x7e\x80-\xff]*))?"
+    r"HTTP/1\.([01]) ([1-5][0-9]{2})(?: ([\t\x20-\x7e\x80-\xff]*))?"
 )
 _FRAMING_FIELDS = frozenset(
     {"content-length", "transfer-encoding", "connection"}
--- a/packages/verbenad/src/verbenad/socket_stream.py
+++ b/packages/verbenad/src/verbenad/socket_stream.py
@@ -26,6 +26,7 @@
         "_green",
         "_raw",
         "_receives",
+        "_send_failed",
         "buffer",
         "is_shut_down",
         "position",
@@ -39,6 +40,7 @@
         self._green = raw is not None
         self._raw = sock if raw is None else raw
         self._receives = 0
+        self._send_failed = False
         self.buffer = b""
         self.position = 0
         self.sent_any = False
@@ -58,6 +60,14 @@
         """
         if timeout_s is not None and timeout_s <= 0:
             raise TimeoutError("no time left to receive")
+        data = self._receive(timeout_s)
+        if not data and self._send_failed:
+            # The kernel reports a reset once. A send has used up the report,
+            # so that the reset looks like a regular end of stream here.
+            raise ConnectionResetError("reset while data was being sent")
+        return data
+
+    def _receive(self, timeout_s: float | None) -> bytes:
         if not self._green:
             self._raw.settimeout(timeout_s)
             return self._raw.recv(RECEIVE_BYTES)
@@ -139,6 +149,17 @@
             rest = rest[self._send(rest, left_s) :]
 
     def _send(self, data: bytes | memoryview, timeout_s: float | None) -> int:
+        try:
+            return self._send_some(data, timeout_s)
+        except TimeoutError:
+            raise
+        except OSError:
+            self._send_failed = True
+            raise
+
+    def _send_some(
+        self, data: bytes | memoryview, timeout_s: float | None
+    ) -> int:
         if not self._green:
             self._raw.settimeout(timeout_s)
             return self._raw.send(data)
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -298,6 +298,8 @@
     "a space before the colon": b"HTTP/1.1 200 OK\r\n"
     b"Content-Length : 0\r\n\r\n",
     "a malformed status": b"HTTP/1.1 2000 OK\r\nContent-Length: 0\r\n\r\n",
+    "a status above 599": b"HTTP/1.1 600 OK\r\nContent-Length: 0\r\n\r\n",
+    "a status below 100": b"HTTP/1.1 099 OK\r\nContent-Length: 0\r\n\r\n",
     "another protocol": b"SSH-2.0-x\r\n\r\n",
     "a switch of protocols": b"HTTP/1.1 101 Switching\r\n\r\n",
     "no length": b"HTTP/1.1 200 OK\r\n\r\nhello",
--- a/tests/test_socket_stream.py
+++ b/tests/test_socket_stream.py
@@ -1,6 +1,7 @@
 """Tests of buffered reading and writing on one socket."""
 
 import socket
+import struct
 import threading
 import time
 
@@ -87,3 +88,25 @@
             stream.send_all(b"x" * (32 << 20), 0.3, min_bytes_per_s)
         failed.set()
         reader.join()
+
+
+def test_reset_that_a_send_reported_is_no_end() -> None:
+    """Guards against a cut response that looks whole.
+
+    A failed send uses up the kernel's report of the reset.
+    """
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        own = socket.create_connection(listener.getsockname())
+        peer, _ = listener.accept()
+    with own:
+        stream = SocketStream(own)
+        peer.sendall(b"a part")
+        peer.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+        )
+        peer.close()
+        with pytest.raises(OSError):
+            stream.send_all(b"x", 1.0)
+        assert stream.receive(1.0) == b"a part"
+        with pytest.raises(ConnectionResetError):
+            stream.receive(1.0)
