Explain the choice of a server without counting it

Cause: an operator who asks where a request would go has to send one, which uses budgets and enters averages.

A trace gets the servers that the decision compares and excludes. The copies of loads, recent objects, limits and senders are shallow; the orders of objects are not copied, because they only save time. The count of requests in flight moves to the predictor, which holds the loads.

--- a/packages/verbenaworks/src/verbenaworks/steering/affinity_order.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/affinity_order.py
@@ -75,6 +75,14 @@
         self._table_version = -1
         self._orders: dict[ObjectKey, _Order] = {}
 
+    def __deepcopy__(self, memo: dict[int, object]) -> "AffinityOrder":
+        # Orders are only kept to save time.
+        copied = AffinityOrder(
+            failure_domain=self._failure_domain, table=self._table
+        )
+        memo[id(self)] = copied
+        return copied
+
     def regions(
         self, key: ObjectKey, shares: Mapping[str, float]
     ) -> list[str]:
--- a/packages/verbenaworks/src/verbenaworks/steering/backend_server.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/backend_server.py
@@ -28,6 +28,9 @@
     sequence: int
     started_at_ms: int = 0
 
+    def __deepcopy__(self, memo: dict[int, object]) -> "BackendServer":
+        return self
+
     @property
     def incarnation(self) -> tuple[str, int]:
         """Key of one run of the server process."""
--- a/packages/verbenaworks/src/verbenaworks/steering/overload_refusals.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/overload_refusals.py
@@ -71,6 +71,24 @@
             predicted_s=best.predicted_s,
         )
 
+    def levels(
+        self, request: PlacementRequest, best: Placed
+    ) -> dict[str, object]:
+        """Return the limits in force for a request, for an explanation.
+
+        :param best: the best server for it.
+        """
+        overload = self.overload(request.service)
+        limits = self._wait_limits
+        return {
+            "sustained_overload": overload.is_sustained,
+            "late_share": overload.late_share,
+            "max_wait_s": limits.max_wait_s(request),
+            "strict_max_wait_s": limits.strict_max_wait_s(
+                request, best.server
+            ),
+        }
+
     def no_server(self, refusal: ServerRefusal) -> PlacementRefused:
         """Return a refusal because no server can take the request.
 
--- a/packages/verbenaworks/src/verbenaworks/steering/placement.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/placement.py
@@ -12,6 +12,7 @@
 it has no server that can take them.
 """
 
+import copy
 from collections.abc import Iterable, Mapping
 from dataclasses import replace
 from random import Random
@@ -19,6 +20,7 @@
 from verbenaworks.steering.backend_server import BackendServer
 from verbenaworks.steering.candidate_servers import CandidateServers
 from verbenaworks.steering.cold_start_limiter import ColdStartLimiter
+from verbenaworks.steering.decision_trace import DecisionTrace
 from verbenaworks.steering.overflow_budget import OverflowBudget
 from verbenaworks.steering.overload_refusals import OverloadRefusals
 from verbenaworks.steering.placement_cost import PlacementCost
@@ -36,6 +38,7 @@
 from verbenaworks.steering.server_admission import (
     ServerAdmission,
     ServerRefusal,
+    sooner_refusal,
 )
 from verbenaworks.steering.server_introductions import ServerIntroductions
 from verbenaworks.steering.server_limits import ServerLimits
@@ -84,9 +87,7 @@
         self._costs = PlacementCost(
             region=region,
             failure_domain=failure_domain,
-            late_share=lambda service: (
-                self._refusals.overload(service).late_share
-            ),
+            late_share=self._late_share,
         )
         self._splits = RegionSplits(region)
         self._candidates = CandidateServers(
@@ -124,11 +125,27 @@
             predictor=self._predictor,
         )
         self._overflow = OverflowBudget()
+        self._trace = DecisionTrace()
 
     def load_of(self, server: BackendServer) -> ServerLoad:
         """Return the load and health of a server, as known here."""
         return self._predictor.load_of(server)
 
+    def trial(self, trace: DecisionTrace) -> "Placement":
+        """Return a copy to decide with; no decision of it counts here.
+
+        :param trace: gets what the copy compares and excludes.
+        """
+        trial = copy.deepcopy(self)
+        trial._trace = trace
+        return trial
+
+    def levels(
+        self, request: PlacementRequest, best: Placed
+    ) -> dict[str, object]:
+        """Return the limits in force for a request, for an explanation."""
+        return self._refusals.levels(request, best)
+
     def choose(
         self,
         now_s: float,
@@ -164,7 +181,7 @@
         first = _NO_SERVER
         if None not in refusals:
             for refusal in filter(None, refusals):
-                first = _sooner(first, refusal)
+                first = sooner_refusal(first, refusal)
         return self._refusals.no_server(first)
 
     def _is_restricted(self, now_s: float, server: BackendServer) -> bool:
@@ -174,6 +191,9 @@
             or self._pauses.left_s(now_s, server) > 0
         )
 
+    def _late_share(self, service: str) -> float:
+        return self._refusals.overload(service).late_share
+
     def _shares(self, now_s: float, service: str) -> Mapping[str, float]:
         """Return the share of a service's requests by region."""
         shares = self._splits.shares(service)
@@ -228,7 +248,7 @@
             best, reason = self._best_in(
                 now_s, request, region, cold_requests_per_s
             )
-            refusal = _sooner(refusal, reason)
+            refusal = sooner_refusal(refusal, reason)
         if best is None:
             best, reason = self._best_of(
                 now_s,
@@ -236,7 +256,7 @@
                 self._candidates.that_are_down(request),
                 cold_requests_per_s,
             )
-            refusal = _sooner(refusal, reason)
+            refusal = sooner_refusal(refusal, reason)
         if best is None:
             return self._refusals.no_server(refusal)
         if best.server.region != regions[0] and self._is_busy(
@@ -316,12 +336,14 @@
                 now_s, server, cold_requests_per_s
             )
             if refusal is not None:
-                first_refusal = _sooner(first_refusal, refusal)
+                self._trace.record_excluded(server, refusal)
+                first_refusal = sooner_refusal(first_refusal, refusal)
                 if rank == 0 and refusal.reason in _LASTING_REASONS:
                     restricted_home = server
                 continue
             placed = self._predict(now_s, request, server, rank)
             cost_s = self._costs.cost_s(request, placed)
+            self._trace.record_compared(placed, cost_s)
             if best is None or cost_s < best_cost_s:
                 best, best_cost_s = placed, cost_s
         if best is not None and restricted_home is not None:
@@ -426,19 +448,11 @@
 
     def in_flight(self) -> dict[str, int]:
         """Return the local requests in flight by server id, without zeros."""
-        return {
-            server_id: load.in_flight
-            for server_id, load in self._predictor.loads.items()
-            if load.in_flight > 0
-        }
+        return self._predictor.in_flight()
 
     def bound_requests(self) -> dict[str, int]:
         """Return those that may not run in every region, by server id."""
-        return {
-            server_id: load.bound
-            for server_id, load in self._predictor.loads.items()
-            if load.bound > 0
-        }
+        return self._predictor.bound_requests()
 
     def set_peer_requests(
         self, now_s: float, by_server: Mapping[str, float]
@@ -482,16 +496,4 @@
 
         :param server_ids: ids of all existing servers.
         """
-        existing_ids = set(server_ids)
-        for server_id, load in list(self._predictor.loads.items()):
-            if server_id not in existing_ids and not load.in_flight:
-                del self._predictor.loads[server_id]
-
-
-def _sooner(first: ServerRefusal, second: ServerRefusal) -> ServerRefusal:
-    """Return the refusal that ends first; having no server is none."""
-    if first.reason is RefusalReason.NO_SERVER:
-        return second
-    if second.reason is RefusalReason.NO_SERVER:
-        return first
-    return min(first, second, key=lambda refusal: refusal.retry_after_s)
+        self._predictor.forget_removed_servers(server_ids)
--- a/packages/verbenaworks/src/verbenaworks/steering/recent_objects.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/recent_objects.py
@@ -1,5 +1,7 @@
 """Number of distinct objects that were requested recently."""
 
+import copy
+
 # An object counts for this long after its last request.
 RECENT_S = 20.0
 # Time between two removals of objects that no longer count.
@@ -16,6 +18,12 @@
         self._last_request_s: dict[str, float] = {}
         self._trimmed_s = float("-inf")
 
+    def __deepcopy__(self, memo: dict[int, object]) -> "RecentObjects":
+        copied = copy.copy(self)
+        copied._last_request_s = dict(self._last_request_s)
+        memo[id(self)] = copied
+        return copied
+
     def add(self, now_s: float, object_text: str) -> None:
         """Record a request for an object."""
         self._last_request_s.pop(object_text, None)
--- a/packages/verbenaworks/src/verbenaworks/steering/response_predictor.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/response_predictor.py
@@ -1,6 +1,6 @@
 """Prediction of response times, and what it is learned from."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from verbenaworks.steering.backend_server import BackendServer
 from verbenaworks.steering.cache_capacity import CacheCapacity
@@ -154,6 +154,32 @@
             )
             self._learn_cache_capacity(now_s, request, placed, at_server_s)
 
+    def in_flight(self) -> dict[str, int]:
+        """Return the local requests in flight by server id, without zeros."""
+        return {
+            server_id: load.in_flight
+            for server_id, load in self.loads.items()
+            if load.in_flight > 0
+        }
+
+    def bound_requests(self) -> dict[str, int]:
+        """Return those that may not run in every region, by server id."""
+        return {
+            server_id: load.bound
+            for server_id, load in self.loads.items()
+            if load.bound > 0
+        }
+
+    def forget_removed_servers(self, server_ids: Iterable[str]) -> None:
+        """Delete the data about servers that no longer exist.
+
+        :param server_ids: ids of all existing servers.
+        """
+        existing_ids = set(server_ids)
+        for server_id, load in list(self.loads.items()):
+            if server_id not in existing_ids and not load.in_flight:
+                del self.loads[server_id]
+
     def _objects_since(
         self, now_s: float, request: PlacementRequest, load: ServerLoad
     ) -> int | None:
--- a/packages/verbenaworks/src/verbenaworks/steering/server_admission.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/server_admission.py
@@ -92,3 +92,14 @@
             self._cold_start_limiter.record_request(
                 now_s, server, cold_requests_per_s
             )
+
+
+def sooner_refusal(
+    first: ServerRefusal, second: ServerRefusal
+) -> ServerRefusal:
+    """Return the refusal that ends first; having no server is none."""
+    if first.reason is RefusalReason.NO_SERVER:
+        return second
+    if second.reason is RefusalReason.NO_SERVER:
+        return first
+    return min(first, second, key=lambda refusal: refusal.retry_after_s)
--- a/packages/verbenaworks/src/verbenaworks/steering/server_limits.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/server_limits.py
@@ -7,6 +7,7 @@
 without a limit.
 """
 
+import copy
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 
@@ -74,6 +75,14 @@
         self._started_s: float | None = None
         self._is_informed = False
 
+    def __deepcopy__(self, memo: dict[int, object]) -> "ServerLimits":
+        # The callbacks belong to the process and are not copied.
+        copied = copy.copy(self)
+        copied._statements = dict(self._statements)
+        copied._tokens = dict(self._tokens)
+        memo[id(self)] = copied
+        return copied
+
     def connect(
         self,
         *,
--- a/packages/verbenaworks/src/verbenaworks/steering/server_load.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/server_load.py
@@ -1,5 +1,6 @@
 """Load and health of a backend server, as one instance knows them."""
 
+import copy
 import math
 from dataclasses import dataclass, field
 
@@ -61,6 +62,12 @@
         default_factory=dict
     )
 
+    def __deepcopy__(self, memo: dict[int, object]) -> "ServerLoad":
+        copied = copy.copy(self)
+        copied._recent_objects = dict(self._recent_objects)
+        memo[id(self)] = copied
+        return copied
+
     def load(self, now_s: float) -> float:
         """Return the requests that run or wait at the server."""
         weight = self._reported_share(now_s)
--- a/packages/verbenaworks/src/verbenaworks/steering/server_senders.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/server_senders.py
@@ -6,6 +6,7 @@
 there.
 """
 
+import copy
 from collections.abc import Mapping
 
 from verbenaworks.steering.backend_server import BackendServer
@@ -25,6 +26,12 @@
         self._regions: dict[str, str] = {instance: region}
         self._orders: dict[tuple[str, str], tuple[str, ...]] = {}
 
+    def __deepcopy__(self, memo: dict[int, object]) -> "ServerSenders":
+        copied = copy.copy(self)
+        copied._orders = dict(self._orders)
+        memo[id(self)] = copied
+        return copied
+
     def set_instances(
         self, regions: Mapping[str, str], *, is_sender: bool = True
     ) -> None:
--- a/packages/verbenaworks/src/verbenaworks/steering/server_table.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/server_table.py
@@ -38,6 +38,10 @@
         self._by_region: dict[str, dict[str, tuple[BackendServer, ...]]] = {}
         self._store_recovered_at_s = float("-inf")
 
+    def __deepcopy__(self, memo: dict[int, object]) -> "ServerTable":
+        # Decisions only read the table.
+        return self
+
     def record_store_recovery(self, now_s: float) -> None:
         """Record that the store responds again after an outage."""
         self._store_recovered_at_s = now_s
@@ -155,14 +159,22 @@
             by_service: dict[str, list[BackendServer]] = {}
             for _, entry in sorted(self._entries.items()):
                 server = entry.server
-                if server.draining or server.incarnation in self._leaving:
-                    continue
-                if server.failure_domain in self._evacuated:
+                if self.exclusion(server) is not None:
                     continue
                 by_service.setdefault(server.service, []).append(server)
             self._usable = {k: tuple(v) for k, v in by_service.items()}
         return self._usable
 
+    def exclusion(self, server: BackendServer) -> str | None:
+        """Return why a server takes no new requests; none if it does."""
+        if server.draining:
+            return "draining"
+        if server.incarnation in self._leaving:
+            return "leaving"
+        if server.failure_domain in self._evacuated:
+            return "failure domain evacuated"
+        return None
+
     def usable_by_region(
         self, service: str
     ) -> Mapping[str, tuple[BackendServer, ...]]:
