Add the command explain and its page on the metrics address

Cause: nothing shows where a request would go now, and why, without sending it.

Change: GET /explain on the metrics address, and verbena explain, which reads it. The addresses that callers reach do not serve it. The home regions of a request and whether it needs a key move to functions that the gateway uses as well.

--- a/packages/verbena/src/verbena/main.py
+++ b/packages/verbena/src/verbena/main.py
@@ -11,6 +11,7 @@
 from verbena.config_commands import Create, Delete, Get, Set, Unset
 from verbena.console_output import print_error
 from verbena.exit_codes import EXIT_CODES_TEXT, ExitCode, exit_code_of
+from verbena.explain_command import Explain
 from verbena.file_commands import Diff, Export, History, Import
 from verbena.fleet_commands import Completion, Settle, Status, Writers
 from verbena.traffic_commands import Drain, Shift
@@ -49,6 +50,7 @@
         | Shift
         | Drain
         | Status
+        | Explain
         | Settle
         | Writers
         | Completion
--- a/packages/verbenad/src/verbenad/steering/platform_endpoints.py
+++ b/packages/verbenad/src/verbenad/steering/platform_endpoints.py
@@ -9,6 +9,8 @@
 
 StartResponse = Callable[..., Any]
 
+EXPLAIN_PATH = "/explain"
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class EndpointNames:
@@ -38,6 +40,8 @@
     :param not_ready_reason: returns why callers should not use the instance,
         or None if it is ready.
     :param metrics: returns the metrics in text form.
+    :param explain: returns the status and the body of an explanation for the
+        fields of a query; None to serve no explanations.
     """
 
     def __init__(
@@ -48,12 +52,14 @@
         lookup_ttl_s: float,
         not_ready_reason: Callable[[], str | None],
         metrics: Callable[[], bytes],
+        explain: Callable[[dict[str, str]], tuple[str, bytes]] | None = None,
     ) -> None:
         self._names = names
         self._lookup = lookup
         self._lookup_ttl_s = lookup_ttl_s
         self._not_ready_reason = not_ready_reason
         self._metrics = metrics
+        self._explain = explain
 
     def __call__(
         self, environ: dict[str, Any], start_response: StartResponse
@@ -72,6 +78,12 @@
             )
         if path == names.metrics_path:
             return _respond_text(start_response, "200 OK", self._metrics())
+        if path == EXPLAIN_PATH and self._explain is not None:
+            status, body = self._explain(
+                _first_values(environ["QUERY_STRING"])
+            )
+            start_response(status, [("Content-Type", "application/json")])
+            return [body]
         return _respond_text(
             start_response, "404 Not Found", b"no such page\n"
         )
@@ -97,6 +109,13 @@
         return [body]
 
 
+def _first_values(query: str) -> dict[str, str]:
+    return {
+        name: values[0]
+        for name, values in parse_qs(query, keep_blank_values=True).items()
+    }
+
+
 def _respond_unavailable(
     start_response: StartResponse, reason: str
 ) -> Iterable[bytes]:
--- a/packages/verbenad/src/verbenad/steering/steering_daemon.py
+++ b/packages/verbenad/src/verbenad/steering/steering_daemon.py
@@ -1,5 +1,6 @@
 """Builds the components of an entry instance and connects them."""
 
+import functools
 import secrets
 import sys
 import time
@@ -19,6 +20,7 @@
 from verbenad.steering.caller_lookup import CallerLookup
 from verbenad.steering.config_exchange import ConfigExchange
 from verbenad.steering.crash_tracker import CrashTracker
+from verbenad.steering.endpoint_servers import open_endpoint_servers
 from verbenad.steering.instance_gauges import declare_gauges
 from verbenad.steering.peer_exchange import MIN_REPORT_PERIOD_S, PeerExchange
 from verbenad.steering.peer_traffic import PeerTraffic
@@ -29,6 +31,7 @@
 from verbenad.steering.platform_sync import PlatformSync
 from verbenad.steering.region_share_log import RegionShareLog
 from verbenad.steering.relay_server import RelayServer
+from verbenad.steering.request_explainer import RequestExplainer
 from verbenad.steering.request_log import RequestLog
 from verbenad.steering.request_runner import RequestRunner
 from verbenad.steering.server_notices import ServerNotices
@@ -69,7 +72,6 @@
 LEASE_MARGIN_S = 0.5
 # Share of the longest permitted time that callers may cache lookup responses.
 LOOKUP_TTL_SHARE = 0.4
-MAX_ENDPOINT_CONNECTIONS = 200
 MAX_RELAY_CONNECTIONS = 200
 
 
@@ -320,7 +322,7 @@
             on_change=self._notices.limit_changed,
         )
         self._pool = open_server_pool(self._now_s)
-        service_limits = ServiceLimits(
+        self._service_limits = ServiceLimits(
             state=self._state, directory=self._directory
         )
         runner = RequestRunner(
@@ -347,8 +349,8 @@
                 pauses=self._server_pauses,
                 on_leaving=self._notices.leaving,
             ),
-            connection_limit=service_limits.connections,
-            cold_requests_per_s=service_limits.cold_requests_per_s,
+            connection_limit=self._service_limits.connections,
+            cold_requests_per_s=self._service_limits.cold_requests_per_s,
             now_s=self._now_s,
         )
         self._region_share_log = RegionShareLog()
@@ -394,38 +396,36 @@
             connections_in_use=self._pool.in_use_by_target,
             oldest_connection_use_s=self._pool.oldest_use_by_target_s,
         )
-        endpoints = PlatformEndpoints(
+        lookup = CallerLookup(
+            state=self._state,
+            directory=self._directory,
+            load=self._load,
+            is_usable=self._is_usable,
+            is_leaving=lambda: self._leaving,
+            now_s=self._now_s,
+        )
+        make_endpoints = functools.partial(
+            PlatformEndpoints,
             names=self._names.endpoints,
-            lookup=CallerLookup(
-                state=self._state,
-                directory=self._directory,
-                load=self._load,
-                is_usable=self._is_usable,
-                is_leaving=lambda: self._leaving,
-                now_s=self._now_s,
-            ).addresses,
+            lookup=lookup.addresses,
             lookup_ttl_s=LOOKUP_TTL_SHARE * settings.bounds.lookup_ttl_s,
             not_ready_reason=self._not_ready_reason,
             metrics=self._metrics.render,
         )
-        self._endpoint_servers = []
-        for address in (
-            settings.ready_address,
-            settings.lookup_address,
-            settings.metrics_address,
-        ):
-            host, port = parse_address("address", address)
-            self._endpoint_servers.append(
-                HttpServer(
-                    endpoints,
-                    host=host,
-                    port=port,
-                    limits=HttpServerLimits(
-                        max_connections=MAX_ENDPOINT_CONNECTIONS,
-                        disconnect_check_period_s=None,
-                    ),
-                )
-            )
+        explainer = RequestExplainer(
+            settings=settings,
+            state=self._state,
+            rate_limiter=self._rate_limiter,
+            placement=self._placement,
+            shutdown=lambda: self._shutdown,
+            cold_requests_per_s=self._service_limits.cold_requests_per_s,
+            now_s=self._now_s,
+        )
+        self._endpoint_servers = open_endpoint_servers(
+            settings,
+            for_callers=make_endpoints(),
+            for_operators=make_endpoints(explain=explainer.respond),
+        )
 
     def _on_config(self, config: SteeringConfig) -> None:
         self._rate_limiter.set_workspaces(self._now_s(), config.workspaces)
--- a/packages/verbenad/src/verbenad/steering/steering_gateway.py
+++ b/packages/verbenad/src/verbenad/steering/steering_gateway.py
@@ -28,6 +28,7 @@
 from verbenad.steering.request_trace import RequestTrace
 from verbenad.steering.shutdown_plan import ShutdownPlan
 from verbenad.steering.steering_state import SteeringState
+from verbenaworks.steering.home_regions import home_regions
 from verbenaworks.steering.route import Route
 from verbenaworks.steering.steering_config import SteeringConfig
 from verbenaworks.steering.workspace_rate_limiter import WorkspaceRateLimiter
@@ -193,7 +194,7 @@
         request_id: str,
         is_fresh: bool,
     ) -> WorkspaceSpec | None:
-        if route.public or not config.workspaces:
+        if not config.needs_key(route):
             return None
         if not is_fresh:
             raise refusal_error(
@@ -220,11 +221,6 @@
     ) -> AdmittedRequest:
         body: RequestBody = environ["wsgi.input"]
         caller: CallerConnection = environ["verbena.caller"]
-        home_regions = route.home_regions
-        if workspace is not None and workspace.home_regions:
-            home_regions = _common_regions(
-                home_regions, workspace.home_regions
-            )
         if body.exists:
             body.prefetch(MAX_PREFETCH_BYTES)
         self._record_body(len(body.prefix))
@@ -236,7 +232,7 @@
             service=trace.service,
             workspace=trace.workspace,
             affinity_key=trace.affinity_key,
-            home_regions=home_regions,
+            home_regions=home_regions(route, workspace),
             head=head,
             body=body,
             caller=caller,
@@ -332,17 +328,6 @@
         )
 
 
-def _common_regions(
-    first: frozenset[str], second: frozenset[str]
-) -> frozenset[str]:
-    """Return the regions in both sets; an empty set allows every region."""
-    if not first:
-        return second
-    # The sets have no region in common. No region has an empty name, so no
-    # server matches; an empty set would allow all regions.
-    return first & second or frozenset({""})
-
-
 def _object_digest(affinity_key: str) -> str:
     """Return a short text for the log; the key itself is the caller's."""
     if not affinity_key:
--- a/packages/verbenaworks/src/verbenaworks/steering/steering_config.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/steering_config.py
@@ -60,6 +60,10 @@
         """Return the routes of a host."""
         return tuple(self._by_host.get(_host_name(host), {}).values())
 
+    def needs_key(self, route: Route) -> bool:
+        """Whether requests on a route need the key of a workspace."""
+        return not route.public and bool(self.workspaces)
+
     def workspace_of(self, key: str) -> WorkspaceSpec | None:
         """Return the workspace that holds the key."""
         return self._by_key.get(key)
