--- a/packages/verbenaworks/src/verbenaworks/steering/placement.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/placement.py
@@ -38,7 +38,6 @@
 from verbenaworks.steering.server_admission import (
     ServerAdmission,
     ServerRefusal,
-    sooner_refusal,
 )
 from verbenaworks.steering.server_introductions import ServerIntroductions
 from verbenaworks.steering.server_limits import ServerLimits
@@ -132,10 +131,7 @@
         return self._predictor.load_of(server)
 
     def trial(self, trace: DecisionTrace) -> "Placement":
-        """Return a copy to decide with; no decision of it counts here.
-
-        :param trace: gets what the copy compares and excludes.
-        """
+        """Return a traced copy to decide with; it counts nothing here."""
         trial = copy.deepcopy(self)
         trial._trace = trace
         return trial
@@ -144,7 +140,9 @@
         self, request: PlacementRequest, best: Placed
     ) -> dict[str, object]:
         """Return the limits in force for a request, for an explanation."""
-        return self._refusals.levels(request, best)
+        return self._refusals.levels(request, best) | {
+            "may_leave_region": self._overflow.allows_one
+        }
 
     def choose(
         self,
@@ -181,7 +179,7 @@
         first = _NO_SERVER
         if None not in refusals:
             for refusal in filter(None, refusals):
-                first = sooner_refusal(first, refusal)
+                first = first.sooner(refusal)
         return self._refusals.no_server(first)
 
     def _is_restricted(self, now_s: float, server: BackendServer) -> bool:
@@ -248,7 +246,7 @@
             best, reason = self._best_in(
                 now_s, request, region, cold_requests_per_s
             )
-            refusal = sooner_refusal(refusal, reason)
+            refusal = refusal.sooner(reason)
         if best is None:
             best, reason = self._best_of(
                 now_s,
@@ -256,7 +254,7 @@
                 self._candidates.that_are_down(request),
                 cold_requests_per_s,
             )
-            refusal = sooner_refusal(refusal, reason)
+            refusal = refusal.sooner(reason)
         if best is None:
             return self._refusals.no_server(refusal)
         if best.server.region != regions[0] and self._is_busy(
@@ -337,7 +335,7 @@
             )
             if refusal is not None:
                 self._trace.record_excluded(server, refusal)
-                first_refusal = sooner_refusal(first_refusal, refusal)
+                first_refusal = first_refusal.sooner(refusal)
                 if rank == 0 and refusal.reason in _LASTING_REASONS:
                     restricted_home = server
                 continue
--- a/packages/verbenaworks/src/verbenaworks/steering/server_admission.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/server_admission.py
@@ -27,6 +27,14 @@
     reason: RefusalReason
     retry_after_s: float = MIN_RETRY_AFTER_S
 
+    def sooner(self, other: "ServerRefusal") -> "ServerRefusal":
+        """Return the refusal that ends first; having no server is none."""
+        if self.reason is RefusalReason.NO_SERVER:
+            return other
+        if other.reason is RefusalReason.NO_SERVER:
+            return self
+        return min(self, other, key=lambda refusal: refusal.retry_after_s)
+
 
 class ServerAdmission:
     """Applies all that restricts a server, for every choice of a server.
@@ -92,14 +100,3 @@
             self._cold_start_limiter.record_request(
                 now_s, server, cold_requests_per_s
             )
-
-
-def sooner_refusal(
-    first: ServerRefusal, second: ServerRefusal
-) -> ServerRefusal:
-    """Return the refusal that ends first; having no server is none."""
-    if first.reason is RefusalReason.NO_SERVER:
-        return second
-    if second.reason is RefusalReason.NO_SERVER:
-        return first
-    return min(first, second, key=lambda refusal: refusal.retry_after_s)
--- a/tests/test_verbena.py
+++ b/tests/test_verbena.py
@@ -328,3 +328,25 @@
     for name in ("bash", "zsh", "fish"):
         code, out, _ = shell.run("completion", name)
         assert code == 0 and "--completion=complete" in out
+
+
+def test_explain_needs_an_instance(
+    shell: Shell, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a command that asks nobody."""
+    monkeypatch.delenv("VERBENA_METRICS", raising=False)
+    arguments = ("explain", "--host", "shop.example", "--path", "/x")
+    code, _, err = shell.run(*arguments)
+    assert code == 2
+    assert "--metrics" in err
+
+
+def test_explain_names_an_address_that_serves_none(
+    shell: Shell, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a table made of another page."""
+    monkeypatch.setenv("VERBENA_METRICS", shell.address)
+    arguments = ("explain", "--host", "shop.example", "--path", "/x")
+    code, _, err = shell.run(*arguments)
+    assert code == 1
+    assert "metrics address" in err
