Copy only one workspace's counts for an explanation

Change: WorkspaceRateLimiter.trial copies the counts of one workspace.

A test decides 40 times on trials and finds the whole limit unused.

--- a/packages/verbenad/src/verbenad/steering/request_explainer.py
+++ b/packages/verbenad/src/verbenad/steering/request_explainer.py
@@ -1,6 +1,5 @@
 """Explains what this instance would do with a request, without sending it."""
 
-import copy
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import asdict, dataclass
 
@@ -220,7 +219,7 @@
 
     def _explain_rate(self, now_s: float, workspace: str) -> dict[str, object]:
         """Decide by the rate on a copy, which counts the request."""
-        limiter = copy.deepcopy(self._rate_limiter)
+        limiter = self._rate_limiter.trial(workspace)
         figures = limiter.describe(now_s, workspace)
         admission = limiter.admit(now_s, workspace)
         rate: dict[str, object] = {
--- a/packages/verbenaworks/src/verbenaworks/steering/workspace_rate_limiter.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/workspace_rate_limiter.py
@@ -23,6 +23,7 @@
 at an even rate.
 """
 
+import copy
 import math
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
@@ -338,6 +339,15 @@
                     used = max(used, use.fleet.used)
                 use.fleet.used = used
 
+    def trial(self, workspace: str) -> "WorkspaceRateLimiter":
+        """Return a copy to decide on one workspace; it counts nothing here."""
+        trial = copy.copy(self)
+        trial._coordinators = dict(self._coordinators)
+        trial._uses = {
+            workspace: copy.deepcopy(self._workspace_use(workspace))
+        }
+        return trial
+
     def admit(self, now_s: float, workspace: str) -> Admission:
         """Decide on a request, and count it if it is accepted."""
         spec = self._specs.get(workspace)
--- a/tests/test_workspace_rates.py
+++ b/tests/test_workspace_rates.py
@@ -492,3 +492,18 @@
             fleet.exchange_reports()
         refused += not fleet.admit(names[(37 * step) % len(names)])
     assert refused == 0
+
+
+def test_trial_counts_nothing() -> None:
+    """Guards against explanations that use a workspace's rate."""
+    limiter = WorkspaceRateLimiter(
+        instance="one", incarnation=1, window_s=WINDOW_S, period_s=0.4
+    )
+    limiter.set_workspaces(0.0, {"acme": workspace("acme", 2.0, 1.0)})
+    for number in range(40):
+        trial = limiter.trial("acme")
+        assert trial.admit(0.01 * number, "acme") is Admission.ACCEPTED
+    assert limiter.local_usage(1.0) == {}
+    answers = [limiter.admit(1.0, "acme") for _ in range(12)]
+    assert answers.count(Admission.ACCEPTED) == 11
+    assert limiter.trial("acme").admit(1.0, "acme") is Admission.REFUSED
