--- a/packages/verbenaworks/src/verbenaworks/steering/best_server.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/best_server.py
@@ -22,8 +22,8 @@
         self._current: Placed | None = None
         self._current_cost_s = 0.0
 
-    def add(self, placed: Placed) -> None:
-        """Compare one more server."""
+    def add(self, placed: Placed) -> float:
+        """Compare one more server and return its cost in seconds."""
         cost_s = self._costs.cost_s(self._request, placed)
         cost_s -= self._substitute.credit_s(placed)
         if self.usual is None or cost_s < self._usual_cost_s:
@@ -31,6 +31,7 @@
         cost_s += placed.machine_delay_s
         if self._current is None or cost_s < self._current_cost_s:
             self._current, self._current_cost_s = placed, cost_s
+        return cost_s
 
     @property
     def chosen(self) -> Placed | None:
--- a/packages/verbenaworks/src/verbenaworks/steering/learned_capacities.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/learned_capacities.py
@@ -1,5 +1,6 @@
 """Capacities of all backend servers as one instance knows them."""
 
+import copy
 from collections.abc import Iterable
 from statistics import median
 
@@ -43,6 +44,13 @@
         self._peers = PeerCapacities()
         self._current: dict[tuple[str, int], tuple[float, ServerCapacity]] = {}
 
+    def __deepcopy__(self, memo: dict[int, object]) -> "LearnedCapacities":
+        # A decision derives capacities, but learns nothing.
+        copied = copy.copy(self)
+        copied._current = dict(self._current)
+        memo[id(self)] = copied
+        return copied
+
     def capacity(self, now_s: float, server: BackendServer) -> ServerCapacity:
         """Return the capacity to count with."""
         known = self._current.get(server.incarnation)
--- a/packages/verbenaworks/src/verbenaworks/steering/placement.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/placement.py
@@ -12,6 +12,7 @@
 it has no server that can take them.
 """
 
+import copy
 from collections.abc import Iterable, Mapping
 from dataclasses import replace
 from random import Random
@@ -20,6 +21,7 @@
 from verbenaworks.steering.best_server import BestServer
 from verbenaworks.steering.candidate_servers import CandidateServers
 from verbenaworks.steering.cold_start_limiter import ColdStartLimiter
+from verbenaworks.steering.decision_trace import DecisionTrace
 from verbenaworks.steering.learned_capacities import LearnedCapacities
 from verbenaworks.steering.overflow_budget import OverflowBudget
 from verbenaworks.steering.overload_refusals import OverloadRefusals
@@ -102,9 +104,7 @@
         self._costs = PlacementCost(
             region=region,
             failure_domain=failure_domain,
-            late_share=lambda service: (
-                self._refusals.overload(service).late_share
-            ),
+            late_share=self._late_share,
         )
         self._splits = RegionSplits(region)
         self._candidates = CandidateServers(
@@ -142,11 +142,26 @@
             predictor=self._predictor,
         )
         self._overflow = OverflowBudget()
+        self._trace = DecisionTrace()
 
     def load_of(self, server: BackendServer) -> ServerLoad:
         """Return the load and health of a server, as known here."""
         return self._predictor.load_of(server)
 
+    def trial(self, trace: DecisionTrace) -> "Placement":
+        """Return a traced copy to decide with; it counts nothing here."""
+        trial = copy.deepcopy(self)
+        trial._trace = trace
+        return trial
+
+    def levels(
+        self, now_s: float, request: PlacementRequest, best: Placed
+    ) -> dict[str, object]:
+        """Return the limits in force for a request, for an explanation."""
+        return self._refusals.levels(now_s, request, best) | {
+            "may_leave_region": self._overflow.allows_one
+        }
+
     def choose(
         self,
         now_s: float,
@@ -196,6 +211,9 @@
             or self._pauses.left_s(now_s, server) > 0
         )
 
+    def _late_share(self, service: str) -> float:
+        return self._refusals.overload(service).late_share
+
     def _shares(self, now_s: float, service: str) -> Mapping[str, float]:
         """Return the share of a service's requests by region."""
         shares = self._splits.shares(service)
@@ -337,11 +355,13 @@
                 now_s, server, cold_requests_per_s
             )
             if refusal is not None:
+                self._trace.record_excluded(server, refusal)
                 first_refusal = first_refusal.sooner(refusal)
                 if rank == 0 and refusal.reason in _LASTING_REASONS:
                     restricted_home = server
                 continue
-            compared.add(self._predict(now_s, request, server, rank))
+            placed = self._predict(now_s, request, server, rank)
+            self._trace.record_compared(placed, compared.add(placed))
         best = compared.chosen
         if best is not None and restricted_home is not None:
             best = replace(best, restricted_home=restricted_home)
@@ -450,19 +470,11 @@
 
     def in_flight(self) -> dict[str, int]:
         """Return the local requests in flight by server id, without zeros."""
-        return {
-            server_id: load.in_flight
-            for server_id, load in self._predictor.loads.items()
-            if load.in_flight > 0
-        }
+        return self._predictor.in_flight()
 
     def bound_requests(self) -> dict[str, int]:
         """Return those that may not run in every region, by server id."""
-        return {
-            server_id: load.bound
-            for server_id, load in self._predictor.loads.items()
-            if load.bound > 0
-        }
+        return self._predictor.bound_requests()
 
     def set_peer_requests(
         self, now_s: float, by_server: Mapping[str, float]
--- a/packages/verbenaworks/src/verbenaworks/steering/rank_admission.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/rank_admission.py
@@ -1,5 +1,6 @@
 """Classes of requests while services are short of capacity."""
 
+import copy
 from collections.abc import Callable, Collection, Mapping
 from heapq import nlargest
 from operator import itemgetter
@@ -54,6 +55,14 @@
         self.on_refusal: Callable[[str, int, str], None] = _ignore
         self._services: dict[str, _Service] = {}
 
+    def __deepcopy__(self, memo: dict[int, object]) -> "RankAdmission":
+        # A copy is used for explanations, whose refusals do not count.
+        copied = RankAdmission()
+        memo[id(self)] = copied
+        copied.demand = copy.deepcopy(self.demand, memo)
+        copied._services = copy.deepcopy(self._services, memo)
+        return copied
+
     def set_services(self, names: Collection[str]) -> None:
         """Set the services for which ranks or workspaces compete.
 
--- a/packages/verbenaworks/src/verbenaworks/steering/response_predictor.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/response_predictor.py
@@ -223,6 +223,22 @@
                 usual_s=placed.expected_s,
             )
 
+    def in_flight(self) -> dict[str, int]:
+        """Return the local requests in flight by server id, without zeros."""
+        return {
+            server_id: load.in_flight
+            for server_id, load in self.loads.items()
+            if load.in_flight > 0
+        }
+
+    def bound_requests(self) -> dict[str, int]:
+        """Return those that may not run in every region, by server id."""
+        return {
+            server_id: load.bound
+            for server_id, load in self.loads.items()
+            if load.bound > 0
+        }
+
     def _objects_since(
         self, now_s: float, request: PlacementRequest, load: ServerLoad
     ) -> int | None:
