Learn capacities from waiting requests too, and adopt limits of peers

Change: a response that waited is a sample too, because n requests at k slots take n/k times as long either way. The limit of a peer holds until own samples above it contradict it. In return, evidence must be clearer: 5 standard errors, 6 samples on each side of a limit.

--- a/packages/verbenaworks/src/verbenaworks/steering/capacity_estimate.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/capacity_estimate.py
@@ -1,8 +1,9 @@
 """Capacity of one backend server, estimated from its response times.
 
-A response time is compared with the usual time of its request. If it rises in
-proportion to the running requests above some number, only so many slots are
-usable. The median of the times, with this rise removed, is the server's speed.
+A response time is compared with the usual time of its request. It rises in
+proportion to the requests at the server above the number of its usable slots,
+whether these requests wait or slow each other down. The median of the times,
+with this rise removed, is the server's speed.
 """
 
 import math
@@ -22,7 +23,7 @@
 # median is within the smaller factor.
 MIN_SPEED_EFFECT = 1.3
 MIN_QUARTILE_EFFECT = 1.15
-MIN_STANDARD_ERRORS = 4.0
+MIN_STANDARD_ERRORS = 5.0
 # Standard error of a median of n normal values, in interquartile ranges / √n.
 # Few samples may lie close together by chance: the range is not taken for less
 # than the least one, in logarithms.
@@ -31,9 +32,11 @@
 # Fewer slots than configured are usable if there are samples on both sides of
 # the limit, times above it rise by this factor at least, and the limit leaves
 # at most this share of the deviations unexplained.
-MIN_SAMPLES_EACH_SIDE = 5
+MIN_SAMPLES_EACH_SIDE = 6
 MIN_RISE = 1.45
-MAX_UNEXPLAINED_SHARE = 0.6
+MAX_UNEXPLAINED_SHARE = 0.55
+# Requests at the server beyond this are counted as this.
+MAX_LOAD_PER_SLOT = 2.5
 # Values are derived from the samples once in this time.
 LEARN_PERIOD_S = 0.5
 # Without new evidence, learned values return to the configured ones with this
@@ -51,8 +54,8 @@
 
     def __init__(self, slots: int) -> None:
         self._slots = slots
-        # Time, running requests and logarithm of the relative response time.
-        self._samples: deque[tuple[float, int, float]] = deque(
+        # Time, requests at the server, logarithm of the relative time.
+        self._samples: deque[tuple[float, float, float]] = deque(
             maxlen=MAX_SAMPLES
         )
         self._usable = float(slots)
@@ -63,18 +66,19 @@
         self._learned_at_s = float("-inf")
 
     def observe(
-        self, now_s: float, running: int, ratio: float, level: float | None
+        self, now_s: float, load: float, ratio: float, level: float | None
     ) -> None:
-        """Record a response to a request that did not wait.
+        """Record a response.
 
-        :param running: requests that ran at the server, this one included.
+        :param load: requests that ran or waited at the server, this one
+            included.
         :param ratio: its time at the server in usual times.
         :param level: what the ratio currently is at the service's servers;
             none if it is not known.
         """
         self._prune(now_s)
-        running = min(max(1, running), self._slots)
-        self._samples.append((now_s, running, math.log(ratio)))
+        load = min(max(1.0, load), MAX_LOAD_PER_SLOT * self._slots)
+        self._samples.append((now_s, load, math.log(ratio)))
         if (
             len(self._samples) < MIN_SAMPLES
             or now_s - self._learned_at_s < LEARN_PERIOD_S
@@ -82,7 +86,7 @@
             return
         self._learned_at_s = now_s
         self._learn_slots(now_s)
-        ratios = self._unloaded(self._usable)
+        ratios = self._unloaded(self.capacity(now_s).usable_slots)
         self._typical = math.exp(median(ratios))
         if level is not None:
             self._learn_speed(now_s, ratios, math.log(level))
@@ -112,6 +116,14 @@
             samples=self.count(now_s),
         )
 
+    def contradicts(self, now_s: float, usable_slots: float) -> bool:
+        """Whether the samples show that more slots are usable."""
+        self._prune(now_s)
+        above = sum(n > usable_slots for _, n, _ in self._samples)
+        return above >= MIN_SAMPLES_EACH_SIDE and self._deviation(
+            self._slots
+        ) <= self._deviation(usable_slots)
+
     def _learn_slots(self, now_s: float) -> None:
         best = min(range(self._slots, 0, -1), key=self._deviation)
         if best == self._slots:
@@ -124,8 +136,12 @@
             self._usable_at_s = now_s
 
     def _is_clear_limit(self, limit: int) -> bool:
-        below = [ratio for _, n, ratio in self._samples if n <= limit]
-        above = [ratio for _, n, ratio in self._samples if n > limit]
+        below: list[float] = []
+        above: list[float] = []
+        # What the configured slots explain is no sign of fewer slots.
+        ratios = self._unloaded(self._slots)
+        for (_, n, _), ratio in zip(self._samples, ratios, strict=True):
+            (above if n > limit else below).append(ratio)
         return (
             min(len(below), len(above)) >= MIN_SAMPLES_EACH_SIDE
             and median(above) - median(below) >= math.log(MIN_RISE)
@@ -160,7 +176,7 @@
             for _, n, ratio in self._samples
         ]
 
-    def _deviation(self, usable: int) -> float:
+    def _deviation(self, usable: float) -> float:
         """Return the sum of the deviations that a limit leaves unexplained."""
         ratios = self._unloaded(usable)
         middle = median(ratios)
--- a/packages/verbenaworks/src/verbenaworks/steering/learned_capacities.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/learned_capacities.py
@@ -57,13 +57,14 @@
         now_s: float,
         server: BackendServer,
         *,
-        running: int,
+        load: float,
         took_s: float,
         usual_s: float,
     ) -> None:
-        """Record a response to a request that did not wait.
+        """Record a response.
 
-        :param running: requests that ran at the server, this one included.
+        :param load: requests that ran or waited at the server, this one
+            included.
         :param took_s: time at the server, without a slow spell.
         :param usual_s: usual time of such a request in the service.
         """
@@ -78,7 +79,7 @@
             )
         estimate.observe(
             now_s,
-            running,
+            load,
             (took_s + TIME_MARGIN_S) / (usual_s + TIME_MARGIN_S),
             self._level(now_s, server.service),
         )
@@ -133,16 +134,24 @@
         configured = ServerCapacity(usable_slots=float(server.slots))
         if not self._is_enabled:
             return configured
-        own = self._own(now_s, server)
-        if own is not None:
-            return own
+        estimate = self._estimates.get(server.incarnation)
+        own = configured if estimate is None else estimate.capacity(now_s)
         reported = self._peers.capacity(
             now_s, incarnation_hash(server), server.slots
         )
-        if reported is not None:
-            return reported
-        estimate = self._estimates.get(server.incarnation)
-        return configured if estimate is None else estimate.capacity(now_s)
+        if reported is None:
+            return own
+        # Samples below a limit say nothing about it, however many there are.
+        is_own_limit = own.usable_slots < server.slots or (
+            estimate is not None
+            and estimate.contradicts(now_s, reported.usable_slots)
+        )
+        is_own_time = own.samples >= MIN_SAMPLES
+        return ServerCapacity(
+            usable_slots=(own if is_own_limit else reported).usable_slots,
+            time_factor=(own if is_own_time else reported).time_factor,
+            samples=max(own.samples, reported.samples),
+        )
 
     def _own(
         self, now_s: float, server: BackendServer
--- a/packages/verbenaworks/src/verbenaworks/steering/response_predictor.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/response_predictor.py
@@ -197,31 +197,27 @@
     def _learn_capacity(
         self, now_s: float, placed: Placed, at_server_s: float
     ) -> None:
-        """Update the learned capacity from a response without a wait.
+        """Update the learned capacity of a server from a response.
 
         Responses that may or may not have found their data cached, and those
         of a cold start, say nothing about the server.
         """
-        server = placed.server
-        load = self.load_of(server)
-        is_comparable = placed.cached or placed.rank is None
-        running: float | None = load.recent_reported_load(
+        if placed.cold or not (placed.cached or placed.rank is None):
+            return
+        load = self.load_of(placed.server)
+        end_load: float | None = load.recent_reported_load(
             now_s - STATED_LOAD_AGE_S
         )
-        if running is None:
-            running = load.load(now_s)
-        if (
-            is_comparable
-            and not placed.cold
-            and max(placed.load + 1, running) <= server.slots
-        ):
-            self._capacities.observe(
-                now_s,
-                server,
-                running=round(running),
-                took_s=at_server_s,
-                usual_s=placed.expected_s,
-            )
+        if end_load is None:
+            end_load = load.load(now_s)
+        self._capacities.observe(
+            now_s,
+            placed.server,
+            # From the start of the request to its end.
+            load=(placed.load + 1 + end_load) / 2,
+            took_s=at_server_s,
+            usual_s=placed.expected_s,
+        )
 
     def _objects_since(
         self, now_s: float, request: PlacementRequest, load: ServerLoad
