Limit the use of a region by the use of all regions

Cause: a region kept its requests until 0.6 of its slots were used. Change: the limit is 1.5 times the mean use, between 0.4 and 0.6.

--- a/packages/verbenaworks/src/verbenaworks/steering/region_balance.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/region_balance.py
@@ -9,7 +9,11 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-# Use of a region's slots up to which requests stay there.
+# Use of a region's slots up to which requests stay there. It follows the use
+# of all slots: waits are long in a region that is much fuller than the others.
+# Calm regions need not exchange requests, and none may be full.
+MAX_RELATIVE_USE = 1.5
+MIN_SLOT_USE = 0.4
 MAX_SLOT_USE = 0.6
 # Room that every region is assumed to have, as a share of its slots, so that
 # requests from a region without servers always have a place.
@@ -50,7 +54,7 @@
     if slots <= 0:
         return {}
     used = sum(load.demand + load.bound for load in loads.values())
-    use = max(MAX_SLOT_USE, used / slots)
+    use = _max_use(used / slots)
     local_share = _local_share(use, loads.get(region), max_local_share)
     rooms = {
         name: max(load.room(use) - load.demand, MIN_ROOM * load.slots)
@@ -78,6 +82,12 @@
     )
 
 
+def _max_use(mean_use: float) -> float:
+    """Return the use of a region's slots up to which requests stay there."""
+    relative = min(MAX_SLOT_USE, MAX_RELATIVE_USE * mean_use)
+    return max(MIN_SLOT_USE, relative, mean_use)
+
+
 def _local_share(
     use: float, load: RegionLoad | None, max_local_share: float
 ) -> float:
