Keep Retry-After between the shortest pause and a third of the time

Cause: where a third of the caller's time was less than the service time, the pause was spread below the shortest useful one: a trial with real processes gave 0.075 to 0.171 s. A pause of 0.15 s could also exceed a third of a short time, and callers do not honor that. Change: the shortest pause is spread upwards, and a third of the caller's time is never exceeded.

--- a/packages/verbenaworks/src/verbenaworks/steering/return_time.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/return_time.py
@@ -27,10 +27,13 @@
     :param time_left_s: time until the caller stops waiting.
     :param service_s: expected service time.
     """
-    longest_s = MAX_TIME_SHARE * time_left_s - service_s
+    most_s = MAX_TIME_SHARE * time_left_s
+    # Even the shortest pause is spread.
+    least_s = min((1.0 + SPREAD) * MIN_RETRY_AFTER_S, most_s)
+    longest_s = max(least_s, most_s - service_s)
     wanted_s = max(MIN_RETRY_AFTER_S, over_s, refused_for_s)
-    pause_s = max(MIN_RETRY_AFTER_S, min(wanted_s, longest_s))
     if wanted_s < longest_s:
-        high_s = min((1.0 + SPREAD) * pause_s, longest_s)
-        return random.uniform(pause_s, high_s)
-    return random.uniform((1.0 - SPREAD) * pause_s, pause_s)
+        high_s = min((1.0 + SPREAD) * wanted_s, longest_s)
+        return random.uniform(wanted_s, high_s)
+    low_s = max(least_s / (1.0 + SPREAD), (1.0 - SPREAD) * longest_s)
+    return random.uniform(low_s, longest_s)
