Hold keys at a start on a copy although no peer is registered

Cause: an instance told a start after a restore of the store only by the registration of a process of an older era. The leases of a copy have expired, so until the other instances register again its first read names none of them, and keys were accepted on the configuration of the copy.

Change: the store has an item without a lease, verbena/era, with the newest era in which an instance accepted keys. It is written before the first registration in a store, and after a restore by a registered instance whose keys are released. An instance that reads an older record than the era of the store holds keys as after a restore.

--- a/packages/verbenad/src/verbenad/steering/instance_registration.py
+++ b/packages/verbenad/src/verbenad/steering/instance_registration.py
@@ -41,6 +41,8 @@
     :param lease_s: time to live of the registration.
     :param can_register: returns whether the instance can serve.
     :param store_era: returns the known era of the store; None at the start.
+    :param before_write: called with the lease before the registration is
+        written.
     :param on_change: called with whether the instance is registered.
     """
 
@@ -52,6 +54,7 @@
         lease_s: float,
         can_register: Callable[[], bool],
         store_era: Callable[[], int | None],
+        before_write: Callable[[Lease], None],
         on_change: Callable[[bool], None],
         random: Random,
     ) -> None:
@@ -60,6 +63,7 @@
         self._lease_s = lease_s
         self._can_register = can_register
         self._store_era = store_era
+        self._before_write = before_write
         self._on_change = on_change
         self._random = random
         self._lease: Lease | None = None
@@ -161,6 +165,7 @@
             # An earlier write was done although it got no response.
             revision = stored.revision
         else:
+            self._before_write(lease)
             revision = self._platform.write_registration(
                 record, lease, stored.revision if stored else 0
             )
--- a/packages/verbenad/src/verbenad/steering/platform_client.py
+++ b/packages/verbenad/src/verbenad/steering/platform_client.py
@@ -161,5 +161,11 @@
     def remove_checkpoint(self, workspace: str) -> None:
         """Remove the usage checkpoint of a workspace."""
 
+    def record_era(self, lease: Lease) -> None:
+        """Record the era of a lease in an item that outlives all leases.
+
+        :raises LeaseExpiredError: if the store is in another era.
+        """
+
     def revoke_lease(self, lease: Lease) -> None:
         """End a lease and the registration with it."""
--- a/packages/verbenad/src/verbenad/steering/platform_sync.py
+++ b/packages/verbenad/src/verbenad/steering/platform_sync.py
@@ -10,6 +10,7 @@
 from verbenad.steering.instance_registration import InstanceRegistration
 from verbenad.steering.platform_client import (
     HistoryDiscardedError,
+    Lease,
     LeaseExpiredError,
     PlatformClient,
     PlatformUnavailableError,
@@ -22,6 +23,7 @@
 from verbenaworks.steering.changes import (
     Change,
     ChangeBatch,
+    EraRecorded,
     InstanceRegistered,
     InstanceRemoved,
 )
@@ -89,6 +91,7 @@
             lease_s=lease_s,
             can_register=lambda: state.config is not None,
             store_era=lambda: self._position.era if self._position else None,
+            before_write=self._record_first_era,
             on_change=on_registration,
             random=random,
         )
@@ -96,6 +99,9 @@
         self._now_s = now_s
         self._random = random
         self._position: StorePosition | None = None
+        # Newest era that an instance has recorded; None if there is no record.
+        self._recorded_era: int | None = None
+        self._is_recording_era = False
         self._reads_all = True
         self._store_reachable = True
         self._backoff_s = MIN_BACKOFF_S
@@ -175,6 +181,7 @@
             if (change := self._platform.decode_item(item)) is not None
         ]
         changes = tuple(change for _, change in decoded)
+        self._read_recorded_era(changes, batch)
         if restored or self._starts_after_restore(changes, batch.era):
             self._on_restored()
         self._state.apply(
@@ -190,6 +197,7 @@
         self._reads_all = False
         self._state.freshness.confirm(update.confirmed_at_s)
         self._check_own_registration(batch, decoded)
+        self._record_era(batch.era)
         if batch.items:
             self._relay_server.notify_waiters()
 
@@ -214,10 +222,17 @@
     def _starts_after_restore(
         self, changes: Iterable[Change], era: int
     ) -> bool:
-        """Whether others, which started before a restore, may know more."""
+        """Whether others, which started before a restore, may know more.
+
+        The leases of a copy may have expired, so that the others are not
+        registered before they have noticed the restore. The recorded era has
+        no lease and tells that none of them has confirmed the copy yet.
+        """
         if self._position is not None:
             return False
         self._local_instance = replace(self._local_instance, store_era=era)
+        if self._recorded_era is not None and self._recorded_era < era:
+            return True
         return any(
             isinstance(change, InstanceRegistered)
             and change.record.name != self._local_instance.name
@@ -225,6 +240,48 @@
             for change in changes
         )
 
+    def _read_recorded_era(
+        self, changes: Iterable[Change], batch: ItemBatch
+    ) -> None:
+        if batch.complete:
+            self._recorded_era = None
+        for change in changes:
+            if isinstance(change, EraRecorded):
+                self._recorded_era = change.era
+
+    def _record_first_era(self, lease: Lease) -> None:
+        """Record the era in a store that has no record of it.
+
+        Done before the registration is written, so that a copy of the store
+        that was made while instances were registered has a record.
+        """
+        if self._recorded_era is None and not self._state.freshness.is_held:
+            self._write_era(lease)
+
+    def _record_era(self, era: int) -> None:
+        """Record the era once keys are accepted on the configuration."""
+        lease = self.registration.lease
+        if (
+            lease is None
+            or lease.era != era
+            or self._state.freshness.is_held
+            or self._is_recording_era
+            or (self._recorded_era is not None and self._recorded_era >= era)
+        ):
+            return
+        self._is_recording_era = True
+        # The store may be slow, and the updates must not wait for it.
+        eventlet.spawn_n(self._write_era, lease)
+
+    def _write_era(self, lease: Lease) -> None:
+        try:
+            self._platform.record_era(lease)
+        except (PlatformUnavailableError, LeaseExpiredError) as error:
+            # It is written after the next update.
+            _log.warning("era not recorded", extra={"reason": error.message})
+        finally:
+            self._is_recording_era = False
+
     def _record_restore(self, batch: ItemBatch) -> None:
         _log.warning(
             "store restored from a copy",
--- a/packages/verbenaworks/src/verbenaworks/steering/changes.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/changes.py
@@ -44,6 +44,17 @@
     server_id: str
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class EraRecorded:
+    """An instance with a current configuration recorded the store's era.
+
+    The record has no lease. In a copy it names an older era than the store, as
+    long as no instance has confirmed its configuration after the restore.
+    """
+
+    era: int
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class InstanceRegistered:
     """An instance registered itself."""
@@ -88,6 +99,7 @@
 Change = (
     ConfigPublished
     | DomainEvacuationChanged
+    | EraRecorded
     | ServerReported
     | ServerRemoved
     | InstanceRegistered
--- a/packages/verbenaworks/src/verbenaworks/steering/config_freshness.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/config_freshness.py
@@ -47,6 +47,11 @@
         self._is_held = False
         self._accepted_at_s = self._confirmed_at_s
 
+    @property
+    def is_held(self) -> bool:
+        """Whether confirmations do not count for keys."""
+        return self._is_held
+
     def age_s(self, now_s: float) -> float:
         """Return the age of the last confirmation; infinite without one."""
         if self._confirmed_at_s is None:
--- a/packages/verbenaworks/src/verbenaworks/steering/store_item.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/store_item.py
@@ -1,5 +1,6 @@
 """Items of the platform's store, before decoding."""
 
+import binascii
 from dataclasses import dataclass
 
 import msgspec
@@ -46,3 +47,17 @@
     def position(self) -> StorePosition:
         """Position that the batch leads to."""
         return StorePosition(era=self.era, revision=self.revision)
+
+
+def decode_value(text: str | None) -> bytes:
+    """Return the value of an item that the store gave in base64.
+
+    Text that is not base64 is returned as it is. Decoding fails on it later,
+    so the item is reported as unreadable.
+    """
+    if not text:
+        return b""
+    try:
+        return binascii.a2b_base64(text, strict_mode=True)
+    except binascii.Error:
+        return text.encode()
