Weight the shares of workspaces by their rates

Cause: with equal weights, large workspaces are above their share in each shortage although they keep to their rates. Change: the weights of the max-min division are the configured rates; workspaces without a rate have the mean weight.

--- a/packages/verbenad/src/verbenad/steering/steering_daemon.py
+++ b/packages/verbenad/src/verbenad/steering/steering_daemon.py
@@ -470,7 +470,15 @@
         services: frozenset[str] = frozenset()
         if self._settings.features.rank_admission:
             services = competing_services(config)
-        self._placement.rank_admission.set_services(services)
+        # Workspaces that use their rates alike are alike in a shortage.
+        self._placement.rank_admission.set_services(
+            services,
+            {
+                workspace.name: workspace.rate_per_s
+                for workspace in config.workspaces.values()
+                if workspace.rate_per_s > 0
+            },
+        )
 
     def _on_registrations(self) -> None:
         self._peer_exchange.set_registered(self._directory.peers)
--- a/packages/verbenaworks/src/verbenaworks/steering/rank_admission.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/rank_admission.py
@@ -33,10 +33,10 @@
 class _Service:
     """What one instance knows of the requests for a service."""
 
-    def __init__(self) -> None:
+    def __init__(self, weights: Mapping[int, float]) -> None:
         self.counts = AdmissionCounts()
         self.shortage = ShortageLevel()
-        self.shares = WorkspaceShares()
+        self.shares = WorkspaceShares(weights)
         self.spells = RefusalSpells()
         self.shares_at_s = float("-inf")
         self.short_at_s = float("-inf")
@@ -63,14 +63,30 @@
         copied._services = copy.deepcopy(self._services, memo)
         return copied
 
-    def set_services(self, names: Collection[str]) -> None:
+    def set_services(
+        self,
+        names: Collection[str],
+        weights: Mapping[str, float] | None = None,
+    ) -> None:
         """Set the services for which ranks or workspaces compete.
 
         Requests of other services have no class.
+
+        :param weights: weights of the workspaces in a shortage.
         """
-        self._services = {
-            name: self._services.get(name) or _Service() for name in names
+        by_hash = {
+            short_hash(workspace): weight
+            for workspace, weight in (weights or {}).items()
         }
+        services = {}
+        for name in names:
+            service = services[name] = _Service(by_hash)
+            known = self._services.get(name)
+            if known is not None:
+                service.counts = known.counts
+                service.shortage = known.shortage
+                service.spells = known.spells
+        self._services = services
 
     def classify(
         self,
--- a/packages/verbenaworks/src/verbenaworks/steering/workspace_shares.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/workspace_shares.py
@@ -1,6 +1,7 @@
 """Shares of the workspaces in the throughput of one service."""
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
+from statistics import fmean
 
 from verbenaworks.fair_share import fair_share
 from verbenaworks.steering.admission_counts import STARVED_SHARE
@@ -15,15 +16,20 @@
 
 
 class WorkspaceShares:
-    """Max-min fair shares by rank and workspace.
+    """Weighted max-min shares by rank and workspace.
 
     A rank gets the throughput that more urgent ranks leave. Within a rank, no
-    workspace gets more than its demand, and those that want more get equal
-    shares. The same part of a workspace's requests is within its share at
-    each instance, so that the instances need not divide the share.
+    workspace gets more than its demand, and those that want more share by
+    their weights. The same part of a workspace's requests is within its share
+    at each instance, so that the instances need not divide the share.
+
+    :param weights: weights of the workspaces by their short hash; others have
+        the mean of these.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, weights: Mapping[int, float] | None = None) -> None:
+        self._weights = weights or {}
+        self._mean_weight = fmean(self._weights.values() or (1.0,))
         self._within: dict[_Key, float] = {}
         self._credits: dict[_Key, float] = {}
         self._limits_per_s: dict[int, float] = {}
@@ -50,7 +56,7 @@
             units = [max(1, round(demand[key] * UNITS_PER_S)) for key in keys]
             reserved = STARVED_SHARE * admitted_share * sum(units)
             total = max(round(left * UNITS_PER_S), round(reserved))
-            shares = fair_share(total, units)
+            shares = fair_share(total, units, self._weights_of(keys))
             left -= sum(shares) / UNITS_PER_S
             for key, share, wanted in zip(keys, shares, units, strict=True):
                 self._within[key] = share / wanted
@@ -62,6 +68,12 @@
             if key in self._within
         }
 
+    def _weights_of(self, keys: Sequence[_Key]) -> list[int]:
+        return [
+            max(1, round(self._weights.get(workspace, self._mean_weight)))
+            for _, workspace in keys
+        ]
+
     def limit_per_s(self, rank: int) -> float | None:
         """Return the largest share in a rank; none if it is not short."""
         return self._limits_per_s.get(rank)
