Admit by rank and share only where servers have six slots or more

One place in a queue is a large part of the objective there; that this is the mechanism is only suspected. Change: services with fewer slots have no classes. Tests of admission, returns and explanations pass.

--- a/packages/verbenaworks/src/verbenaworks/steering/overload_refusals.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/overload_refusals.py
@@ -1,5 +1,6 @@
 """Refuses requests whose wait would serve nobody."""
 
+from collections.abc import Callable
 from dataclasses import replace
 from random import Random
 
@@ -21,10 +22,17 @@
 
 # Callers that are refused together return spread over this share of the time.
 RETURN_SPREAD = 0.1
+# With fewer slots, one place in a queue is a large part of the objective.
+# Classes that may not take it leave slots free: with three slots, the main
+# class of a service was answered in time a tenth less often.
+MIN_SLOTS_FOR_CLASSES = 6
 
 
 class OverloadRefusals:
-    """Waits and overloads of all services as one instance sees them."""
+    """Waits and overloads of all services as one instance sees them.
+
+    :param slots_of: returns the slots of a service's servers.
+    """
 
     def __init__(
         self,
@@ -32,8 +40,10 @@
         times: ServiceTimes,
         random: Random,
         rank_admission: RankAdmission,
+        slots_of: Callable[[str], int],
     ) -> None:
         self._times = times
+        self._slots_of = slots_of
         self._rank_admission = rank_admission
         self._random = random
         self._wait_limits = WaitLimits(times)
@@ -50,6 +60,8 @@
         self, now_s: float, request: PlacementRequest
     ) -> PlacementRequest:
         """Return a new request with its class in a shortage."""
+        if self._slots_of(request.service) < MIN_SLOTS_FOR_CLASSES:
+            return request
         admission = self._rank_admission.classify(
             now_s,
             request.service,
--- a/packages/verbenaworks/src/verbenaworks/steering/placement.py
+++ b/packages/verbenaworks/src/verbenaworks/steering/placement.py
@@ -99,7 +99,10 @@
         self._limits = limits
         self._pauses = pauses
         self._refusals = OverloadRefusals(
-            times=times, random=random, rank_admission=self.rank_admission
+            times=times,
+            random=random,
+            rank_admission=self.rank_admission,
+            slots_of=self._slots_of,
         )
         self._costs = PlacementCost(
             region=region,
@@ -211,6 +214,11 @@
             or self._pauses.left_s(now_s, server) > 0
         )
 
+    def _slots_of(self, service: str) -> int:
+        """Return the slots of a service's servers, which are mostly alike."""
+        servers = self._table.usable(service)
+        return servers[0].slots if servers else 0
+
     def _late_share(self, service: str) -> float:
         return self._refusals.overload(service).late_share
 
--- a/tests/test_rank_admission.py
+++ b/tests/test_rank_admission.py
@@ -16,7 +16,7 @@
 )
 from steering_factories import route, workspace
 from steering_model import SERVICE, SteeringModel, constant
-from steering_model_types import ModelResult, ModelTraffic
+from steering_model_types import ModelResult, ModelSize, ModelTraffic
 from verbenad.metrics import Metrics
 from verbenad.steering.admission_metrics import declare_admission_metrics
 from verbenaworks.steering.competing_services import (
@@ -237,3 +237,19 @@
         )
     assert len(admission.reported_demand(1.0)[short_hash(SERVICE)]) == 32
     assert not admission.reported_demand(4.0)
+
+
+def test_few_slots_have_no_classes() -> None:
+    """Guards against slots that stay free because no class may queue.
+
+    On sankei-lots, whose servers have three slots, the main class of a
+    service was answered in time a tenth less often.
+    """
+    traffic = ranks(1.0, 2).traffic
+    on, off = (
+        SteeringModel(
+            traffic=traffic, rank_admission=is_on, size=ModelSize(slots=3)
+        ).run(LENGTH_S)
+        for is_on in (True, False)
+    )
+    assert on == off
