review: case 8, a lapse of leases and a restart hand out a limit twice

A tenant has used up its limit; the store is down for 1.5 s and leases expire; all instances are killed shortly before it is back. The new processes find no registration of their previous incarnations, take the window for empty and hand out the whole limit again.

--- a/review/common2/deployment.py
+++ b/review/common2/deployment.py
@@ -12,6 +12,7 @@
 import tempfile
 import time
 from collections.abc import Callable
+from http.server import BaseHTTPRequestHandler
 from pathlib import Path
 from typing import Any
 
@@ -50,6 +51,30 @@
 }
 
 
+class Store(PlatformStore):
+    """The stand-in of the platform's store, which can also be down."""
+
+    def go_down(self) -> None:
+        """Answer all calls with 503, also those that wait."""
+        self.status = 503
+        with self._changed:
+            self._changed.notify_all()
+
+    def come_back(self) -> None:
+        """Serve calls again."""
+        self.status = 200
+
+    def _respond(
+        self,
+        handler: BaseHTTPRequestHandler,
+        status: int,
+        response: dict[str, Any],
+    ) -> None:
+        if self.status != 200:
+            status, response = self.status, {}
+        super()._respond(handler, status, response)
+
+
 class CaseError(Exception):
     """The case could not run."""
 
@@ -177,7 +202,7 @@
     def __init__(self) -> None:
         self._folder = tempfile.TemporaryDirectory(prefix="review-")
         self.folder = Path(self._folder.name)
-        self.store = PlatformStore()
+        self.store = Store()
         self.instances: list[Instance] = []
         self._closers: list[Callable[[], None]] = []
 
@@ -199,14 +224,20 @@
         """Call a function at the end."""
         self._closers.append(close)
 
-    def publish(self, *, version: int, resources: list[dict[str, Any]]) -> int:
+    def publish(
+        self,
+        *,
+        version: int,
+        resources: list[dict[str, Any]],
+        max_body_bytes: int = 1 << 20,
+    ) -> int:
         """Write a configuration as the operator does."""
         limits = entry(
             kind="limits",
             name="limits",
             spec={
                 "maxHeaderBytes": 16384,
-                "maxBodyBytes": 1 << 20,
+                "maxBodyBytes": max_body_bytes,
                 "headerTimeoutS": 5,
                 "idleTimeoutS": 10,
             },
--- a/review/common2/standin_server.py
+++ b/review/common2/standin_server.py
@@ -7,8 +7,7 @@
 
 
 class StandinServer:
-    """Answers each request after its work time; one request a connection at
-    a time.
+    """Answers each request after its work time.
 
     :ivar runs: time, tenant and id of each request that began to run.
     """
