review: case 10, a request that crashes servers runs again after restarts

A request has crashed three servers and is held back by all instances. They are restarted in turn; reports carry a crash for 3 s only, so the new processes do not know of it. When the request comes again, later than stableS after the last start, it crashes three servers and more before it is held back, after each rolling restart.

--- a/review/common2/standin_server.py
+++ b/review/common2/standin_server.py
@@ -1,6 +1,8 @@
 """A sound backend server of the platform; cases derive faults from it."""
 
+import contextlib
 import socket
+import struct
 import threading
 import time
 from typing import Any
@@ -19,6 +21,7 @@
         self.slots = slots
         self.runs: list[tuple[float, str, str]] = []
         self._work_s = work_s
+        self._sockets: set[socket.socket] = set()
         self._listener = socket.create_server(("127.0.0.1", 0), backlog=512)
         host, port = self._listener.getsockname()[:2]
         self.address = f"{host}:{port}"
@@ -28,6 +31,22 @@
         """Stop accepting."""
         self._listener.close()
 
+    def accepts(self) -> bool:
+        """Return whether new connections are served."""
+        return True
+
+    def reset_connections(self) -> None:
+        """Reset all connections, as the end of the process does."""
+        for sock in list(self._sockets):
+            with contextlib.suppress(OSError):
+                sock.setsockopt(
+                    socket.SOL_SOCKET,
+                    socket.SO_LINGER,
+                    struct.pack("ii", 1, 0),
+                )
+                # Ends the read of another thread, which then closes it.
+                sock.shutdown(socket.SHUT_RD)
+
     def respond(self, sock: socket.socket, head: dict[str, str]) -> bool:
         """Answer a request; return whether the connection stays open."""
         sock.sendall(self.success(head, b"done\n"))
@@ -48,7 +67,16 @@
                 sock, _ = self._listener.accept()
             except OSError:
                 return
+            if not self.accepts():
+                sock.setsockopt(
+                    socket.SOL_SOCKET,
+                    socket.SO_LINGER,
+                    struct.pack("ii", 1, 0),
+                )
+                sock.close()
+                continue
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self._sockets.add(sock)
             threading.Thread(
                 target=self._serve, args=(sock,), daemon=True
             ).start()
@@ -61,6 +89,7 @@
         except (OSError, ValueError):
             pass
         finally:
+            self._sockets.discard(sock)
             stream.close()
             sock.close()
 
