--- a/review/10/case.py
+++ b/review/10/case.py
@@ -61,9 +61,11 @@
         self._store.put(f"servers/{self.server_id}", entry)
 
     def accepts(self) -> bool:
+        """Return whether it is up."""
         return not self._is_down
 
     def respond(self, sock: socket.socket, head: dict[str, str]) -> bool:
+        """Answer a request, or crash."""
         if self._is_down:
             return False
         if head["path"] != POISON:
@@ -153,9 +155,7 @@
     with deployment.Deployment() as fleet:
         servers = []
         for number in range(SERVERS):
-            server = CrashingServer(
-                server_id=f"i-{number}", store=fleet.store
-            )
+            server = CrashingServer(server_id=f"i-{number}", store=fleet.store)
             fleet.on_close(server.close)
             servers.append(server)
         fleet.publish(
@@ -172,7 +172,7 @@
         time.sleep(STABLE_S + 1.0)
         started_s = time.monotonic()
         caller = Caller(instances=instances)
-        caller.changed_s = {name: 0.0 for name in caller.changed_s}
+        caller.changed_s = dict.fromkeys(caller.changed_s, 0.0)
         thread = threading.Thread(
             target=caller.run, kwargs={"started_s": started_s}
         )
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -66,9 +66,7 @@
         )
 
 
-def _restart(
-    instance: deployment.Instance, record: deployment.Record
-) -> None:
+def _restart(instance: deployment.Instance, record: deployment.Record) -> None:
     """Stop an instance as the platform does, and start it again."""
     instance.signal(signal.SIGTERM)
     try:
--- a/review/common2/deployment.py
+++ b/review/common2/deployment.py
@@ -258,9 +258,7 @@
             )
         wait_until(lambda: all(i.is_ready() for i in self.instances))
         count = len(zones)
-        wait_until(
-            lambda: len(self.store.keys("verbena/instances/")) == count
-        )
+        wait_until(lambda: len(self.store.keys("verbena/instances/")) == count)
         return self.instances
 
 
--- a/review/common2/hot_tenant.py
+++ b/review/common2/hot_tenant.py
@@ -58,6 +58,7 @@
         self._ttl_share = (number + 1) / CLIENTS
 
     def run(self) -> None:
+        """Send requests until the end."""
         time.sleep(CLIENTS / USUAL_PER_S * self._number / CLIENTS)
         for turn in itertools.count():
             started_s = time.monotonic()
@@ -98,8 +99,8 @@
                 if response.status == 200:
                     data = json.loads(body)
                     self._addresses = data["addresses"]
-                    self._addresses_until_s = now_s + self._ttl_share * (
-                        data["ttlS"]
+                    self._addresses_until_s = (
+                        now_s + self._ttl_share * (data["ttlS"])
                     )
                     # Some clients keep an answer three times as long.
                     self._ttl_share = 1.0 if self._number % 3 else 3.0
