--- a/packages/standins/src/standins/local_deployment.py
+++ b/packages/standins/src/standins/local_deployment.py
@@ -6,6 +6,7 @@
 import subprocess
 import sys
 import time
+from collections.abc import Mapping
 from dataclasses import dataclass
 from functools import partial
 from pathlib import Path
@@ -58,6 +59,7 @@
     :param links: whether a relay between instances and targets simulates the
         delays and rates of the deployment's network. The relay uses CPU
         time, so measurements of CPU time omit it.
+    :param instance_settings: further environment variables of the instances.
     """
 
     def __init__(
@@ -69,8 +71,10 @@
         log_directory: Path,
         cold_s: float = 0.0,
         links: bool = False,
+        instance_settings: Mapping[str, str] | None = None,
     ) -> None:
         self._has_links = links
+        self._instance_settings = dict(instance_settings or {})
         self.deployment = deployment
         self._base_port = base_port
         self._log_directory = log_directory
@@ -146,6 +150,7 @@
             "VERBENAD_STORE_URL": self.store_url,
             "VERBENAD_INSTANCES_URL": self.instance_list_url,
             "VERBENAD_BOOTSTRAP_TOKEN": BOOTSTRAP_TOKEN,
+            **self._instance_settings,
         }
         if self._has_links:
             environment |= {
