Bound the bytes that connections receive and do not read

Callers saw: a crowd that sends bodies faster than they are read could make an instance exceed the memory of its machine, which ends the process there.

Cause: the kernel receives ahead of the process, 64 KiB on a new connection and several MiB on one that is read fast, and only bytes that were read counted.

Connections of callers now start with a receive buffer of 4 KiB or more, so that the sum over all of them is bounded, whatever is read. ReceiveWindows widens it to 64 KiB while a long body arrives, for a limited number of connections. A window that was offered cannot be taken back: a connection counts until it is closed, and an idle one is closed for another. Responses of backend servers get the same treatment; look-ups, readiness, metrics and relays keep 4 KiB.

--- a/packages/verbenad/src/verbenad/forwarder.py
+++ b/packages/verbenad/src/verbenad/forwarder.py
@@ -24,6 +24,7 @@
     MalformedResponseError,
     ResponseTruncatedError,
 )
+from verbenad.receive_windows import RESPONSE_BYTES
 from verbenad.request_body import RequestBody
 from verbenad.request_head import HeadLimits
 from verbenad.response_head import ResponseHead, parse_response_head
@@ -451,6 +452,8 @@
         can_reuse = (
             head.keep_alive and head.is_self_delimiting and self._request_sent
         )
+        if head.length is None or head.length > RESPONSE_BYTES:
+            self._forwarder.pool.receive_long(connection)
         body = ResponseBody(
             connection.stream,
             head,
--- a/packages/verbenad/src/verbenad/http_protocol.py
+++ b/packages/verbenad/src/verbenad/http_protocol.py
@@ -75,6 +75,7 @@
             http_server.remove_connection(self)
             self._input.close()
             self.finish()
+            http_server.receive_windows.forget(self.stream)
 
     def handle(self) -> None:
         """Serve requests until the connection ends."""
@@ -275,6 +276,9 @@
             chunked=head.chunked,
             limits=self.limits.body,
             send_continue=send_continue if head.expects_continue else None,
+            on_receive=(
+                self._widen_receive_window if self._is_long(head) else None
+            ),
             holding=holding,
         )
         writer = self._make_writer(
@@ -287,6 +291,7 @@
         finally:
             slot.end(complete=writer.finished, closes=writer.close)
             http_server.request_ended(self)
+            http_server.receive_windows.end_use(self.stream)
             holding.close()
         if not writer.finished:
             return False
@@ -295,6 +300,13 @@
             return False
         return True
 
+    def _is_long(self, head: RequestHead) -> bool:
+        narrow_bytes = self.http_server.receive_windows.narrow_bytes
+        return head.chunked or (head.content_length or 0) > narrow_bytes
+
+    def _widen_receive_window(self) -> None:
+        self.http_server.receive_windows.widen(self.stream, self.close_if_idle)
+
     def _open_holding(self, body: Callable[[], RequestBody]) -> Holding:
         """Return the holding of a request.
 
--- a/packages/verbenad/src/verbenad/http_server.py
+++ b/packages/verbenad/src/verbenad/http_server.py
@@ -21,6 +21,7 @@
 from verbenad.http_server_limits import HttpServerLimits
 from verbenad.listener import BACKLOG, Listener
 from verbenad.pipelined_protocol import PipelinedProtocol
+from verbenad.receive_windows import ReceiveWindows
 from verbenad.refusal import NOT_RUN, make_refusal
 from verbenad.response_writer import ResponseWriter
 from verbenad.socket_stream import SocketStream
@@ -59,6 +60,7 @@
         connection run at the same time; responses keep their order.
     :param held_bytes: bounds what is held for callers; by default, nothing
         does.
+    :param receive_windows: bounds what callers send before it is read.
     """
 
     def __init__(
@@ -70,8 +72,10 @@
         limits: HttpServerLimits | None = None,
         pipelined: bool = False,
         held_bytes: HeldBytes | None = None,
+        receive_windows: ReceiveWindows | None = None,
     ) -> None:
         self.held_bytes = held_bytes or HeldBytes()
+        self.receive_windows = receive_windows or ReceiveWindows()
         self.application = application
         self._protocol = PipelinedProtocol if pipelined else HttpProtocol
         self.limits = limits or HttpServerLimits()
@@ -86,7 +90,9 @@
         # to the set starts later.
         self._open_connections = 0
         self._listener = Listener(
-            _listen(host, port), self._admit, self._close_longest_idle
+            _listen(host, port, self.receive_windows.narrow_bytes),
+            self._admit,
+            self._close_longest_idle,
         )
         self.address: tuple[str, int] = self._listener.getsockname()[:2]
         self._server: Any = None
@@ -260,12 +266,13 @@
                 by_descriptor[descriptor].cancel_requests()
 
 
-def _listen(host: str, port: int) -> socket.socket:
+def _listen(host: str, port: int, receive_bytes: int) -> socket.socket:
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
     sock: socket.socket = original("socket").socket(family, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    # Accepted connections inherit the option.
+    # Accepted connections inherit the options.
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes)
     sock.bind((host, port))
     sock.listen(BACKLOG)
     return sock
--- a/packages/verbenad/src/verbenad/request_body.py
+++ b/packages/verbenad/src/verbenad/request_body.py
@@ -48,6 +48,8 @@
     :param chunked: whether the body is in chunked coding.
     :param limits: limits on the body.
     :param send_continue: called once before the first wait for the sender.
+    :param on_receive: called once before the first wait for the sender, if
+        any.
     :param holding: the bytes held for the request; by default, without a
         limit.
     """
@@ -60,6 +62,7 @@
         chunked: bool,
         limits: BodyLimits,
         send_continue: Callable[[], None] | None = None,
+        on_receive: Callable[[], None] | None = None,
         holding: Holding | None = None,
     ) -> None:
         self.holding = holding or HeldBytes().open()
@@ -68,6 +71,7 @@
         self._stream = stream
         self._limits = limits
         self._send_continue = send_continue
+        self._on_receive = on_receive
         self._decoder = (
             ChunkedDecoder(stream, self._refill, limits_framing=True)
             if chunked
@@ -311,6 +315,9 @@
             raise BodyTooLargeError
 
     def _refill(self) -> None:
+        if self._on_receive is not None:
+            on_receive, self._on_receive = self._on_receive, None
+            on_receive()
         if self._send_continue is not None:
             send, self._send_continue = self._send_continue, None
             send()
--- a/packages/verbenad/src/verbenad/socket_stream.py
+++ b/packages/verbenad/src/verbenad/socket_stream.py
@@ -209,6 +209,14 @@
             return True
         return True
 
+    def set_receive_buffer(self, size: int) -> None:
+        """Set the size of the kernel's receive buffer, in bytes."""
+        try:
+            self._raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+        except OSError:
+            # The connection was closed.
+            return
+
     def shut_down_reading(self) -> None:
         """End the input; wakes a greenlet that waits for it."""
         try:
--- a/packages/verbenad/src/verbenad/steering/caller_http_limits.py
+++ b/packages/verbenad/src/verbenad/steering/caller_http_limits.py
@@ -11,6 +11,14 @@
 MIN_CALLER_CONNECTIONS = 100
 
 
+def caller_connections(max_descriptors: int) -> int:
+    """Return the most connections of callers.
+
+    :param max_descriptors: file descriptors that the process may use.
+    """
+    return max(MIN_CALLER_CONNECTIONS, max_descriptors - RESERVED_DESCRIPTORS)
+
+
 def caller_http_limits(
     config: SteeringConfig | None, max_descriptors: int
 ) -> HttpServerLimits:
@@ -18,9 +26,7 @@
 
     :param max_descriptors: file descriptors that the process may use.
     """
-    connections = max(
-        MIN_CALLER_CONNECTIONS, max_descriptors - RESERVED_DESCRIPTORS
-    )
+    connections = caller_connections(max_descriptors)
     if config is None:
         return HttpServerLimits(max_connections=connections)
     limits = config.limits
--- a/packages/verbenad/src/verbenad/steering/endpoint_servers.py
+++ b/packages/verbenad/src/verbenad/steering/endpoint_servers.py
@@ -2,6 +2,7 @@
 
 from verbenad.http_server import HttpServer
 from verbenad.http_server_limits import HttpServerLimits
+from verbenad.receive_windows import head_windows
 from verbenad.steering.platform_endpoints import PlatformEndpoints
 from verbenad.steering.steering_settings import (
     SteeringSettings,
@@ -35,4 +36,5 @@
             max_connections=MAX_ENDPOINT_CONNECTIONS,
             disconnect_check_period_s=None,
         ),
+        receive_windows=head_windows(),
     )
--- a/packages/verbenad/src/verbenad/steering/server_pool.py
+++ b/packages/verbenad/src/verbenad/steering/server_pool.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from verbenad.receive_windows import ReceiveWindows
 from verbenad.upstream_pool import PoolSettings, UpstreamPool
 
 # Timeouts of connections to backend servers. Connecting may take several
@@ -17,7 +18,9 @@
 OVERDUE_AFTER_S = 1.0
 
 
-def open_server_pool(now_s: Callable[[], float]) -> UpstreamPool:
+def open_server_pool(
+    now_s: Callable[[], float], receive_windows: ReceiveWindows
+) -> UpstreamPool:
     """Return a pool without connections."""
     return UpstreamPool(
         PoolSettings(
@@ -28,4 +31,5 @@
             overdue_after_s=OVERDUE_AFTER_S,
         ),
         now_s=now_s,
+        receive_windows=receive_windows,
     )
--- a/packages/verbenad/src/verbenad/steering/steering_daemon.py
+++ b/packages/verbenad/src/verbenad/steering/steering_daemon.py
@@ -10,16 +10,21 @@
 import logbook
 
 from verbenad.forwarder import Forwarder, ForwarderSettings
-from verbenad.held_bytes import HeldBytes, limit_of_memory
+from verbenad.held_bytes import HeldBytes
 from verbenad.http_server import HttpServer
 from verbenad.http_server_limits import HttpServerLimits
 from verbenad.json_lines_handler import JsonLinesHandler
 from verbenad.line_writer import LineWriter
 from verbenad.loop_timers import LoopTimers
+from verbenad.memory_shares import divide_memory
 from verbenad.metrics import Metrics
+from verbenad.receive_windows import ReceiveWindows, head_windows
 from verbenad.steering.admission_metrics import declare_admission_metrics
 from verbenad.steering.byte_counts import ByteCounts
-from verbenad.steering.caller_http_limits import caller_http_limits
+from verbenad.steering.caller_http_limits import (
+    caller_connections,
+    caller_http_limits,
+)
 from verbenad.steering.caller_lookup import CallerLookup
 from verbenad.steering.config_exchange import ConfigExchange
 from verbenad.steering.crash_tracker import CrashTracker
@@ -282,6 +287,7 @@
                 max_connections=MAX_RELAY_CONNECTIONS,
                 disconnect_check_period_s=None,
             ),
+            receive_windows=head_windows(),
         )
         self._platform_sync = PlatformSync(
             platform=platform,
@@ -338,7 +344,14 @@
             is_connected=self._is_connected,
             on_change=self._notices.limit_changed,
         )
-        self._pool = open_server_pool(self._now_s)
+        shares = divide_memory(
+            settings.memory_mb, caller_connections(settings.max_descriptors)
+        )
+        self._held_bytes = HeldBytes(shares.held_bytes)
+        receive_windows = ReceiveWindows(
+            narrow_bytes=shares.narrow_bytes, max_wide=shares.max_wide
+        )
+        self._pool = open_server_pool(self._now_s, receive_windows)
         self._service_limits = ServiceLimits(
             state=self._state, directory=self._directory
         )
@@ -396,10 +409,10 @@
         host, port_number = parse_address(
             "caller_address", settings.caller_address
         )
-        self._held_bytes = HeldBytes(limit_of_memory(settings.memory_mb))
         self._caller_http_server = HttpServer(
             gateway,
             held_bytes=self._held_bytes,
+            receive_windows=receive_windows,
             host=host,
             port=port_number,
             limits=caller_http_limits(None, settings.max_descriptors),
--- a/packages/verbenad/src/verbenad/upstream_connection.py
+++ b/packages/verbenad/src/verbenad/upstream_connection.py
@@ -21,6 +21,7 @@
     :param source_ip: local address to connect from.
     :param silent_s: time after which a peer that does not acknowledge data
         or probes is taken as lost; none for the system's defaults.
+    :param receive_bytes: receive buffer; none for the system's default.
     :raises urllib3.exceptions.HTTPError: if it cannot be opened.
     """
 
@@ -39,6 +40,7 @@
         timeout_s: float,
         source_ip: str | None = None,
         silent_s: float | None = None,
+        receive_bytes: int | None = None,
     ) -> None:
         self.address = address
         self._http = HTTPConnection(
@@ -49,6 +51,7 @@
             socket_options=[
                 *HTTPConnection.default_socket_options,
                 *keepalive_options(silent_s),
+                *_receive_options(receive_bytes),
             ],
         )
         self._http.connect()
@@ -65,6 +68,12 @@
         self._http.close()
 
 
+def _receive_options(receive_bytes: int | None) -> list[tuple[int, int, int]]:
+    if receive_bytes is None:
+        return []
+    return [(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes)]
+
+
 def keepalive_options(silent_s: float | None) -> list[tuple[int, int, int]]:
     """Return socket options that end a connection whose peer is silent."""
     if silent_s is None:
--- a/packages/verbenad/src/verbenad/upstream_pool.py
+++ b/packages/verbenad/src/verbenad/upstream_pool.py
@@ -1,5 +1,6 @@
 """Pool of connections to backend servers."""
 
+import functools
 import time
 from collections import Counter
 from collections.abc import Callable, Mapping
@@ -14,6 +15,7 @@
     NewConnectionError,
 )
 
+from verbenad.receive_windows import RESPONSE_BYTES, ReceiveWindows
 from verbenad.target_address import TargetAddress
 from verbenad.upstream_connection import UpstreamConnection
 
@@ -93,14 +95,18 @@
     read completely, otherwise with :meth:`discard`.
 
     :param now_s: monotonic clock.
+    :param receive_windows: bounds what servers send before it is read; by
+        default, nothing does.
     """
 
     def __init__(
         self,
         settings: PoolSettings | None = None,
         now_s: Callable[[], float] = time.monotonic,
+        receive_windows: ReceiveWindows | None = None,
     ) -> None:
         self.settings = settings or PoolSettings()
+        self._receive_windows = receive_windows
         self.counters: Counter[str] = Counter()
         self._now_s = now_s
         self._targets: dict[TargetAddress, _TargetConnections] = {}
@@ -142,9 +148,19 @@
             return Err(ConnectFailure.LIMIT)
         return self._open(target, address, timeout_s, use)
 
+    def receive_long(self, connection: UpstreamConnection) -> None:
+        """Prepare a connection for a response of more than a narrow buffer."""
+        if self._receive_windows is not None:
+            self._receive_windows.widen(
+                connection.stream,
+                functools.partial(self._close_if_idle, connection),
+            )
+
     def release(self, connection: UpstreamConnection) -> None:
         """Return a connection whose last response was read completely."""
         target = self._end_use(connection)
+        if self._receive_windows is not None:
+            self._receive_windows.end_use(connection.stream)
         if connection.stream.buffered_bytes:
             # Bytes after the end of a response belong to no request.
             self._close(connection, "closed_in_doubt")
@@ -269,6 +285,7 @@
                 connect_s,
                 self.settings.source_ip,
                 self.settings.peer_timeout_s,
+                RESPONSE_BYTES if self._receive_windows else None,
             )
         except (HTTPError, OSError) as error:
             # In urllib3, NewConnectionError (connection refused) is a
@@ -286,6 +303,14 @@
         self.counters["opened"] += 1
         return Ok(connection)
 
+    def _close_if_idle(self, connection: UpstreamConnection) -> bool:
+        target = self._targets.get(connection.address)
+        if target is None or connection not in target.idle:
+            return False
+        target.idle.remove(connection)
+        self._close(connection, "closed_for_buffer")
+        return True
+
     def _end_use(self, connection: UpstreamConnection) -> _TargetConnections:
         target = self._targets[connection.address]
         del target.uses[connection]
@@ -317,4 +342,6 @@
 
     def _close(self, connection: UpstreamConnection, reason: str) -> None:
         self.counters[reason] += 1
+        if self._receive_windows is not None:
+            self._receive_windows.forget(connection.stream)
         connection.close()
