Drop what a refused connection has received of its body

Callers saw nothing; an instance held memory for requests that it had refused.

Cause: up to 16 KiB of a body arrive together with its head. After the refusal the connection stays open for up to 2 s, so that the caller can read it, and kept these bytes, which no holding counts any more.

The buffer is emptied when the discarding of the input begins.

--- a/packages/verbenad/src/verbenad/http_protocol.py
+++ b/packages/verbenad/src/verbenad/http_protocol.py
@@ -389,6 +389,7 @@
         return True
 
     def _discard_input(self) -> None:
+        self.stream.take(self.stream.buffered_bytes)
         self.connection.shutdown(socket.SHUT_WR)
         deadline_s = time.monotonic() + self.limits.linger_s
         remaining_bytes = self.limits.linger_bytes
