Limit connections by the memory, and let stalled ones give way

Callers saw: while a crowd held all connections without being idle, others got 503 too-many-connections until the crowd's requests timed out. With 4,000 callers an instance had all 3,900 descriptors for sockets in use, so that connections to backend servers and the store could fail.

Cause: 900 descriptors were left beside callers, but the endpoints and relays alone take 800, and connections that are closing did not count. Nothing limited connections by memory; one takes about 13 KB. At the limit only idle connections were closed for new ones.

Connections now count until they are closed, 1,750 descriptors are left, and the memory limits connections, too. At the limit a new connection replaces the request that has made no progress for longest, at least 1 s. The held bytes are a fifth of the memory instead of a quarter, which leaves room for what connections and the allocator take.

--- a/packages/verbenad/src/verbenad/held_bytes.py
+++ b/packages/verbenad/src/verbenad/held_bytes.py
@@ -6,7 +6,7 @@
 
 # Share of the machine's memory that may be held. The rest is for the program
 # itself, copies that last for one step, and the allocator's unused parts.
-MEMORY_SHARE = 0.25
+MEMORY_SHARE = 0.2
 # The smallest machine; assumed if the settings do not tell the memory.
 DEFAULT_MEMORY_MB = 200.0
 MIN_LIMIT_BYTES = 4 << 20
@@ -158,6 +158,10 @@
                 break
         self.resize(holding, size)
 
+    def drop_stalled(self) -> bool:
+        """Drop the holding that has stalled for longest; return whether."""
+        return self._drop_one(True, None)
+
     def resize(self, holding: Holding, size: int) -> None:
         """Set the bytes of a holding."""
         size = max(0, size)
@@ -199,7 +203,7 @@
             others_bytes -= holding.held_bytes
         return others_bytes + size <= self._large_limit_bytes
 
-    def _drop_one(self, for_small: bool, asking: Holding) -> bool:
+    def _drop_one(self, for_small: bool, asking: Holding | None) -> bool:
         """Drop the holding that has made no progress for the longest time.
 
         A small holding is dropped only for another small one.
--- a/packages/verbenad/src/verbenad/http_protocol.py
+++ b/packages/verbenad/src/verbenad/http_protocol.py
@@ -62,6 +62,7 @@
         self.caller = CallerConnection(self.stream)
         self._input = http_server.held_bytes.open(self.stream.shutdown)
         self.idle = False
+        self.counts_as_open = True
         self._timed_out = False
         self._reset_on_close = False
         self._lingering_close = False
@@ -74,8 +75,11 @@
         finally:
             http_server.remove_connection(self)
             self._input.close()
-            self.finish()
-            http_server.receive_windows.forget(self.stream)
+            try:
+                self.finish()
+            finally:
+                http_server.release_connection(self)
+                http_server.receive_windows.forget(self.stream)
 
     def handle(self) -> None:
         """Serve requests until the connection ends."""
--- a/packages/verbenad/src/verbenad/http_server.py
+++ b/packages/verbenad/src/verbenad/http_server.py
@@ -37,6 +37,10 @@
 # Greenlets beyond the connection limit, for handlers of connections that are
 # still closing.
 _EXTRA_HANDLERS = 256
+# Connections over the limit, instead of others whose requests were dropped: a
+# share of the limit, and the most.
+_CLOSING_SHARE = 0.1
+_MAX_CLOSING_CONNECTIONS = 200
 # Eventlet's replacement of the module lacks poll.
 _poll = original("select").poll
 _DISCONNECT_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
@@ -145,9 +149,13 @@
         self.connections.add(connection)
 
     def remove_connection(self, connection: HttpProtocol) -> None:
-        """Remove a connection; repeated calls do nothing."""
-        if connection in self.connections:
-            self.connections.discard(connection)
+        """Remove a connection on which nothing more is served."""
+        self.connections.discard(connection)
+
+    def release_connection(self, connection: HttpProtocol) -> None:
+        """Stop to count a connection as open; repeated calls do nothing."""
+        if connection.counts_as_open:
+            connection.counts_as_open = False
             self._open_connections -= 1
 
     def request_began(self, connection: HttpProtocol) -> None:
@@ -186,9 +194,7 @@
             eventlet.sleep(0.01)
 
     def _admit(self, client: GreenSocket) -> bool:
-        if self._open_connections >= self.limits.max_connections:
-            self._close_longest_idle()
-        if self._open_connections < self.limits.max_connections:
+        if self._has_room():
             self._open_connections += 1
             self.count("accepted_connections")
             return True
@@ -200,12 +206,29 @@
             client.close()
         return False
 
+    def _has_room(self) -> bool:
+        """Whether a connection can be admitted; may close another for it."""
+        max_connections = self.limits.max_connections
+        if self._open_connections >= max_connections:
+            self._close_longest_idle()
+        if self._open_connections < max_connections:
+            return True
+        # A connection whose request is dropped closes only after its refusal.
+        closing_connections = min(
+            _MAX_CLOSING_CONNECTIONS, int(max_connections * _CLOSING_SHARE)
+        )
+        return (
+            self._open_connections < max_connections + closing_connections
+            and self.held_bytes.drop_stalled()
+        )
+
     def _close_longest_idle(self) -> None:
         for connection in list(self.idle):
             if connection.close_if_idle():
-                # Removed at once, to make room; the handler does so only after
-                # this call.
+                # At once, to make room; the handler does so only after this
+                # call.
                 self.remove_connection(connection)
+                self.release_connection(connection)
                 self.idle.pop(connection, None)
                 self.count("evicted_connections")
                 return
--- a/packages/verbenad/src/verbenad/memory_shares.py
+++ b/packages/verbenad/src/verbenad/memory_shares.py
@@ -10,8 +10,11 @@
     WIDE_BYTES,
 )
 
+# Share of the memory for connections, and what one takes of it.
+CONNECTION_SHARE = 0.25
+CONNECTION_BYTES = 16 << 10
 # Shares of the memory for narrow receive buffers and for wide ones.
-NARROW_SHARE = 0.125
+NARROW_SHARE = 0.1
 WIDE_SHARE = 0.0625
 
 
@@ -20,11 +23,13 @@
     """Parts of a machine's memory.
 
     :ivar held_bytes: most bytes held for requests.
+    :ivar connections: most connections of callers.
     :ivar narrow_bytes: receive buffer of a caller's connection.
     :ivar max_wide: most connections with a wide receive buffer.
     """
 
     held_bytes: int
+    connections: int
     narrow_bytes: int
     max_wide: int
 
@@ -33,14 +38,19 @@
     """Return the parts of a machine's memory.
 
     :param memory_mb: memory of the machine; 0 if not known.
-    :param max_connections: most connections of callers.
+    :param max_connections: most connections that other limits permit.
     """
     memory_bytes = (memory_mb or DEFAULT_MEMORY_MB) * (1 << 20)
+    connections = min(
+        max_connections,
+        int(memory_bytes * CONNECTION_SHARE / CONNECTION_BYTES),
+    )
     narrow_bytes = int(
-        memory_bytes * NARROW_SHARE / max_connections / KERNEL_FACTOR
+        memory_bytes * NARROW_SHARE / connections / KERNEL_FACTOR
     )
     return MemoryShares(
         held_bytes=limit_of_memory(memory_mb),
+        connections=connections,
         narrow_bytes=min(
             MAX_NARROW_BYTES, max(MIN_NARROW_BYTES, narrow_bytes)
         ),
--- a/packages/verbenad/src/verbenad/steering/caller_http_limits.py
+++ b/packages/verbenad/src/verbenad/steering/caller_http_limits.py
@@ -5,14 +5,24 @@
 from verbenad.request_head import HeadLimits
 from verbenaworks.steering.steering_config import SteeringConfig
 
-# File descriptors that are not available for callers' connections: files, the
-# store, peers and backend servers.
-RESERVED_DESCRIPTORS = 900
+# Of the descriptors that the process may open: for files; for the endpoints
+# and relays, whose HTTP servers have limits of their own; for connections to
+# backend servers, the store and peers; and for connections that are closing.
+FILE_DESCRIPTORS = 200
+ENDPOINT_DESCRIPTORS = 1000
+SERVER_DESCRIPTORS = 300
+CLOSING_DESCRIPTORS = 250
+RESERVED_DESCRIPTORS = (
+    FILE_DESCRIPTORS
+    + ENDPOINT_DESCRIPTORS
+    + SERVER_DESCRIPTORS
+    + CLOSING_DESCRIPTORS
+)
 MIN_CALLER_CONNECTIONS = 100
 
 
 def caller_connections(max_descriptors: int) -> int:
-    """Return the most connections of callers.
+    """Return for how many connections of callers there are descriptors.
 
     :param max_descriptors: file descriptors that the process may use.
     """
@@ -20,13 +30,12 @@
 
 
 def caller_http_limits(
-    config: SteeringConfig | None, max_descriptors: int
+    config: SteeringConfig | None, connections: int
 ) -> HttpServerLimits:
     """Return the limits; those of the program without a configuration.
 
-    :param max_descriptors: file descriptors that the process may use.
+    :param connections: most connections of callers.
     """
-    connections = caller_connections(max_descriptors)
     if config is None:
         return HttpServerLimits(max_connections=connections)
     limits = config.limits
--- a/packages/verbenad/src/verbenad/steering/endpoint_servers.py
+++ b/packages/verbenad/src/verbenad/steering/endpoint_servers.py
@@ -10,6 +10,7 @@
 )
 
 MAX_ENDPOINT_CONNECTIONS = 200
+MAX_RELAY_CONNECTIONS = 200
 
 
 def open_endpoint_servers(
--- a/packages/verbenad/src/verbenad/steering/steering_daemon.py
+++ b/packages/verbenad/src/verbenad/steering/steering_daemon.py
@@ -28,7 +28,10 @@
 from verbenad.steering.caller_lookup import CallerLookup
 from verbenad.steering.config_exchange import ConfigExchange
 from verbenad.steering.crash_tracker import CrashTracker
-from verbenad.steering.endpoint_servers import open_endpoint_servers
+from verbenad.steering.endpoint_servers import (
+    MAX_RELAY_CONNECTIONS,
+    open_endpoint_servers,
+)
 from verbenad.steering.held_bytes_log import HeldBytesLog
 from verbenad.steering.instance_gauges import declare_gauges
 from verbenad.steering.peer_exchange import MIN_REPORT_PERIOD_S, PeerExchange
@@ -83,7 +86,6 @@
 LEASE_MARGIN_S = 0.5
 # Share of the longest permitted time that callers may cache lookup responses.
 LOOKUP_TTL_SHARE = 0.4
-MAX_RELAY_CONNECTIONS = 200
 
 
 class SteeringDaemon:
@@ -347,6 +349,7 @@
         shares = divide_memory(
             settings.memory_mb, caller_connections(settings.max_descriptors)
         )
+        self._max_connections = shares.connections
         self._held_bytes = HeldBytes(shares.held_bytes)
         receive_windows = ReceiveWindows(
             narrow_bytes=shares.narrow_bytes, max_wide=shares.max_wide
@@ -415,7 +418,7 @@
             receive_windows=receive_windows,
             host=host,
             port=port_number,
-            limits=caller_http_limits(None, settings.max_descriptors),
+            limits=caller_http_limits(None, self._max_connections),
             pipelined=True,
         )
 
@@ -476,7 +479,7 @@
         )
         self._set_rank_admission(config)
         self._caller_http_server.limits = caller_http_limits(
-            config, self._settings.max_descriptors
+            config, self._max_connections
         )
 
     def _set_rank_admission(self, config: SteeringConfig) -> None:
--- a/tools/settings_table.py
+++ b/tools/settings_table.py
@@ -6,8 +6,14 @@
 from collections.abc import Iterator
 from pathlib import Path
 
-from verbenad import chunked_decoder, held_bytes
+from verbenad import (
+    chunked_decoder,
+    held_bytes,
+    memory_shares,
+    receive_windows,
+)
 from verbenad.daemon_settings import PROCESS_SETTINGS, default_text
+from verbenad.steering import caller_http_limits, endpoint_servers
 from verbenaworks.settings_path import LEVEL_FORMS
 from verbenaworks.settings_schema import FIELDS, FieldSpec, fields_of_level
 from verbenaworks.value_kind import allowed, format_value
@@ -47,8 +53,9 @@
 _MEMORY_LIMITS = """\
 ## Memory and chunks of an entry instance
 
-These limits of the platform's entry instances have no setting of their own,
-except the machine's memory: `limits.memoryMb` of the platform's settings file.
+These limits have no setting of their own, except the machine's memory:
+`limits.memoryMb` of the platform's settings file. `limits.maxFds` limits the
+connections, too.
 No caller that keeps to `maxHeaderBytes`, `maxBodyBytes`, `headerTimeoutS` and
 `idleTimeoutS` reaches one of them while the instance is calm.
 `docs/design/held-bytes.md` describes how they work.
@@ -61,6 +68,44 @@
         f"{held_bytes.DEFAULT_MEMORY_MB:g} MB if absent",
         "Memory of the machine.",
     ),
+    (
+        "`limits.maxFds`",
+        f"{caller_http_limits.RESERVED_DESCRIPTORS} are not for callers",
+        "Descriptors of the process. The rest are connections of callers, at"
+        f" least {caller_http_limits.MIN_CALLER_CONNECTIONS}.",
+    ),
+    (
+        "connections of callers",
+        f"one for {memory_shares.CONNECTION_BYTES >> 10} KiB of"
+        f" {memory_shares.CONNECTION_SHARE:g} of the memory",
+        "At the limit a new connection replaces the one that has been idle"
+        " for longest, or a request that has made no progress for"
+        f" {held_bytes.MIN_IDLE_S:g} s. If there is neither, it is refused"
+        " with 503 `too-many-connections`.",
+    ),
+    (
+        "receive buffer of a caller's connection",
+        f"{memory_shares.NARROW_SHARE:g} of the memory for all,"
+        f" {receive_windows.MIN_NARROW_BYTES >> 10} to"
+        f" {receive_windows.MAX_NARROW_BYTES >> 10} KiB each",
+        "Bytes that the kernel receives ahead; it may hold twice as many."
+        " Look-ups, readiness, metrics and relays use"
+        f" {receive_windows.MIN_NARROW_BYTES >> 10} KiB, connections to"
+        f" backend servers {receive_windows.RESPONSE_BYTES >> 10} KiB.",
+    ),
+    (
+        "wide receive buffers",
+        f"{receive_windows.WIDE_BYTES >> 10} KiB each,"
+        f" {memory_shares.WIDE_SHARE:g} of the memory for all",
+        "For connections on which a long body arrives. If none is left, the"
+        " idle connection that has had one for longest is closed; otherwise"
+        " the body arrives through the usual buffer.",
+    ),
+    (
+        "look-ups, readiness, metrics, relays",
+        f"{endpoint_servers.MAX_ENDPOINT_CONNECTIONS} connections each",
+        "At the limit the longest idle one is closed.",
+    ),
     (
         "bytes held",
         f"{held_bytes.MEMORY_SHARE:g} of the memory, at least"
