Bound the memory of verbenad without a platform

Callers saw: nothing bounded what an instance without a platform holds for them, and its 10,000 connections alone take about 130 MB.

Cause: only the entry instances of the platform had held bytes and connections limited by the memory.

Metrics and log lines of held bytes are the same as on the platform.

--- a/packages/verbenad/src/verbenad/daemon.py
+++ b/packages/verbenad/src/verbenad/daemon.py
@@ -24,6 +24,9 @@
 from verbenad.fleet import Fleet
 from verbenad.forwarder import Forwarder, ForwarderSettings
 from verbenad.gateway import Gateway
+from verbenad.held_bytes import HeldBytes
+from verbenad.held_bytes_gauges import declare_held_bytes
+from verbenad.held_bytes_log import HeldBytesLog
 from verbenad.http_server import HttpServer
 from verbenad.http_server_limits import HttpServerLimits
 from verbenad.json_lines_handler import JsonLinesHandler
@@ -33,9 +36,11 @@
 from verbenad.lookup_page import LookupPage
 from verbenad.lookup_table import LookupTable
 from verbenad.loop_timers import LoopTimers
+from verbenad.memory_shares import divide_memory, machine_memory_mb
 from verbenad.metrics import Metrics
 from verbenad.platform_list import PlatformList
 from verbenad.rate_limiter import RateLimiter
+from verbenad.receive_windows import ReceiveWindows
 from verbenad.request_body import BodyLimits
 from verbenad.request_head import HeadLimits
 from verbenad.run_claims import GENERATION_RETRY_INTERVAL_S, RunClaims
@@ -61,6 +66,7 @@
 POOL_CLEANUP_PERIOD_S = 1.0
 REPORT_PERIOD_S = 0.5
 FLUSH_PERIOD_S = 0.5
+HELD_LOG_PERIOD_S = 1.0
 # At shutdown, the longest wait for the messages that hand over duties. They
 # only spare other instances a timeout.
 MAX_HANDOVER_WAIT_S = 2.0
@@ -115,6 +121,7 @@
         every(SHIFT_PERIOD_S, self._shift_loop.tick)
         every(REPORT_PERIOD_S, self._report_self)
         every(FLUSH_PERIOD_S, self._log_writer.flush)
+        every(HELD_LOG_PERIOD_S, HeldBytesLog(self._held_bytes).record)
         self._fleet.start(self._timers)
         self._admin.start()
         self._http_server.start()
@@ -230,9 +237,17 @@
             random=self._random,
             links=self._link_limiter,
         )
+        shares = divide_memory(
+            settings.memory_mb or machine_memory_mb(), settings.max_connections
+        )
+        self._held_bytes = HeldBytes(shares.held_bytes)
+        receive_windows = ReceiveWindows(
+            narrow_bytes=shares.narrow_bytes, max_wide=shares.max_wide
+        )
         self._pool = UpstreamPool(
             PoolSettings(source_ip=settings.target_source_ip),
             now_s=self._now_s,
+            receive_windows=receive_windows,
         )
         forwarder = Forwarder(
             self._pool,
@@ -306,7 +321,9 @@
             self._gateway,
             host=host,
             port=int(port),
-            limits=_http_server_limits(settings),
+            limits=_http_server_limits(settings, shares.connections),
+            held_bytes=self._held_bytes,
+            receive_windows=receive_windows,
         )
 
     def _declare_gauges(self) -> None:
@@ -339,6 +356,7 @@
             ),
         )
         self._declare_bus_metrics()
+        declare_held_bytes(self.metrics, self._held_bytes)
         gauge(
             "verbenad_bus_dropped_total",
             "Messages to other instances that could not be queued.",
@@ -545,9 +563,11 @@
         self._log_writer.flush()
 
 
-def _http_server_limits(settings: DaemonSettings) -> HttpServerLimits:
+def _http_server_limits(
+    settings: DaemonSettings, max_connections: int
+) -> HttpServerLimits:
     return HttpServerLimits(
-        max_connections=settings.max_connections,
+        max_connections=max_connections,
         idle_timeout_s=settings.idle_limit_s,
         head_timeout_s=settings.header_limit_s,
         head=HeadLimits(block_bytes=settings.max_header_bytes),
--- a/packages/verbenad/src/verbenad/daemon_settings.py
+++ b/packages/verbenad/src/verbenad/daemon_settings.py
@@ -86,6 +86,7 @@
     bootstrap_token: str | None
     log_level: str
     max_connections: int
+    memory_mb: float | None
     max_header_bytes: int
     header_limit_s: float
     idle_limit_s: float
@@ -188,7 +189,15 @@
         name="max_connections",
         kind=Integer(minimum=1, maximum=1_000_000),
         default=10_000,
-        description="Connections of callers at once.",
+        description="Connections of callers at once, if the memory is enough.",
+    ),
+    ProcessSetting(
+        name="memory_mb",
+        kind=Number(minimum=100.0, maximum=1e9),
+        optional=True,
+        description=(
+            "Memory that the process may use; without it, that of the machine."
+        ),
     ),
     ProcessSetting(
         name="max_header_bytes",
--- a/packages/verbenad/src/verbenad/gateway.py
+++ b/packages/verbenad/src/verbenad/gateway.py
@@ -7,11 +7,14 @@
 from verbenad.call import Call
 from verbenad.call_digest import PREFIX_BYTES, call_digest
 from verbenad.call_runner import CallRunner, RunningResponse
+from verbenad.held_bytes import REQUEST_BYTES
+from verbenad.held_response import HeldResponse
 from verbenad.lookup_page import LookupPage
-from verbenad.protocol_errors import BodyError
+from verbenad.protocol_errors import MEMORY_RETRY_AFTER_S, BodyError
 from verbenad.rate_limiter import RateLimiter
 from verbenad.refusal import NOT_RUN, Refusal, make_refusal
 from verbenad.refusal_error import RefusalError, refusal_error
+from verbenad.request_body import RequestBody
 from verbenad.request_head import RequestHead
 from verbenad.run_guard import RunClaim, RunGuard
 from verbenad.service_pages import ServicePages
@@ -71,6 +74,7 @@
                 run=NOT_RUN,
                 request_id=request_id,
                 message=error.message,
+                retry_after_s=error.retry_after_s,
             )
             return self._refuse(refusal, start_response)
 
@@ -93,6 +97,11 @@
                 return page
         if config is None:
             raise refusal_error("not-fresh", request_id, retry_after_s=1.0)
+        body: RequestBody = environ["wsgi.input"]
+        if not body.holding.try_grow(REQUEST_BYTES):
+            raise refusal_error(
+                "memory-full", request_id, retry_after_s=MEMORY_RETRY_AFTER_S
+            )
         call = authenticate(
             config, environ, request_id, self._may_use_keys, self._now_s()
         )
@@ -142,16 +151,17 @@
         running: RunningResponse,
         start_response: StartResponse,
     ) -> Iterable[bytes]:
+        call.body.release()
         response = running.response
         headers = [*response.headers, ("X-Request-Id", call.request_id)]
         if claim is None:
             start_response(response.status_line, headers)
-            return running.stream
+            return HeldResponse(running.stream, call.body.holding)
         body = _read_small_body(running)
         if body is None:
             self._guard.record_response(claim, None)
             start_response(response.status_line, headers)
-            return running.stream
+            return HeldResponse(running.stream, call.body.holding)
         stored = StoredAnswer(
             status=response.status, headers=tuple(response.headers), body=body
         )
--- a/packages/verbenad/src/verbenad/memory_shares.py
+++ b/packages/verbenad/src/verbenad/memory_shares.py
@@ -1,5 +1,6 @@
 """Division of a machine's memory."""
 
+import os
 from dataclasses import dataclass
 
 from verbenad.held_bytes import DEFAULT_MEMORY_MB, limit_of_memory
@@ -56,3 +57,9 @@
         ),
         max_wide=int(memory_bytes * WIDE_SHARE / KERNEL_FACTOR / WIDE_BYTES),
     )
+
+
+def machine_memory_mb() -> float:
+    """Return the memory of the machine that the process runs on."""
+    pages = os.sysconf("SC_PHYS_PAGES")
+    return pages * os.sysconf("SC_PAGE_SIZE") / (1 << 20)
--- a/packages/verbenad/src/verbenad/steering/instance_gauges.py
+++ b/packages/verbenad/src/verbenad/steering/instance_gauges.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Mapping
 
 from verbenad.held_bytes import HeldBytes
+from verbenad.held_bytes_gauges import declare_held_bytes
 from verbenad.metrics import Metrics
 from verbenaworks.steering.steering_config import SteeringConfig
 
@@ -70,23 +71,4 @@
         "server",
         oldest_connection_use_s,
     )
-    _declare_held_bytes(metrics, held_bytes)
-
-
-def _declare_held_bytes(metrics: Metrics, held_bytes: HeldBytes) -> None:
-    metrics.gauge_source(
-        "verbenad_held_bytes",
-        "Bytes held for callers and servers.",
-        lambda: float(held_bytes.held_bytes),
-    )
-    metrics.gauge_source(
-        "verbenad_held_bytes_limit",
-        "Most bytes that may be held.",
-        lambda: float(held_bytes.limit_bytes),
-    )
-    metrics.counter_source(
-        "verbenad_holdings_total",
-        "Requests that were refused bytes, or dropped for other requests.",
-        "event",
-        lambda: held_bytes.counters,
-    )
+    declare_held_bytes(metrics, held_bytes)
--- a/packages/verbenad/src/verbenad/steering/steering_daemon.py
+++ b/packages/verbenad/src/verbenad/steering/steering_daemon.py
@@ -11,6 +11,7 @@
 
 from verbenad.forwarder import Forwarder, ForwarderSettings
 from verbenad.held_bytes import HeldBytes
+from verbenad.held_bytes_log import HeldBytesLog
 from verbenad.http_server import HttpServer
 from verbenad.http_server_limits import HttpServerLimits
 from verbenad.json_lines_handler import JsonLinesHandler
@@ -32,7 +33,6 @@
     MAX_RELAY_CONNECTIONS,
     open_endpoint_servers,
 )
-from verbenad.steering.held_bytes_log import HeldBytesLog
 from verbenad.steering.instance_gauges import declare_gauges
 from verbenad.steering.peer_exchange import MIN_REPORT_PERIOD_S, PeerExchange
 from verbenad.steering.peer_traffic import PeerTraffic
--- a/tools/settings_table.py
+++ b/tools/settings_table.py
@@ -54,8 +54,8 @@
 ## Memory and chunks of an entry instance
 
 These limits have no setting of their own, except the machine's memory:
-`limits.memoryMb` of the platform's settings file. `limits.maxFds` limits the
-connections, too.
+`limits.memoryMb` of the platform's settings file, or `--memory-mb` without a
+platform. `limits.maxFds` or `--max-connections` limit the connections, too.
 No caller that keeps to `maxHeaderBytes`, `maxBodyBytes`, `headerTimeoutS` and
 `idleTimeoutS` reaches one of them while the instance is calm.
 `docs/design/held-bytes.md` describes how they work.
@@ -66,7 +66,7 @@
     (
         "`limits.memoryMb`",
         f"{held_bytes.DEFAULT_MEMORY_MB:g} MB if absent",
-        "Memory of the machine.",
+        "Memory of the machine. Without a platform, `--memory-mb`.",
     ),
     (
         "`limits.maxFds`",
