End a body that is not received by the deadline of its request

Callers saw: a request whose body stalls was answered 10 s after its last byte, however short its deadline was. A body of more than 1 MiB is sent on while it arrives, so a crowd of stalled ones kept slots of backend servers from others.

Evidence: a trial with a route of 3 s got 502 after 10.0 s for 2 of 4 MiB, and 408 after 10.0 s for half a MiB.

RequestBody takes the time that is left, and the gateways set it before the first wait. A body that was not sent on is refused with 408, which promises that the request did not run.

--- a/packages/verbenad/src/verbenad/gateway.py
+++ b/packages/verbenad/src/verbenad/gateway.py
@@ -122,6 +122,8 @@
                 retry_after_s=self._rate_limiter.retry_after_s(call.workspace),
             )
         if call.body.exists:
+            # A body that is not here by the deadline cannot be served.
+            call.body.limit_time(call.deadline_s - self._now_s())
             call.body.prefetch(PREFIX_BYTES)
         claim = self._guard.claim(call, self._now_s(), config.run_window_s)
         if isinstance(claim, StoredAnswer):
--- a/packages/verbenad/src/verbenad/request_body.py
+++ b/packages/verbenad/src/verbenad/request_body.py
@@ -1,5 +1,6 @@
 """Request bodies received from callers."""
 
+import math
 import time
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
@@ -72,6 +73,7 @@
         self._limits = limits
         self._send_continue = send_continue
         self._on_receive = on_receive
+        self._end_s = math.inf
         self._decoder = (
             ChunkedDecoder(stream, self._refill, limits_framing=True)
             if chunked
@@ -132,6 +134,13 @@
         """The buffered first bytes of the body."""
         return self._prefix
 
+    def limit_time(self, left_s: float) -> None:
+        """Set the time that is left to receive the body.
+
+        Later waits raise ``BodyTooSlowError``; what was received can be read.
+        """
+        self._end_s = time.monotonic() + left_s
+
     def prefetch(self, limit_bytes: int) -> bool:
         """Buffer up to ``limit_bytes``; return whether the body is complete.
 
@@ -323,7 +332,9 @@
             send()
         started_s = time.monotonic()
         try:
-            count = self._stream.refill(self._limits.stall_s)
+            count = self._stream.refill(
+                min(self._limits.stall_s, self._end_s - started_s)
+            )
         except TimeoutError as error:
             raise BodyTooSlowError from error
         except OSError as error:
--- a/packages/verbenad/src/verbenad/steering/steering_gateway.py
+++ b/packages/verbenad/src/verbenad/steering/steering_gateway.py
@@ -239,6 +239,8 @@
         body: RequestBody = environ["wsgi.input"]
         caller: CallerConnection = environ["verbena.caller"]
         if body.exists:
+            # A body that is not here by the deadline cannot be served.
+            body.limit_time(trace.deadline_s - self._now_s())
             body.prefetch(MAX_PREFETCH_BYTES)
         self._record_body(len(body.prefix))
         trace.service = self._choose_service(route)
--- a/tests/test_daemon_memory.py
+++ b/tests/test_daemon_memory.py
@@ -4,6 +4,7 @@
 received and not read.
 """
 
+import socket
 from collections.abc import Iterator
 from pathlib import Path
 
@@ -26,6 +27,7 @@
 # Allowed beside connections of callers: files, the store, peers and targets.
 MAX_OTHER_DESCRIPTORS = 600
 CROWD_SERVICE = "uploads"
+DEADLINE_MS = 1000
 
 
 def _head(*fields: str, method: str = "POST", query: str = "") -> bytes:
@@ -111,6 +113,22 @@
     assert watch.peak_descriptors < CALLERS + MAX_OTHER_DESCRIPTORS
 
 
+@pytest.mark.parametrize("sent_bytes", [1000, 1_000_000])
+def test_stalled_body_ends_at_the_deadline(
+    local: LocalDeployment, sent_bytes: int
+) -> None:
+    """Guards against bodies that occupy memory or a server for longer."""
+    ip, _, port = local.instances["e1"].caller.rpartition(":")
+    head = _head(
+        f"Content-Length: {LONG_BODY_BYTES}",
+        f"X-Request-Deadline-Ms: {DEADLINE_MS}",
+    )
+    # Less than the time after which a body has stalled.
+    with socket.create_connection((ip, int(port)), timeout=20.0) as caller:
+        caller.sendall(head + b"b" * sent_bytes)
+        assert caller.recv(12)[9:12] in (b"408", b"502", b"504")
+
+
 def test_long_body_is_served_in_calm(local: LocalDeployment) -> None:
     """Guards against a limit that an ordinary caller can reach."""
     assert _is_served(local, CROWD_SERVICE, 2 * LONG_BODY_BYTES)
--- a/tools/settings_table.py
+++ b/tools/settings_table.py
@@ -133,6 +133,12 @@
         " time may be dropped for another: 503 `memory-full` while its body is"
         " received, a closed connection while its response is sent.",
     ),
+    (
+        "time for a body",
+        "the deadline of the request",
+        "A body that is not received by then is refused with 408"
+        " `request-too-slow`, or ends its request if a part was sent on.",
+    ),
     (
         "pipelined requests at once",
         f"one from {held_bytes.SHORT_SHARE:g} of the bytes held",
